Lay out the package, its shared types and the whole check

Cause: nothing existed; every later part needs one set of words and types. Conclusion: decision modules can be written against these types side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3.11
+VENV := .venv
+STAMP := $(VENV)/.installed
+
+.PHONY: all install demo test lint types check clean
+
+all: check
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+install: $(STAMP)
+
+demo: $(STAMP)
+	$(VENV)/bin/python -m savorypond.demo
+
+test: $(STAMP)
+	$(VENV)/bin/python -m nose2
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check src tests benchmarks
+	$(VENV)/bin/ruff check src tests benchmarks
+
+types: $(STAMP)
+	$(VENV)/bin/mypy
+
+check: lint types test
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/src/savorypond/__init__.py
@@ -0,0 +1,3 @@
+"""A query tier over many shards."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/savorypond/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""The controllers that own the state which filters read."""
--- /dev/null
+++ b/src/savorypond/exceptions.py
@@ -0,0 +1,86 @@
+"""Every error that savorypond raises, each naming its culprit."""
+
+from savorypond.reasons import Execution, RefusalReason
+
+
+class SavorypondError(Exception):
+    """Base class of all errors of this package."""
+
+
+class SettingsError(SavorypondError):
+    """The daemon's settings file cannot be used."""
+
+    def __init__(self, *, path: str, field: str, problem: str) -> None:
+        super().__init__(f"{path}: {field}: {problem}")
+        self.path = path
+        self.field = field
+        self.problem = problem
+
+
+class ServiceFileError(SavorypondError):
+    """A service file breaks a rule.
+
+    :param line: line in the file counted from 1, or 0 where none applies.
+    """
+
+    def __init__(self, *, path: str, line: int, field: str, problem: str) -> None:
+        where = f"{path}:{line}" if line else path
+        super().__init__(f"{where}: {field}: {problem}")
+        self.path = path
+        self.line = line
+        self.field = field
+        self.problem = problem
+
+
+class BundleError(SavorypondError):
+    """A bundle cannot be accepted."""
+
+    def __init__(self, *, revision: int, problem: str) -> None:
+        super().__init__(f"bundle revision {revision}: {problem}")
+        self.revision = revision
+        self.problem = problem
+
+
+class WireError(SavorypondError):
+    """A message from another process cannot be read."""
+
+    def __init__(self, *, sender: str, problem: str) -> None:
+        super().__init__(f"message from {sender}: {problem}")
+        self.sender = sender
+        self.problem = problem
+
+
+class RequestRefused(SavorypondError):  # noqa: N818
+    """A caller's request ends without an answer.
+
+    :param execution: whether any of the work may have run.
+    :param retry_after: seconds until a repeat may succeed, or None where a
+        repeat of the same request cannot.
+    """
+
+    def __init__(
+        self,
+        *,
+        reason: RefusalReason,
+        detail: str,
+        execution: Execution = Execution.NOT_RUN,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(f"{reason.value}: {detail}")
+        self.reason = reason
+        self.detail = detail
+        self.execution = execution
+        self.retry_after = retry_after
+
+
+class BackendServerError(SavorypondError):
+    """One attempt at a backend server failed.
+
+    :param sent: whether any byte of the request may have left this process.
+    """
+
+    def __init__(self, *, server: str, problem: str, sent: bool) -> None:
+        super().__init__(f"backend server {server}: {problem}")
+        self.server = server
+        self.problem = problem
+        self.sent = sent
--- /dev/null
+++ b/src/savorypond/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The filter chain that each request walks."""
--- /dev/null
+++ b/src/savorypond/reasons.py
@@ -0,0 +1,112 @@
+"""The enumerated reasons that answers, counters and logs share."""
+
+from enum import StrEnum
+
+
+class Execution(StrEnum):
+    """Whether a refused request may have run."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(StrEnum):
+    """Why a caller's request ended without an answer."""
+
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+    TOO_SLOW = "too-slow"
+    NOT_FOUND = "not-found"
+    METHOD_NOT_ALLOWED = "method-not-allowed"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+    UNKNOWN_INDEX = "unknown-index"
+    UNKNOWN_SERVICE = "unknown-service"
+    MIXED_INDEXES = "mixed-indexes"
+    NOT_READY = "not-ready"
+    DRAINING = "draining"
+    OVERLOADED = "overloaded"
+    TIME_TOO_SHORT = "time-too-short"
+    TIMED_OUT = "timed-out"
+    NO_SNAPSHOT = "no-snapshot"
+    COVERAGE_TOO_LOW = "coverage-too-low"
+    NO_BACKEND_SERVER = "no-backend-server"
+    CONNECTION_LOST = "connection-lost"
+    SHED = "shed"
+    TICKET_UNKNOWN = "ticket-unknown"
+    TICKET_SPENT = "ticket-spent"
+    TICKET_EXPIRED = "ticket-expired"
+    TICKET_FOREIGN = "ticket-foreign"
+    INSTANCE_GONE = "instance-gone"
+    INTERNAL = "internal"
+
+
+class MissingReason(StrEnum):
+    """Why a shard is not covered by an answer."""
+
+    TIMED_OUT = "timed-out"
+    NO_BACKEND_SERVER = "no-backend-server"
+    SNAPSHOT_NOT_HELD = "snapshot-not-held"
+    SHED = "shed"
+    CONNECTION_FAILED = "connection-failed"
+    INVALID_ANSWER = "invalid-answer"
+    BUDGET_SPENT = "budget-spent"
+    OVERLOADED = "overloaded"
+    OWNER_UNREACHABLE = "owner-unreachable"
+
+
+class RetryReason(StrEnum):
+    """Why a shard call was sent once more to another replica."""
+
+    SHED = "shed"
+    CONNECTION_FAILED = "connection-failed"
+    SNAPSHOT_NOT_HELD = "snapshot-not-held"
+    INVALID_ANSWER = "invalid-answer"
+    TIMED_OUT = "timed-out"
+    OWNER_UNREACHABLE = "owner-unreachable"
+
+
+class HedgeReason(StrEnum):
+    """Why a second attempt was started while the first was running."""
+
+    SLOW_REPLICA = "slow-replica"
+    SLOW_OWNER = "slow-owner"
+    SILENT_CONNECTION = "silent-connection"
+
+
+class CancelReason(StrEnum):
+    """Why a running attempt was cancelled."""
+
+    LOST_RACE = "lost-race"
+    DEADLINE = "deadline"
+    CALLER_GONE = "caller-gone"
+
+
+class DropReason(StrEnum):
+    """Why an arrived partial answer was not used."""
+
+    LATE = "late"
+    DUPLICATE = "duplicate"
+    WRONG_REQUEST = "wrong-request"
+    WRONG_SNAPSHOT = "wrong-snapshot"
+    WRONG_LAYOUT = "wrong-layout"
+    WRONG_SHARD = "wrong-shard"
+    TRUNCATED = "truncated"
+    MALFORMED = "malformed"
+
+
+class EjectReason(StrEnum):
+    """Why a backend server stopped getting work for a while."""
+
+    CONSECUTIVE_FAILURES = "consecutive-failures"
+    SLOW = "slow"
+    LEAVING = "leaving"
+    UNREACHABLE = "unreachable"
+
+
+class ConfigReason(StrEnum):
+    """Why offered configuration was not taken."""
+
+    INVALID = "invalid"
+    STALE = "stale"
+    CONFLICT = "conflict"
+    SERVICE_DOWN = "service-down"
