--- a/src/savorypond/exceptions.py
+++ b/src/savorypond/exceptions.py
@@ -84,3 +84,13 @@
         self.server = server
         self.problem = problem
         self.sent = sent
+
+
+class MixedAnswersError(SavorypondError):
+    """Answers of different requests, snapshots or layouts were to be merged."""
+
+    def __init__(self, *, field: str, expected: object, found: object) -> None:
+        super().__init__(f"{field} {found} cannot be merged with {expected}")
+        self.field = field
+        self.expected = expected
+        self.found = found
--- /dev/null
+++ b/src/savorypond/fanout.py
@@ -0,0 +1,185 @@
+"""The whole life of one query's fan-out: at most two runs, and one finish."""
+
+from collections.abc import Sequence
+
+from savorypond.attempts import (
+    Action,
+    Attempt,
+    AttemptFailure,
+    Finish,
+    Repin,
+)
+from savorypond.fanoutpolicies import FanoutPolicies
+from savorypond.fanoutrun import FanoutRun
+from savorypond.model import Answer, Pin, Query, Service
+from savorypond.partials import ServerAnswer
+from savorypond.reasons import CancelReason, MissingReason, RepinReason
+
+
+class Fanout:
+    """Runs one query: tells what to send, what to cancel and when to finish.
+
+    Call ``start`` once, then the event methods as things happen, and ``tick`` at
+    ``next_timer``. Each returns the actions to take. Exactly one ``Finish``
+    comes, no later than the first call after the deadline less the margin; after
+    it every call returns nothing. A clock that goes back is taken to stand still.
+
+    :param pin: the snapshot and layout to begin with.
+    :param services: the services asked, all of one index.
+    """
+
+    def __init__(
+        self,
+        *,
+        query: Query,
+        pin: Pin,
+        services: Sequence[Service],
+        policies: FanoutPolicies,
+    ) -> None:
+        self._query = query
+        self._services = services
+        self._policies = policies
+        self._counters = policies.counters
+        self._settings = policies.settings
+        self._finish_at = query.deadline - self._settings.finish_margin
+        self._run = self._new_run(pin, 1)
+        self._first_answer: Answer | None = None
+        self._now = float("-inf")
+        self._started_at = 0.0
+        self._asked_for_pin = False
+        self._awaits_pin = False
+        self._finished = False
+
+    @property
+    def pin(self) -> Pin:
+        """The pin of the current run."""
+        return self._run.pin
+
+    @property
+    def finished(self) -> bool:
+        """Whether the query is over."""
+        return self._finished
+
+    @property
+    def in_flight(self) -> int:
+        """How many attempts are queued or running."""
+        return self._run.in_flight
+
+    def next_timer(self) -> float | None:
+        """Return the monotonic seconds at which to tick, or None once finished."""
+        if self._finished:
+            return None
+        timer = self._run.next_timer()
+        return self._finish_at if timer is None else min(timer, self._finish_at)
+
+    def start(self, now: float) -> list[Action]:
+        """Send the first attempt to each service."""
+        self._advance(now)
+        self._started_at = self._now
+        return self._close(self._run.start(self._now))
+
+    def dispatched(self, attempt: Attempt, now: float) -> list[Action]:
+        """Note that ``attempt`` got its slot and was written."""
+        self._advance(now)
+        self._run.dispatched(attempt, self._now)
+        return self._close([])
+
+    def answered(
+        self, attempt: Attempt, answer: ServerAnswer, now: float
+    ) -> list[Action]:
+        """Take what is usable of the answer to ``attempt``."""
+        self._advance(now)
+        return self._close(self._run.answered(attempt, answer, self._now))
+
+    def failed(
+        self, attempt: Attempt, failure: AttemptFailure, now: float
+    ) -> list[Action]:
+        """Note that ``attempt`` ended without an answer, and retry if worthwhile.
+
+        An answer that could not be read is a failure of kind INVALID_ANSWER.
+        """
+        self._advance(now)
+        return self._close(self._run.failed(attempt, failure, self._now))
+
+    def tick(self, now: float) -> list[Action]:
+        """Start the hedges and retries that are due, or finish."""
+        self._advance(now)
+        return self._close(self._run.tick(self._now))
+
+    def restart(self, pin: Pin | None, now: float) -> list[Action]:
+        """Answer a ``Repin``: run the whole query on ``pin``, or go on if None.
+
+        The partials of the two runs are never mixed. The answer is that of the
+        second run, unless the first one covered a greater share.
+        """
+        self._advance(now)
+        if not self._awaits_pin or self._finished:
+            return []
+        self._awaits_pin = False
+        if pin is None or pin == self._run.pin:
+            self._counters.add("repins", RepinReason.NO_BETTER_PIN)
+            return self._close([])
+        self._counters.add("repins", RepinReason.RESTARTED)
+        actions = self._run.cancel_all(CancelReason.REPINNED)
+        self._run.give_up(MissingReason.SNAPSHOT_NOT_HELD)
+        self._first_answer = self._run.build_answer()
+        self._run = self._new_run(pin, self._run.next_number)
+        return self._close(actions + self._run.start(self._now))
+
+    def caller_gone(self, now: float) -> list[Action]:
+        """Stop without an answer, since nobody waits for it."""
+        self._advance(now)
+        if self._finished:
+            return []
+        self._finished = True
+        actions = self._run.cancel_all(CancelReason.CALLER_GONE)
+        self._run.give_up(MissingReason.TIMED_OUT)
+        return actions
+
+    def _new_run(self, pin: Pin, first_number: int) -> FanoutRun:
+        return FanoutRun(
+            query=self._query,
+            pin=pin,
+            services=self._services,
+            policies=self._policies,
+            finish_at=self._finish_at,
+            first_number=first_number,
+        )
+
+    def _advance(self, now: float) -> None:
+        self._now = max(self._now, now)
+
+    def _close(self, actions: list[Action]) -> list[Action]:
+        """Add to ``actions`` the end of the query or the wish for another pin."""
+        if self._finished:
+            return actions
+        if self._now >= self._finish_at:
+            return actions + self._finish()
+        if self._run.wants_pin and not self._asked_for_pin:
+            actions.extend(self._ask_for_pin())
+        if self._run.is_settled and not self._awaits_pin:
+            return actions + self._finish()
+        return actions
+
+    def _ask_for_pin(self) -> list[Action]:
+        """Ask once for another pin, if a whole second run may still end in time."""
+        self._asked_for_pin = True
+        elapsed = self._now - self._started_at
+        least = max(elapsed, self._settings.least_repin_time)
+        if self._now + least > self._finish_at:
+            self._counters.add("repins", RepinReason.NO_TIME)
+            return []
+        self._awaits_pin = True
+        return [Repin(refused=self._run.pin)]
+
+    def _finish(self) -> list[Action]:
+        self._finished = True
+        answer = self._run.build_answer()
+        first = self._first_answer
+        if first is not None and first.coverage.share > answer.coverage.share:
+            self._counters.add("repins", RepinReason.FIRST_RUN_KEPT)
+            answer = first
+        for shard in answer.coverage.missing:
+            self._counters.add("missing", shard.reason)
+        actions = self._run.cancel_all(CancelReason.DEADLINE)
+        return [*actions, Finish(answer=answer)]
--- /dev/null
+++ b/src/savorypond/layouts.py
@@ -0,0 +1,87 @@
+"""The shards that a set of services holds under each layout of their index."""
+
+from bisect import bisect_right
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from savorypond.model import Service, ShardRange
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskedShards:
+    """The shards of one layout that a query to some services asks for.
+
+    :param orphaned: services without a shard in this layout, whose keys none
+        of the other services took over.
+    """
+
+    number: int
+    asked: frozenset[str]
+    by_service: tuple[tuple[Service, frozenset[str]], ...]
+    orphaned: tuple[str, ...]
+
+
+class IndexShards:
+    """The layouts of some services of one index, worked out once each."""
+
+    def __init__(self, *, services: Sequence[Service]) -> None:
+        self._services = tuple(services)
+        self._layouts: dict[int, AskedShards] = {}
+
+    @property
+    def services(self) -> tuple[Service, ...]:
+        """The services in the order given."""
+        return self._services
+
+    def layout(self, number: int) -> AskedShards:
+        """Return the shards that the services hold under layout ``number``."""
+        found = self._layouts.get(number)
+        if found is None:
+            found = self._layouts[number] = asked_shards(self._services, number)
+        return found
+
+
+def asked_shards(services: Sequence[Service], number: int) -> AskedShards:
+    """Return the shards that ``services`` hold under layout ``number``."""
+    by_service: list[tuple[Service, frozenset[str]]] = []
+    without: list[Service] = []
+    ranges: list[ShardRange] = []
+    for service in services:
+        layout = service.layout(number)
+        if layout is None or not layout.shards:
+            without.append(service)
+            continue
+        ranges.extend(layout.shards)
+        names = frozenset([shard.shard for shard in layout.shards])
+        by_service.append((service, names))
+    held = _merge_ranges(ranges)
+    return AskedShards(
+        number=number,
+        asked=frozenset().union(*(names for _, names in by_service)),
+        by_service=tuple(by_service),
+        orphaned=tuple(s.name for s in without if not _is_taken_over(s, held)),
+    )
+
+
+def _merge_ranges(ranges: Sequence[ShardRange]) -> tuple[tuple[int, int], ...]:
+    """Return the disjoint half-open ranges of keys that ``ranges`` make up."""
+    merged: list[tuple[int, int]] = []
+    for shard in sorted(ranges, key=lambda each: each.low):
+        if merged and shard.low <= merged[-1][1]:
+            low, high = merged.pop()
+            merged.append((low, max(high, shard.high)))
+        else:
+            merged.append((shard.low, shard.high))
+    return tuple(merged)
+
+
+def _is_taken_over(service: Service, held: Sequence[tuple[int, int]]) -> bool:
+    """Tell whether ``held`` has all keys that ``service`` has in any layout."""
+    return all(
+        _is_held(shard, held) for layout in service.layouts for shard in layout.shards
+    )
+
+
+def _is_held(shard: ShardRange, held: Sequence[tuple[int, int]]) -> bool:
+    at = bisect_right(held, shard.low, key=lambda each: each[0]) - 1
+    return at >= 0 and shard.high <= held[at][1]
--- a/src/savorypond/reasons.py
+++ b/src/savorypond/reasons.py
@@ -63,6 +63,7 @@
     INVALID_ANSWER = "invalid-answer"
     TIMED_OUT = "timed-out"
     OWNER_UNREACHABLE = "owner-unreachable"
+    OVERLOADED = "overloaded"
 
 
 class HedgeReason(StrEnum):
@@ -79,6 +80,7 @@
     LOST_RACE = "lost-race"
     DEADLINE = "deadline"
     CALLER_GONE = "caller-gone"
+    REPINNED = "repinned"
 
 
 class DropReason(StrEnum):
@@ -110,3 +112,21 @@
     STALE = "stale"
     CONFLICT = "conflict"
     SERVICE_DOWN = "service-down"
+
+
+class DenialReason(StrEnum):
+    """Why a hedge or retry that was wanted did not start."""
+
+    BUDGET_SPENT = "budget-spent"
+    NO_REPLICA = "no-replica"
+    NO_TIME = "no-time"
+    ATTEMPTS_SPENT = "attempts-spent"
+
+
+class RepinReason(StrEnum):
+    """What became of a query whose snapshot could not be completed."""
+
+    RESTARTED = "restarted"
+    NO_BETTER_PIN = "no-better-pin"
+    NO_TIME = "no-time"
+    FIRST_RUN_KEPT = "first-run-kept"
--- /dev/null
+++ b/tests/fanout_fakes.py
@@ -0,0 +1,174 @@
+"""Builders and small fakes of the protocols that a fan-out uses."""
+
+from random import Random
+
+from savorypond.fanout import Fanout
+from savorypond.fanoutpolicies import FanoutPolicies, FanoutSettings
+from savorypond.model import (
+    Address,
+    BackendServer,
+    Counters,
+    Pin,
+    Preference,
+    Priority,
+    Query,
+    ServerLimits,
+    Service,
+    ServiceKind,
+    ShardLayout,
+    ShardRange,
+)
+from savorypond.partials import ServerAnswer, ServerPartial
+
+PIN = Pin(snapshot=7, layout=1)
+
+
+def make_service(name, layouts=None, replicas=2, index="boats"):
+    """Return a service; ``layouts`` maps numbers to {shard: (low, high)}."""
+    layouts = layouts or {1: {f"{name}-0": (0, 10)}}
+    return Service(
+        name=name,
+        kind=ServiceKind.SEARCH,
+        index=index,
+        layouts=tuple(
+            ShardLayout(
+                number=number,
+                shards=tuple(
+                    ShardRange(shard=shard, low=low, high=high)
+                    for shard, (low, high) in shards.items()
+                ),
+            )
+            for number, shards in layouts.items()
+        ),
+        backend_servers=tuple(
+            BackendServer(
+                name=f"{name}/{number}",
+                address=Address(host="127.0.0.1", port=1),
+                data_centre="split",
+            )
+            for number in range(replicas)
+        ),
+        limits=ServerLimits(slots=2, connections=25, connect_time=0.006),
+        priority=Priority.INTERACTIVE,
+        prefer=Preference.LATENCY,
+        time_limit=0.1,
+        least_coverage=0.0,
+    )
+
+
+def make_query(*, deadline=0.1, prefer=Preference.LATENCY):
+    return Query(
+        request_id="r1",
+        index="boats",
+        services=(),
+        body={},
+        deadline=deadline,
+        prefer=prefer,
+        priority=Priority.INTERACTIVE,
+        least_coverage=0.0,
+    )
+
+
+def make_answer(attempt, **changes):
+    """Return the right answer to ``attempt``, but for ``changes``."""
+    fields = {
+        "request_id": "r1",
+        "snapshot": attempt.pin.snapshot,
+        "layout": attempt.pin.layout,
+        "partials": tuple(
+            ServerPartial(
+                shard=shard, count=1, results=((attempt.pin.snapshot, shard),)
+            )
+            for shard in sorted(attempt.shards)
+        ),
+    }
+    return ServerAnswer(**{**fields, **changes})
+
+
+class InOrderChooser:
+    """Chooses the first replica that is not tried and not lost."""
+
+    def __init__(self, *, lost=()):
+        self.lost = set(lost)
+
+    def choose(self, *, service, pin, tried, now, purpose):
+        for server in service.backend_servers:
+            if server.name not in tried and server.name not in self.lost:
+                return server
+        return None
+
+
+class CountedBudget:
+    """Grants a fixed number of extra attempts."""
+
+    def __init__(self, *, grants=1000):
+        self.grants = grants
+        self.firsts = 0
+        self.spent = 0
+
+    def record_first(self, *, server, now):
+        self.firsts += 1
+
+    def try_spend(self, *, server, now):
+        if self.spent >= self.grants:
+            return False
+        self.spent += 1
+        return True
+
+
+class FixedHedging:
+    """Hedges every service after the same delay."""
+
+    def __init__(self, *, seconds=0.01):
+        self.seconds = seconds
+
+    def delay(self, *, service):
+        return self.seconds
+
+
+class FanoutBench:
+    """A fan-out with its fakes, recording every action it takes."""
+
+    def __init__(
+        self,
+        *,
+        services,
+        deadline=0.1,
+        prefer=Preference.LATENCY,
+        grants=1000,
+        hedge_after=0.01,
+        lost=(),
+        pin=PIN,
+        settings=None,
+    ):
+        self.chooser = InOrderChooser(lost=lost)
+        self.budget = CountedBudget(grants=grants)
+        self.counters = Counters()
+        self.actions = []
+        self.fanout = Fanout(
+            query=make_query(deadline=deadline, prefer=prefer),
+            pin=pin,
+            services=services,
+            policies=FanoutPolicies(
+                chooser=self.chooser,
+                budget=self.budget,
+                hedging=FixedHedging(seconds=hedge_after),
+                counters=self.counters,
+                random=Random(1),
+                settings=settings or FanoutSettings(),
+            ),
+        )
+
+    def __getattr__(self, event):
+        """Pass an event on to the fan-out and record the actions it returns."""
+
+        def passed(*args):
+            actions = getattr(self.fanout, event)(*args)
+            self.actions.extend(actions)
+            return actions
+
+        return passed
+
+    def taken(self, kind):
+        """Return the actions of type ``kind`` taken so far."""
+        return [action for action in self.actions if isinstance(action, kind)]
