--- a/src/savorypond/snapshots.py
+++ b/src/savorypond/snapshots.py
@@ -12,6 +12,7 @@
 REPORT_LAG = 10.0  # seconds that a health report may lag behind
 RISE_DELAY = 0.1  # seconds for which a complete pin outlives newer evidence
 RECHECK_INTERVAL = 1.0  # seconds after which ageing is looked at again
+REFRESH_INTERVAL = 1.0  # seconds between renewals of evidence that still holds
 CACHED_PINS = 256  # sets of services whose pin is kept, over all indexes
 
 
@@ -50,6 +51,10 @@
     at: float
     source: Source
 
+    def confirms(self, held: frozenset[str]) -> bool:
+        """Tell whether an answer from ``held`` adds nothing but its time."""
+        return self.source is Source.OBSERVED and held <= self.shards
+
 
 @dataclass(slots=True, kw_only=True)
 class _IndexFacts:
@@ -93,6 +98,15 @@
         self._indexes: dict[str, _IndexFacts] = {}
         self._cache: dict[tuple[str, ...], _CachedPin] = {}
 
+    @property
+    def size(self) -> int:
+        """How many pieces of evidence are kept, over all indexes."""
+        return sum(
+            len(facts)
+            for known in self._indexes.values()
+            for facts in known.servers.values()
+        )
+
     def record_answer(
         self, *, index: str, server: str, pin: Pin, shards: Iterable[str], now: float
     ) -> None:
@@ -101,7 +115,7 @@
         held = frozenset(shards)
         known = facts.get(pin)
         if known is not None:
-            if known.at > now:
+            if now < known.at + REFRESH_INTERVAL and known.confirms(held):
                 return
             held |= known.shards
         self._put(index, facts, pin, held, now, Source.OBSERVED)
--- a/tests/fanout_fakes.py
+++ b/tests/fanout_fakes.py
@@ -1,7 +1,9 @@
 """Builders and small fakes of the protocols that a fan-out uses."""
 
+from heapq import heappop, heappush
 from random import Random
 
+from savorypond.attempts import AttemptFailure, Finish, Repin, SendAttempt
 from savorypond.fanout import Fanout
 from savorypond.fanoutpolicies import FanoutPolicies, FanoutSettings
 from savorypond.model import (
@@ -103,6 +105,7 @@
 
     def __init__(self, *, grants=1000):
         self.grants = grants
+        self.opens_at = 0.0
         self.firsts = 0
         self.spent = 0
 
@@ -110,7 +113,7 @@
         self.firsts += 1
 
     def try_spend(self, *, server, now):
-        if self.spent >= self.grants:
+        if self.spent >= self.grants or now < self.opens_at:
             return False
         self.spent += 1
         return True
@@ -172,3 +175,54 @@
     def taken(self, kind):
         """Return the actions of type ``kind`` taken so far."""
         return [action for action in self.actions if isinstance(action, kind)]
+
+
+def ok(attempt, after=0.002, **changes):
+    """Answer after some seconds, with ``changes`` to the right answer."""
+    return [(after, make_answer(attempt, **changes))]
+
+
+def fails(kind, after=0.001, **fields):
+    """Return a behaviour that fails each attempt."""
+    failure = AttemptFailure(kind=kind, **fields)
+    return lambda attempt: [(after, failure)]
+
+
+def play(bench, behaviours, repin=None, end=1.0):
+    """Drive ``bench`` until nothing is left to happen; return (answer, seconds).
+
+    :param behaviours: by server name, a function from an attempt to the
+        (seconds, answer or failure) that come of it; ``ok`` where none is named.
+    :param repin: the pin to restart on if asked for another.
+    """
+    heap, count, finished = [], 0, []
+    pending, now = bench.start(0.0), 0.0
+    while True:
+        for action in pending:
+            if isinstance(action, Finish):
+                finished.append((action.answer, now))
+            if isinstance(action, Repin):
+                count += 1
+                heappush(heap, (now, count, "restart", None, repin))
+            if isinstance(action, SendAttempt):
+                attempt = action.attempt
+                behave = behaviours.get(attempt.server.name, ok)
+                bench.dispatched(attempt, now)
+                for after, outcome in behave(attempt):
+                    count += 1
+                    heappush(heap, (now + after, count, "end", attempt, outcome))
+        timer = bench.fanout.next_timer()
+        if timer is not None and (not heap or timer <= heap[0][0]) and timer <= end:
+            now = max(now, timer)
+            pending = bench.tick(now)
+        elif heap:
+            now, _, event, attempt, outcome = heappop(heap)
+            if event == "restart":
+                pending = bench.restart(outcome, now)
+            elif isinstance(outcome, AttemptFailure):
+                pending = bench.failed(attempt, outcome, now)
+            else:
+                pending = bench.answered(attempt, outcome, now)
+        else:
+            (result,) = finished
+            return result
