--- /dev/null
+++ b/src/savorypond/standin_backend_server.py
@@ -0,0 +1,392 @@
+"""A small stand-in for a backend server, with faults that can be switched on.
+
+Its contract is written in docs/INTERFACES.md. Service times are lognormal with
+a given mean and squared coefficient of variation.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import exp, log, sqrt
+from random import Random
+from typing import Self, TypeVar
+
+from curio import Event, Semaphore, TaskTimeout, ignore_after, sleep, timeout_after
+from msgspec import Struct, ValidationError, convert
+from pydantic import BaseModel, ConfigDict
+
+from savorypond.exceptions import RequestRefused
+from savorypond.httpserver import HttpLimits, HttpServer
+from savorypond.httptypes import (
+    HttpRequest,
+    HttpResponse,
+    decode_json,
+    json_response,
+)
+from savorypond.model import Address, ServerLimits, Service
+from savorypond.reasons import RefusalReason
+
+_FOREVER = 3600.0  # seconds that a silent connection stays silent
+_QUEUE_PER_SLOT = 4  # waiting requests per slot before new ones are shed
+
+
+class Faults(BaseModel):
+    """What goes wrong at one stand-in.
+
+    :param slow_factor: service times are multiplied by it.
+    :param cold_for: seconds from now during which service times are ten times
+        as long.
+    :param silent: connections open now never answer again; new ones do.
+    :param lost: every connection is reset.
+    :param shed: every request is shed as not run.
+    :param draining: health says so and requests are refused as not run.
+    :param health_lies: health says ready and idle, whatever is true.
+    :param late_by: seconds added after the work is done.
+    :param truncated: answers lack their last result.
+    :param wrong_request_id: answers carry another request's id.
+    :param wrong_snapshot: answers come from another snapshot than asked.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    slow_factor: float = 1.0
+    cold_for: float = 0.0
+    silent: bool = False
+    lost: bool = False
+    shed: bool = False
+    draining: bool = False
+    health_lies: bool = False
+    late_by: float = 0.0
+    truncated: bool = False
+    wrong_request_id: bool = False
+    wrong_snapshot: bool = False
+
+
+class SearchRequest(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The body of a search."""
+
+    request_id: str
+    snapshot: int
+    layout: int
+    shards: tuple[str, ...]
+    query: object
+    time_left_ms: float
+
+
+class CallRequest(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The body of a non-idempotent call."""
+
+    request_id: str
+    payload: object
+    time_left_ms: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceTime:
+    """A lognormal distribution of service times.
+
+    :param mean: seconds.
+    :param scv: squared coefficient of variation.
+    """
+
+    mean: float = 0.005
+    scv: float = 1.0
+
+    def draw(self, random: Random) -> float:
+        """Return one service time in seconds."""
+        variance = log(1.0 + self.scv)
+        location = log(self.mean) - variance / 2.0
+        return exp(random.gauss(location, sqrt(variance)))
+
+
+@dataclass(slots=True, kw_only=True)
+class HeldSnapshots:
+    """The snapshots that the stand-ins of one site hold, newest last."""
+
+    numbers: list[int] = field(default_factory=lambda: [100, 101])
+    layout: int = 1
+
+    def newest(self) -> int:
+        """Return the newest snapshot held."""
+        return self.numbers[-1]
+
+
+LinkDelay = Callable[[str], float]
+
+_Body = TypeVar("_Body", bound=Struct)
+
+
+class StandinBackendServer:
+    """One backend server: slots, a queue, a connection cap, and faults.
+
+    :param link_delay: one-way seconds to the IP number of a peer.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: Address,
+        service: Service,
+        held: HeldSnapshots,
+        random: Random,
+        service_time: ServiceTime | None = None,
+        link_delay: LinkDelay | None = None,
+        now: Callable[[], float],
+    ) -> None:
+        self._name = name
+        self._service = service
+        self._held = held
+        self._random = random
+        self._service_time = service_time or ServiceTime()
+        self._link_delay = link_delay or _no_delay
+        self._now = now
+        self._faults = Faults()
+        self._cold_until = 0.0
+        self._silent: set[int] = set()
+        self._open: set[int] = set()
+        self._slots = Semaphore(service.limits.slots)
+        self._waiting = 0
+        self._running: dict[str, Event] = {}
+        self._counts: Counter[str] = Counter()
+        self._call_ids: Counter[str] = Counter()
+        self._server = HttpServer(
+            address=address,
+            handler=self._handle,
+            limits=HttpLimits(connections_per_peer=service.limits.connections),
+            gate=self,
+        )
+
+    @property
+    def name(self) -> str:
+        """Name of the backend server."""
+        return self._name
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return self._server.address
+
+    @property
+    def counts(self) -> Counter[str]:
+        """How often each thing happened."""
+        return self._counts
+
+    @property
+    def call_ids(self) -> Counter[str]:
+        """How often each non-idempotent call ran, by request id."""
+        return self._call_ids
+
+    async def __aenter__(self) -> Self:
+        await self._server.__aenter__()
+        return self
+
+    async def __aexit__(self, *reason: object) -> None:
+        await self._server.__aexit__(None, None, None)
+
+    def set_faults(self, faults: Faults) -> None:
+        """Replace the faults in force."""
+        self._faults = faults
+        self._cold_until = self._now() + faults.cold_for
+        self._silent = set(self._open) if faults.silent else set()
+
+    async def opened(self, peer: str, number: int) -> None:
+        """Take a connection, up to the cap; raise ConnectionError where lost."""
+        limits: ServerLimits = self._service.limits
+        if self._faults.lost:
+            raise ConnectionResetError(self._name)
+        if len(self._open) >= limits.connections:
+            self._counts["connections_over_cap"] += 1
+            raise ConnectionResetError(self._name)
+        self._open.add(number)
+        self._counts["connections"] += 1
+        peak = max(self._counts["peak_connections"], len(self._open))
+        self._counts["peak_connections"] = peak
+        try:
+            await sleep(limits.connect_time)
+        except BaseException:
+            self._open.discard(number)
+            raise
+
+    def closed(self, peer: str, number: int) -> None:
+        """Forget a connection."""
+        self._open.discard(number)
+        self._silent.discard(number)
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        if request.path.startswith("/standin/"):
+            return self._control(request)
+        delay = self._link_delay(request.peer)
+        await sleep(delay)
+        if request.connection in self._silent or self._faults.lost:
+            await sleep(_FOREVER)
+        response = await self._dispatch(request)
+        if request.connection in self._silent or self._faults.lost:
+            await sleep(_FOREVER)
+        await sleep(delay + self._faults.late_by)
+        return response
+
+    async def _dispatch(self, request: HttpRequest) -> HttpResponse:
+        route = (request.method, request.path)
+        if route == ("POST", "/v1/search"):
+            return await self._search(_decode(request, SearchRequest))
+        if route == ("POST", "/v1/calls"):
+            return await self._call(_decode(request, CallRequest))
+        if route == ("GET", "/v1/health"):
+            return self._health()
+        if request.method == "DELETE" and request.path.startswith("/v1/requests/"):
+            return await self._cancel(request.path.rpartition("/")[2])
+        raise RequestRefused(reason=RefusalReason.NOT_FOUND, detail=request.path)
+
+    async def _search(self, search: SearchRequest) -> HttpResponse:
+        if search.snapshot not in self._held.numbers:
+            self._counts["snapshot_not_held"] += 1
+            return json_response(
+                {"reason": "snapshot-not-held", "held": self._holdings()}, status=409
+            )
+        return await self._run(
+            search.request_id,
+            search.time_left_ms,
+            lambda: self._search_answer(search),
+        )
+
+    async def _call(self, call: CallRequest) -> HttpResponse:
+        return await self._run(
+            call.request_id, call.time_left_ms, lambda: self._call_answer(call)
+        )
+
+    async def _run(
+        self, request_id: str, time_left_ms: float, answer: Callable[[], HttpResponse]
+    ) -> HttpResponse:
+        refusal = self._refusal()
+        if refusal:
+            self._counts["sheds"] += 1
+            return _not_run(refusal)
+        self._waiting += 1
+        try:
+            async with timeout_after(max(0.0, time_left_ms) / 1000.0):
+                await self._slots.acquire()
+        except TaskTimeout:
+            self._counts["timed_out_waiting"] += 1
+            return _not_run("timed-out")
+        finally:
+            self._waiting -= 1
+        try:
+            return await self._work(request_id, answer)
+        finally:
+            await self._slots.release()
+
+    def _refusal(self) -> str:
+        if self._faults.draining:
+            return "draining"
+        most = self._service.limits.slots * _QUEUE_PER_SLOT
+        if self._faults.shed or self._waiting >= most:
+            return "shed"
+        return ""
+
+    async def _work(
+        self, request_id: str, answer: Callable[[], HttpResponse]
+    ) -> HttpResponse:
+        cancelled = Event()
+        self._running[request_id] = cancelled
+        self._counts["runs"] += 1
+        self._counts["peak_running"] = max(
+            self._counts["peak_running"], len(self._running)
+        )
+        try:
+            await ignore_after(self._draw_time(), cancelled.wait)
+        finally:
+            self._running.pop(request_id, None)
+        if cancelled.is_set():
+            self._counts["cancelled"] += 1
+            return json_response({"reason": "cancelled"}, status=499)
+        return answer()
+
+    def _draw_time(self) -> float:
+        seconds = self._service_time.draw(self._random) * self._faults.slow_factor
+        return seconds * 10.0 if self._now() < self._cold_until else seconds
+
+    def _search_answer(self, search: SearchRequest) -> HttpResponse:
+        partials = [self._partial(shard, search) for shard in search.shards]
+        faults = self._faults
+        request_id = "other" if faults.wrong_request_id else search.request_id
+        snapshot = search.snapshot - 1 if faults.wrong_snapshot else search.snapshot
+        return json_response(
+            {
+                "request_id": request_id,
+                "snapshot": snapshot,
+                "layout": search.layout,
+                "partials": partials,
+            }
+        )
+
+    def _partial(self, shard: str, search: SearchRequest) -> dict[str, object]:
+        results = [f"{shard}/{search.snapshot}/{number}" for number in range(3)]
+        count = len(results)
+        if self._faults.truncated:
+            results.pop()
+        return {"shard": shard, "count": count, "results": results}
+
+    def _call_answer(self, call: CallRequest) -> HttpResponse:
+        self._call_ids[call.request_id] += 1
+        if self._call_ids[call.request_id] > 1:
+            self._counts["duplicate_calls"] += 1
+        return json_response(
+            {"request_id": call.request_id, "result": {"recorded": call.request_id}}
+        )
+
+    async def _cancel(self, request_id: str) -> HttpResponse:
+        running = self._running.get(request_id)
+        if running is not None:
+            await running.set()
+        return HttpResponse(status=204)
+
+    def _health(self) -> HttpResponse:
+        state = "ready"
+        if self._faults.draining and not self._faults.health_lies:
+            state = "draining"
+        elif self._now() < self._cold_until and not self._faults.health_lies:
+            state = "cold"
+        running = 0 if self._faults.health_lies else len(self._running)
+        waiting = 0 if self._faults.health_lies else self._waiting
+        return json_response(
+            {
+                "state": state,
+                "running": running,
+                "waiting": waiting,
+                "held": self._holdings(),
+            }
+        )
+
+    def _holdings(self) -> list[dict[str, object]]:
+        layout = self._service.layout(self._held.layout)
+        shards = [s.shard for s in layout.shards] if layout else []
+        return [
+            {"snapshot": number, "layout": self._held.layout, "shards": shards}
+            for number in self._held.numbers
+        ]
+
+    def _control(self, request: HttpRequest) -> HttpResponse:
+        if request.method == "PUT" and request.path == "/standin/faults":
+            self.set_faults(Faults.model_validate_json(request.body))
+            return HttpResponse(status=204)
+        if request.method == "GET" and request.path == "/standin/counts":
+            return json_response({"name": self._name, "counts": dict(self._counts)})
+        raise RequestRefused(reason=RefusalReason.NOT_FOUND, detail=request.path)
+
+
+def _no_delay(peer: str) -> float:
+    return 0.0
+
+
+def _not_run(reason: str) -> HttpResponse:
+    return json_response({"reason": reason, "execution": "not-run"}, status=503)
+
+
+def _decode(request: HttpRequest, kind: type[_Body]) -> _Body:
+    try:
+        return convert(decode_json(request), kind)
+    except ValidationError as error:
+        raise RequestRefused(
+            reason=RefusalReason.MALFORMED, detail=str(error)
+        ) from error
--- /dev/null
+++ b/src/savorypond/standin_platform.py
@@ -0,0 +1,262 @@
+"""Small stand-ins for the configuration service and the instance list.
+
+Their contracts are written in docs/INTERFACES.md.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Self
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from curio import Event, TaskTimeout, sleep, timeout_after
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from savorypond.exceptions import RequestRefused
+from savorypond.httpserver import HttpLimits, HttpServer
+from savorypond.httptypes import (
+    HttpRequest,
+    HttpResponse,
+    decode_json,
+    json_response,
+)
+from savorypond.model import Address
+from savorypond.reasons import RefusalReason
+
+VALUES_PATH = "/v1/values/"
+INSTANCES_PATH = "/v1/instances"
+_FAULTS_PATH = "/standin/faults"
+_MOST_VALUE_BYTES = 1024 * 1024
+_MOST_WAIT = 60.0  # seconds that one watch may wait
+_FOREVER = 3600.0  # seconds for which a service that is down stays silent
+
+
+class PlatformFaults(BaseModel):
+    """What goes wrong at the platform.
+
+    :param down: requests are never answered.
+    :param frozen: readers see the state of the moment it was switched on.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    down: bool = False
+    frozen: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoredValue:
+    """One value of the configuration service and its revision."""
+
+    revision: int
+    value: object
+
+
+class _Platform:
+    """What both stand-ins share: a server, its faults, a count of reads."""
+
+    def __init__(self, *, address: Address) -> None:
+        self._faults = PlatformFaults()
+        self._reads = 0
+        self._server = HttpServer(
+            address=address,
+            handler=self._handle,
+            limits=HttpLimits(body_bytes=2 * _MOST_VALUE_BYTES),
+        )
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return self._server.address
+
+    @property
+    def reads(self) -> int:
+        """How many calls readers have made; a waiting watch counts as one."""
+        return self._reads
+
+    async def __aenter__(self) -> Self:
+        await self._server.__aenter__()
+        return self
+
+    async def __aexit__(self, *reason: object) -> None:
+        await self._server.__aexit__(None, None, None)
+
+    def set_faults(self, faults: PlatformFaults) -> None:
+        """Replace the faults in force."""
+        self._faults = faults
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        if request.path == _FAULTS_PATH and request.method == "PUT":
+            self.set_faults(_parse_faults(request))
+            return HttpResponse(status=204)
+        if request.method == "PUT":
+            return await self._write(request)
+        if request.method != "GET":
+            raise RequestRefused(
+                reason=RefusalReason.METHOD_NOT_ALLOWED, detail=request.method
+            )
+        self._reads += 1
+        if self._faults.down:
+            await sleep(_FOREVER)
+        return await self._read(request)
+
+    async def _read(self, request: HttpRequest) -> HttpResponse:
+        raise NotImplementedError
+
+    async def _write(self, request: HttpRequest) -> HttpResponse:
+        raise NotImplementedError
+
+
+class StandinConfigService(_Platform):
+    """Keeps values by key; readers get them or watch for a higher revision."""
+
+    def __init__(self, *, address: Address) -> None:
+        super().__init__(address=address)
+        self._values: dict[str, StoredValue] = {}
+        self._frozen: dict[str, StoredValue] = {}
+        self._changed = Event()
+
+    def set_faults(self, faults: PlatformFaults) -> None:
+        """Replace the faults in force."""
+        super().set_faults(faults)
+        self._frozen = dict(self._values) if faults.frozen else {}
+
+    async def publish(self, key: str, stored: StoredValue) -> None:
+        """Store a value as the publishing step does, and wake the watches."""
+        self._values[key] = stored
+        changed, self._changed = self._changed, Event()
+        await changed.set()
+
+    async def _read(self, request: HttpRequest) -> HttpResponse:
+        parts = urlsplit(request.path)
+        if not parts.path.startswith(VALUES_PATH):
+            raise RequestRefused(reason=RefusalReason.NOT_FOUND, detail=parts.path)
+        key = unquote(parts.path.removeprefix(VALUES_PATH))
+        options = parse_qs(parts.query)
+        if "after" in options:
+            wait = _number(options.get("wait", ["0"])[0], "wait")
+            return await self._watch(key, _number(options["after"][0], "after"), wait)
+        stored = self._visible(key)
+        if stored is None:
+            raise RequestRefused(reason=RefusalReason.NOT_FOUND, detail=key)
+        return _value_response(key, stored)
+
+    async def _watch(self, key: str, after: float, wait: float) -> HttpResponse:
+        try:
+            async with timeout_after(min(wait, _MOST_WAIT)):
+                while True:
+                    stored = self._visible(key)
+                    if stored is not None and stored.revision > after:
+                        return _value_response(key, stored)
+                    await self._changed.wait()
+        except TaskTimeout:
+            return HttpResponse(status=204)
+
+    def _visible(self, key: str) -> StoredValue | None:
+        values = self._frozen if self._faults.frozen else self._values
+        return values.get(key)
+
+    async def _write(self, request: HttpRequest) -> HttpResponse:
+        if len(request.body) > _MOST_VALUE_BYTES:
+            raise RequestRefused(
+                reason=RefusalReason.TOO_LARGE,
+                detail=f"a value holds at most {_MOST_VALUE_BYTES} bytes",
+            )
+        if not request.path.startswith(VALUES_PATH):
+            raise RequestRefused(reason=RefusalReason.NOT_FOUND, detail=request.path)
+        content = decode_json(request)
+        if not isinstance(content, dict) or not isinstance(
+            content.get("revision"), int
+        ):
+            raise RequestRefused(
+                reason=RefusalReason.MALFORMED, detail="revision is not an integer"
+            )
+        key = unquote(request.path.removeprefix(VALUES_PATH))
+        stored = StoredValue(revision=content["revision"], value=content.get("value"))
+        await self.publish(key, stored)
+        return HttpResponse(status=204)
+
+
+class ListedInstance(BaseModel):
+    """One line of the instance list."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    name: str
+    data_centre: str
+    peer_address: str
+    operator_address: str = ""
+    state: str = "live"
+
+
+class StandinInstanceList(_Platform):
+    """Lists instances as they were some seconds ago.
+
+    :param lag: seconds by which readers are behind.
+    :param now: returns monotonic seconds.
+    """
+
+    def __init__(
+        self, *, address: Address, lag: float, now: Callable[[], float]
+    ) -> None:
+        super().__init__(address=address)
+        self._lag = lag
+        self._now = now
+        self._history: list[tuple[float, tuple[ListedInstance, ...]]] = []
+
+    def replace(self, instances: tuple[ListedInstance, ...]) -> None:
+        """Replace the list; readers see it after the lag, the first at once."""
+        visible_at = self._now() + self._lag if self._history else self._now()
+        self._history.append((visible_at, instances))
+
+    async def _read(self, request: HttpRequest) -> HttpResponse:
+        if request.path != INSTANCES_PATH:
+            raise RequestRefused(reason=RefusalReason.NOT_FOUND, detail=request.path)
+        listed = [instance.model_dump() for instance in self._visible()]
+        return json_response({"instances": listed})
+
+    def _visible(self) -> tuple[ListedInstance, ...]:
+        if self._faults.frozen:
+            return self._history[0][1] if self._history else ()
+        now = self._now()
+        seen = [instances for at, instances in self._history if at <= now]
+        return seen[-1] if seen else ()
+
+    async def _write(self, request: HttpRequest) -> HttpResponse:
+        content = decode_json(request)
+        listed = content.get("instances") if isinstance(content, dict) else None
+        if request.path != INSTANCES_PATH or not isinstance(listed, list):
+            raise RequestRefused(
+                reason=RefusalReason.MALFORMED, detail="instances is not a list"
+            )
+        try:
+            instances = [ListedInstance.model_validate(line) for line in listed]
+        except ValidationError as error:
+            raise _invalid(error) from error
+        self.replace(tuple(instances))
+        return HttpResponse(status=204)
+
+
+def _parse_faults(request: HttpRequest) -> PlatformFaults:
+    try:
+        return PlatformFaults.model_validate_json(request.body)
+    except ValidationError as error:
+        raise _invalid(error) from error
+
+
+def _invalid(error: ValidationError) -> RequestRefused:
+    return RequestRefused(reason=RefusalReason.MALFORMED, detail=str(error))
+
+
+def _number(text: str, name: str) -> float:
+    try:
+        return float(text)
+    except ValueError as error:
+        raise RequestRefused(
+            reason=RefusalReason.MALFORMED, detail=f"{name} is not a number: {text!r}"
+        ) from error
+
+
+def _value_response(key: str, stored: StoredValue) -> HttpResponse:
+    return json_response(
+        {"key": key, "revision": stored.revision, "value": stored.value}
+    )
