Add framed links between instances

Cause: an owner hop must cost less than the shard calls that it saves. Change: links of MessagePack frames with numbered replies, cancellation, and a reset when a request times out with nothing received. Conclusion: gRPC does not fit the query path and stays for control messages.

--- a/src/savorypond/httpclient.py
+++ b/src/savorypond/httpclient.py
@@ -73,7 +73,7 @@
         try:
             sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             if self._source_host:
-                await sock.bind((self._source_host, 0))
+                sock.bind((self._source_host, 0))
             await sock.connect((self._address.host, self._address.port))
         except OSError as error:
             await sock.close()
--- /dev/null
+++ b/src/savorypond/peerlink.py
@@ -0,0 +1,381 @@
+"""Links between instances: framed messages over one TCP connection each way.
+
+A link carries many requests at once. gRPC costs more here: docs/DESIGN.md has
+the figures.
+"""
+
+from collections.abc import Awaitable
+from contextlib import suppress
+from itertools import count
+from socket import IPPROTO_TCP, TCP_NODELAY
+from typing import Any, Protocol, Self
+
+from absl.logging import exception as log_exception, warning
+from curio import (
+    CancelledError,
+    Event,
+    Lock,
+    TaskTimeout,
+    current_task,
+    sleep,
+    spawn,
+    tcp_server_socket,
+    timeout_after,
+)
+from curio.socket import AF_INET, SOCK_STREAM, socket
+
+from savorypond.exceptions import RequestRefused, WireError
+from savorypond.linkwire import (
+    LENGTH_BYTES,
+    LINK_VERSION,
+    CancelForward,
+    ForwardRefusal,
+    Frame,
+    LinkMessage,
+    decode_frame,
+    encode_frame,
+    frame_length,
+)
+from savorypond.model import Address
+from savorypond.reasons import Execution, RefusalReason
+
+_RECEIVE_BYTES = 262144
+_CONNECT_TIME = 0.5  # seconds to open a link
+_BACKLOG = 256
+
+
+class LinkHandler(Protocol):
+    """Answers forwarded requests."""
+
+    def __call__(self, message: LinkMessage) -> Awaitable[LinkMessage]:
+        """Return the reply to ``message``; may raise RequestRefused."""
+
+
+class LinkDelay(Protocol):
+    """Emulates the time that a message takes between two IP numbers."""
+
+    def __call__(self, peer: str) -> float:
+        """Return one-way seconds to ``peer``."""
+
+
+class LinkLost(Exception):  # noqa: N818
+    """The link broke or fell silent before the reply came.
+
+    :param sent: whether the request may have reached the peer.
+    """
+
+    def __init__(self, *, peer: Address, problem: str, sent: bool) -> None:
+        super().__init__(f"link to {peer}: {problem}")
+        self.sent = sent
+
+
+class _FrameStream:
+    """Reads and writes frames on one socket."""
+
+    def __init__(self, *, sock: Any, peer: str, fleet: str) -> None:
+        self._sock = sock
+        self._peer = peer
+        self._fleet = fleet
+        self._buffer = bytearray()
+        self._write_lock = Lock()
+
+    async def send(self, number: int, message: LinkMessage) -> None:
+        """Write one message."""
+        frame = Frame(
+            version=LINK_VERSION, fleet=self._fleet, number=number, message=message
+        )
+        data = encode_frame(frame)
+        async with self._write_lock:
+            await self._sock.sendall(data)
+
+    async def receive(self) -> Frame | None:
+        """Return the next frame, or None at the end of the stream."""
+        head = await self._take(LENGTH_BYTES)
+        if head is None:
+            return None
+        length = frame_length(head, sender=self._peer)
+        data = await self._take(length)
+        if data is None:
+            return None
+        return decode_frame(data, sender=self._peer, fleet=self._fleet)
+
+    async def _take(self, size: int) -> bytes | None:
+        while len(self._buffer) < size:
+            data = await self._sock.recv(_RECEIVE_BYTES)
+            if not data:
+                return None
+            self._buffer += data
+        taken = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return taken
+
+    async def close(self) -> None:
+        """Close the socket."""
+        await self._sock.close()
+
+
+class PeerServer:
+    """Accepts links and answers the requests that come over them."""
+
+    def __init__(
+        self,
+        *,
+        address: Address,
+        fleet: str,
+        handler: LinkHandler,
+        delay: LinkDelay | None = None,
+    ) -> None:
+        self._address = address
+        self._fleet = fleet
+        self._handler = handler
+        self._delay = delay
+        self._listener: Any = None
+        self._accept_task: Any = None
+        self._tasks: set[Any] = set()
+
+    @property
+    def address(self) -> Address:
+        """The bound address."""
+        return self._address
+
+    async def __aenter__(self) -> Self:
+        self._listener = tcp_server_socket(
+            self._address.host, self._address.port, backlog=_BACKLOG
+        )
+        host, port = self._listener.getsockname()[:2]
+        self._address = Address(host=host, port=port)
+        self._accept_task = await spawn(self._accept)
+        return self
+
+    async def __aexit__(self, *reason: object) -> None:
+        await self._accept_task.cancel()
+        await self._listener.close()
+        for task in list(self._tasks):
+            await task.cancel()
+
+    async def _accept(self) -> None:
+        while True:
+            sock, peer = await self._listener.accept()
+            with suppress(OSError):
+                sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            await spawn(self._serve, sock, peer[0], daemon=True)
+
+    async def _serve(self, sock: Any, peer: str) -> None:
+        task = await current_task()
+        self._tasks.add(task)
+        stream = _FrameStream(sock=sock, peer=peer, fleet=self._fleet)
+        running: dict[int, Any] = {}
+        try:
+            await self._serve_frames(stream, peer, running)
+        except WireError as error:
+            warning("link refused: %s", error)
+        except OSError:
+            pass  # the peer has gone; its requests are cancelled below
+        finally:
+            self._tasks.discard(task)
+            for one in list(running.values()):
+                await one.cancel()
+            await stream.close()
+
+    async def _serve_frames(
+        self, stream: _FrameStream, peer: str, running: dict[int, Any]
+    ) -> None:
+        while (frame := await stream.receive()) is not None:
+            if isinstance(frame.message, CancelForward):
+                task = running.pop(frame.message.number, None)
+                if task is not None:
+                    await task.cancel(blocking=False)
+                continue
+            running[frame.number] = await spawn(
+                self._answer, stream, peer, frame, running, daemon=True
+            )
+
+    async def _answer(
+        self, stream: _FrameStream, peer: str, frame: Frame, running: dict[int, Any]
+    ) -> None:
+        delay = self._delay(peer) if self._delay else 0.0
+        try:
+            if delay:
+                await sleep(delay)
+            reply = await self._reply(frame.message)
+            if delay:
+                await sleep(delay)
+            await stream.send(frame.number, reply)
+        except OSError:
+            pass  # the peer has gone
+        finally:
+            running.pop(frame.number, None)
+
+    async def _reply(self, message: LinkMessage) -> LinkMessage:
+        try:
+            return await self._handler(message)
+        except RequestRefused as refusal:
+            return ForwardRefusal(
+                reason=refusal.reason,
+                detail=refusal.detail,
+                execution=refusal.execution,
+                retry_after=refusal.retry_after,
+            )
+        except CancelledError:
+            raise
+        except Exception:
+            log_exception("forwarded request failed")
+            return ForwardRefusal(
+                reason=RefusalReason.INTERNAL,
+                detail="the forwarded request failed inside its owner",
+                execution=Execution.UNKNOWN,
+            )
+
+
+class _Pending:
+    """A request that waits for its reply."""
+
+    def __init__(self) -> None:
+        self.done = Event()
+        self.reply: LinkMessage | None = None
+
+
+class PeerLink:
+    """One link to a peer; opened on first use and again after it was lost."""
+
+    def __init__(self, *, peer: Address, fleet: str, source_host: str) -> None:
+        self._peer = peer
+        self._fleet = fleet
+        self._source_host = source_host
+        self._numbers = count(1)
+        self._stream: _FrameStream | None = None
+        self._reader: Any = None
+        self._pending: dict[int, _Pending] = {}
+        self._open_lock = Lock()
+        self._frames_received = 0
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *reason: object) -> None:
+        await self.reset()
+
+    async def ask(self, message: LinkMessage, *, seconds: float) -> LinkMessage:
+        """Send ``message`` and return its reply.
+
+        Raises LinkLost where none comes within ``seconds``.
+        """
+        stream = await self._connected()
+        number = next(self._numbers)
+        pending = _Pending()
+        self._pending[number] = pending
+        received_before = self._frames_received
+        try:
+            await stream.send(number, message)
+            async with timeout_after(seconds):
+                await pending.done.wait()
+        except TaskTimeout as error:
+            await self._give_up(stream, number, received_before)
+            raise LinkLost(peer=self._peer, problem="no reply", sent=True) from error
+        except CancelledError:
+            await self._cancel(stream, number)
+            raise
+        except OSError as error:
+            await self.reset()
+            raise LinkLost(peer=self._peer, problem=str(error), sent=True) from error
+        finally:
+            self._pending.pop(number, None)
+        if pending.reply is None:
+            raise LinkLost(peer=self._peer, problem="closed", sent=True)
+        return pending.reply
+
+    async def reset(self) -> None:
+        """Close the link; requests that wait on it end with LinkLost."""
+        stream, self._stream = self._stream, None
+        reader, self._reader = self._reader, None
+        if stream is not None:
+            await stream.close()
+        if reader is not None and reader is not await current_task():
+            await reader.cancel(blocking=False)
+        await self._fail_pending()
+
+    async def _connected(self) -> _FrameStream:
+        if self._stream is not None:
+            return self._stream
+        async with self._open_lock:
+            if self._stream is None:
+                self._stream = await self._open()
+                self._reader = await spawn(self._read, self._stream, daemon=True)
+            return self._stream
+
+    async def _open(self) -> _FrameStream:
+        sock = socket(AF_INET, SOCK_STREAM)
+        try:
+            sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            if self._source_host:
+                sock.bind((self._source_host, 0))
+            async with timeout_after(_CONNECT_TIME):
+                await sock.connect((self._peer.host, self._peer.port))
+        except (OSError, TaskTimeout) as error:
+            await sock.close()
+            raise LinkLost(peer=self._peer, problem="connect", sent=False) from error
+        except BaseException:
+            await sock.close()
+            raise
+        return _FrameStream(sock=sock, peer=str(self._peer), fleet=self._fleet)
+
+    async def _read(self, stream: _FrameStream) -> None:
+        with suppress(OSError, WireError):
+            while (frame := await stream.receive()) is not None:
+                self._frames_received += 1
+                pending = self._pending.pop(frame.number, None)
+                if pending is not None:
+                    pending.reply = frame.message
+                    await pending.done.set()
+        if self._stream is stream:
+            await self.reset()
+
+    async def _give_up(
+        self, stream: _FrameStream, number: int, received_before: int
+    ) -> None:
+        if self._frames_received == received_before and self._stream is stream:
+            await self.reset()  # nothing came at all: the link may be silent
+        else:
+            await self._cancel(stream, number)
+
+    async def _cancel(self, stream: _FrameStream, number: int) -> None:
+        if self._stream is stream:
+            with suppress(OSError):
+                await stream.send(number, CancelForward(number=number))
+
+    async def _fail_pending(self) -> None:
+        pending, self._pending = list(self._pending.values()), {}
+        for one in pending:
+            await one.done.set()
+
+
+class PeerLinks:
+    """The links of this instance, one for each peer address."""
+
+    def __init__(self, *, fleet: str, source_host: str) -> None:
+        self._fleet = fleet
+        self._source_host = source_host
+        self._links: dict[Address, PeerLink] = {}
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *reason: object) -> None:
+        for link in self._links.values():
+            await link.reset()
+
+    async def ask(
+        self, peer: Address, message: LinkMessage, *, seconds: float
+    ) -> LinkMessage:
+        """Send ``message`` to ``peer`` and return its reply, or raise LinkLost."""
+        link = self._links.get(peer)
+        if link is None:
+            link = PeerLink(peer=peer, fleet=self._fleet, source_host=self._source_host)
+            self._links[peer] = link
+        return await link.ask(message, seconds=seconds)
+
+    async def forget(self, peer: Address) -> None:
+        """Close the link to a peer that has left."""
+        link = self._links.pop(peer, None)
+        if link is not None:
+            await link.reset()
