--- /dev/null
+++ b/src/savorypond/logs.py
@@ -0,0 +1,75 @@
+"""Structured logs: one JSON object a line, or plain text.
+
+Fields are documented in docs/OPERATIONS.md.
+"""
+
+from typing import Any
+
+from absl.logging import (
+    INFO,
+    PythonFormatter,
+    get_absl_handler,
+    get_absl_logger,
+    set_verbosity,
+    use_absl_handler,
+)
+from msgspec.json import encode
+
+from savorypond.settings import LogFormat
+
+_EVENT = "savorypond_event"
+_FIELDS = "savorypond_fields"
+
+
+class JsonFormatter(PythonFormatter):
+    """Writes one JSON object for each record.
+
+    :param instance: name put into every line.
+    """
+
+    def __init__(self, *, instance: str) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def format(self, record: Any) -> str:
+        """Return ``record`` as one line of JSON."""
+        line: dict[str, object] = {
+            "time": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "instance": self._instance,
+            "event": getattr(record, _EVENT, "message"),
+        }
+        fields = getattr(record, _FIELDS, None)
+        if fields is None:
+            line["message"] = record.getMessage()
+        else:
+            line.update(fields)
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return encode(line).decode()
+
+
+class TextFormatter(PythonFormatter):
+    """Writes an event and its fields as readable text."""
+
+    def format(self, record: Any) -> str:
+        """Return ``record`` as text."""
+        fields = getattr(record, _FIELDS, None)
+        if fields is None:
+            return super().format(record)
+        pairs = " ".join(f"{name}={value}" for name, value in fields.items())
+        return f"{record.levelname[0]} {getattr(record, _EVENT)} {pairs}"
+
+
+def set_up_logs(*, log_format: LogFormat, instance: str) -> None:
+    """Send logs to standard error in ``log_format``."""
+    use_absl_handler()
+    set_verbosity(INFO)
+    as_json = log_format is LogFormat.JSON
+    formatter = JsonFormatter(instance=instance) if as_json else TextFormatter()
+    get_absl_handler().setFormatter(formatter)
+
+
+def log_event(event: str, **fields: object) -> None:
+    """Log ``event`` with its fields at level info."""
+    get_absl_logger().info(event, extra={_EVENT: event, _FIELDS: fields})
