--- /dev/null
+++ b/src/savorypond/admission.py
@@ -0,0 +1,144 @@
+"""Take no more requests into this instance than it can answer in time."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from savorypond.limiter import Refused
+from savorypond.model import Priority
+from savorypond.reasons import RefusalReason
+from savorypond.servicetime import ServiceTime
+
+MIN_RETRY_AFTER = 0.01  # seconds
+USE_THAT_GROWS = 0.5  # share of the limit in use below which it does not grow
+
+
+class RequestOutcome(StrEnum):
+    """How an admitted request ended."""
+
+    ANSWERED = "answered"
+    OVERLOADED = "overloaded"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Admitted:
+    """The request is in flight and must be finished."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdmissionConfig:
+    """How many requests may be in flight.
+
+    :param initial: limit at the start.
+    :param least: limit that overload never goes below.
+    :param most: limit that success never goes above.
+    :param reserved: share of the limit, by priority class, that other classes
+        never take.
+    :param decrease: factor on the limit after an overloaded request.
+    :param increase: requests that the limit grows by in one round trip.
+    """
+
+    initial: int = 64
+    least: int = 4
+    most: int = 1024
+    reserved: tuple[float, float, float] = (0.2, 0.2, 0.05)
+    decrease: float = 0.9
+    increase: float = 1.0
+
+
+ADMITTED = Admitted()
+DEFAULT_ADMISSION = AdmissionConfig()
+
+
+class Admission:
+    """Bound the requests in flight by an adaptive limit.
+
+    The limit falls when admitted requests end for want of capacity and grows by
+    answers while it is in use (AIMD). Each priority class has a reserved share,
+    so that none is shut out, and takes any room that the reserves leave.
+    """
+
+    def __init__(self, *, config: AdmissionConfig = DEFAULT_ADMISSION) -> None:
+        self._config = config
+        self._limit = float(config.initial)
+        self._in_flight = [0 for _ in Priority]
+        self._times = ServiceTime()
+        self._decreased_at = float("-inf")
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that were admitted and have not finished."""
+        return sum(self._in_flight)
+
+    @property
+    def limit(self) -> int:
+        """Requests that may be in flight now."""
+        return int(self._limit)
+
+    def offer(
+        self, *, priority: Priority, deadline: float, now: float
+    ) -> Admitted | Refused:
+        """Admit a request, or refuse it before any work is done.
+
+        :param deadline: monotonic seconds at which the answer must have left.
+        """
+        left = deadline - now
+        if left <= 0.0 or (self.in_flight and left < self._times.mean / 2):
+            return Refused(reason=RefusalReason.TIME_TOO_SHORT, retry_after=None)
+        if not self._has_room(priority):
+            return Refused(
+                reason=RefusalReason.OVERLOADED,
+                retry_after=max(MIN_RETRY_AFTER, self._times.mean),
+            )
+        self._in_flight[priority] += 1
+        return ADMITTED
+
+    def finish(
+        self,
+        *,
+        priority: Priority,
+        now: float,
+        elapsed: float,
+        outcome: RequestOutcome,
+    ) -> None:
+        """Count one admitted request less.
+
+        :param elapsed: seconds since it was admitted.
+        """
+        if not self._in_flight[priority]:
+            raise ValueError(f"no {priority.name} request is in flight")
+        if outcome is RequestOutcome.ANSWERED:
+            self._grow()
+            self._times.record(elapsed)
+        elif outcome is RequestOutcome.OVERLOADED:
+            self._shrink(now, elapsed)
+        self._in_flight[priority] -= 1
+
+    def _has_room(self, priority: Priority) -> bool:
+        total = self.in_flight
+        if total >= self.limit:
+            return False
+        if self._in_flight[priority] < self._reserve(priority):
+            return True
+        kept = sum(self._unused_reserve(p) for p in Priority if p is not priority)
+        return total + kept < self.limit
+
+    def _reserve(self, priority: Priority) -> int:
+        return max(1, int(self._limit * self._config.reserved[priority]))
+
+    def _unused_reserve(self, priority: Priority) -> int:
+        return max(0, self._reserve(priority) - self._in_flight[priority])
+
+    def _grow(self) -> None:
+        if self.in_flight < self._limit * USE_THAT_GROWS:
+            return
+        grown = self._limit + self._config.increase / self._limit
+        self._limit = min(grown, float(self._config.most))
+
+    def _shrink(self, now: float, elapsed: float) -> None:
+        # Requests that were in flight at the last decrease say nothing new.
+        if now - elapsed < self._decreased_at:
+            return
+        self._decreased_at = now
+        shrunk = self._limit * self._config.decrease
+        self._limit = max(shrunk, float(self._config.least))
--- /dev/null
+++ b/src/savorypond/balancer.py
@@ -0,0 +1,268 @@
+"""Choose the replica that an attempt goes to."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from math import exp
+from random import Random
+from typing import Protocol
+
+from savorypond.model import BackendServer, Pin, Service
+from savorypond.protocols import Purpose, ReplicaChooser
+
+LATENCY_GAIN = 0.2  # weight of a new latency in the mean
+FAILURE_GAIN = 0.1  # weight of a new outcome in the failure share
+LATENCY_MEMORY = 10.0  # seconds after which an idle server's mean has faded to 1/e
+
+
+class ServerView(Protocol):
+    """What is believed about backend servers."""
+
+    def leaving(self, *, server: str) -> bool:
+        """Return whether ``server`` must get no new work."""
+
+    def ejected(self, *, server: str, now: float) -> bool:
+        """Return whether ``server`` is ejected as an outlier."""
+
+    def overloaded(self, *, server: str, now: float) -> bool:
+        """Return whether work for ``server`` would have to wait for a slot."""
+
+    def expected_wait(self, *, server: str, now: float) -> float:
+        """Return the seconds that new work would wait for a slot."""
+
+    def weight(self, *, server: str, now: float) -> float:
+        """Return the share of its usual work that ``server`` should get."""
+
+    def has(self, *, server: str, pin: Pin) -> bool | None:
+        """Return whether ``server`` holds ``pin``, or None where unknown."""
+
+
+@dataclass(slots=True, kw_only=True)
+class ReplicaStats:
+    """What attempts at one backend server have shown.
+
+    :param latency: mean seconds from dispatch to answer; 0.0 when unknown.
+    :param failure_share: share of recent attempts that failed.
+    """
+
+    latency: float = 0.0
+    failure_share: float = 0.0
+    in_flight: int = 0
+    updated: float = 0.0
+
+    def started(self) -> None:
+        """Count one attempt that was dispatched."""
+        self.in_flight += 1
+
+    def finished(self, *, now: float, latency: float, ok: bool) -> None:
+        """Count one attempt that ended.
+
+        :param latency: seconds since its dispatch.
+        """
+        self.in_flight = max(0, self.in_flight - 1)
+        self.failure_share += FAILURE_GAIN * ((not ok) - self.failure_share)
+        if ok or latency > self.latency:
+            self._learn(now, latency)
+
+    def cancelled(self) -> None:
+        """Count one attempt that was ended before its answer."""
+        self.in_flight = max(0, self.in_flight - 1)
+
+    def faded_latency(self, *, now: float) -> float:
+        """Return the mean latency, faded so that an idle server is tried again."""
+        idle = max(0.0, now - self.updated)
+        return self.latency * exp(-idle / LATENCY_MEMORY)
+
+    def _learn(self, now: float, latency: float) -> None:
+        self.updated = now
+        if self.latency <= 0.0:
+            self.latency = latency
+            return
+        self.latency += LATENCY_GAIN * (latency - self.latency)
+
+
+class ReplicaBoard:
+    """The statistics of all backend servers by name."""
+
+    def __init__(self) -> None:
+        self._stats: dict[str, ReplicaStats] = {}
+
+    def get(self, *, server: str) -> ReplicaStats:
+        """Return the statistics of ``server``, begun if need be."""
+        stats = self._stats.get(server)
+        if stats is None:
+            stats = ReplicaStats()
+            self._stats[server] = stats
+        return stats
+
+    def forget(self, *, server: str) -> None:
+        """Drop what is kept about a backend server that is gone."""
+        self._stats.pop(server, None)
+
+
+class ChoiceRule(StrEnum):
+    """How one of several usable replicas is chosen."""
+
+    LEAST_EXPECTED_FINISH = "least-expected-finish"
+    POWER_OF_TWO = "power-of-two"
+    RANDOM = "random"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LinkTimes:
+    """Seconds that a link between data centres adds to a round trip.
+
+    :param own: the data centre of this instance.
+    :param other: seconds to each data centre that ``by_data_centre`` lacks.
+    :param by_data_centre: seconds by the name of the data centre.
+    """
+
+    own: str
+    other: float = 0.0
+    by_data_centre: tuple[tuple[str, float], ...] = ()
+
+    def to(self, data_centre: str) -> float:
+        """Return the seconds to ``data_centre``; 0.0 to the own one."""
+        if data_centre == self.own:
+            return 0.0
+        for name, seconds in self.by_data_centre:
+            if name == data_centre:
+                return seconds
+        return self.other
+
+
+class _Chooser:
+    """Find the usable replicas and what each is expected to cost."""
+
+    def __init__(
+        self, *, rng: Random, links: LinkTimes, view: ServerView, board: ReplicaBoard
+    ) -> None:
+        self._rng = rng
+        self._links = links
+        self._view = view
+        self._board = board
+
+    def choose(
+        self,
+        *,
+        service: Service,
+        pin: Pin,
+        tried: frozenset[str],
+        now: float,
+        purpose: Purpose,
+    ) -> BackendServer | None:
+        """Return a usable replica outside ``tried``, or None.
+
+        A hedge is never given a replica that is overloaded or ejected. Other
+        attempts take an ejected replica where no other is usable.
+        """
+        usable = [
+            server
+            for server in service.backend_servers
+            if server.name not in tried and not self._view.leaving(server=server.name)
+        ]
+        usable = self._without_ejected(usable, now, purpose)
+        usable = self._holders(usable, pin, now)
+        usable = self._without_cold(usable, now)
+        if len(usable) < 2:
+            return usable[0] if usable else None
+        return self._pick(usable, now)
+
+    def _pick(self, usable: list[BackendServer], now: float) -> BackendServer:
+        raise NotImplementedError
+
+    def _without_ejected(
+        self, usable: list[BackendServer], now: float, purpose: Purpose
+    ) -> list[BackendServer]:
+        view = self._view
+        healthy = [s for s in usable if not view.ejected(server=s.name, now=now)]
+        if purpose is Purpose.HEDGE:
+            return [s for s in healthy if not view.overloaded(server=s.name, now=now)]
+        return healthy or usable
+
+    def _holders(
+        self, usable: list[BackendServer], pin: Pin, now: float
+    ) -> list[BackendServer]:
+        """Prefer known holders, unless each of them would make the work wait."""
+        known = []
+        unknown = []
+        for server in usable:
+            has = self._view.has(server=server.name, pin=pin)
+            if has is None:
+                unknown.append(server)
+            elif has:
+                known.append(server)
+        if not unknown:
+            return known
+        for server in known:
+            if not self._view.overloaded(server=server.name, now=now):
+                return known
+        return known + unknown
+
+    def _without_cold(
+        self, usable: list[BackendServer], now: float
+    ) -> list[BackendServer]:
+        """Leave out each cold server as often as its weight is short of 1.0."""
+        if len(usable) < 2:
+            return usable
+        warm = []
+        for server in usable:
+            weight = self._view.weight(server=server.name, now=now)
+            if weight >= 1.0 or self._rng.random() < weight:
+                warm.append(server)
+        return warm or usable
+
+    def _expected_finish(self, server: BackendServer, now: float) -> float:
+        """Return the seconds until an answer, counting the link and failures."""
+        stats = self._board.get(server=server.name)
+        latency = stats.faded_latency(now=now)
+        wait = self._view.expected_wait(server=server.name, now=now)
+        link = self._links.to(server.data_centre)
+        answered = max(1.0 - stats.failure_share, FAILURE_GAIN)
+        return link + wait + latency * (1 + stats.in_flight) / answered
+
+    def _best(self, usable: Sequence[BackendServer], now: float) -> BackendServer:
+        costs = [self._expected_finish(server, now) for server in usable]
+        least = min(costs)
+        best = [s for s, cost in zip(usable, costs, strict=True) if cost == least]
+        return best[0] if len(best) == 1 else self._rng.choice(best)
+
+
+class LeastExpectedFinish(_Chooser):
+    """Take the replica that is expected to answer first."""
+
+    def _pick(self, usable: list[BackendServer], now: float) -> BackendServer:
+        return self._best(usable, now)
+
+
+class PowerOfTwo(_Chooser):
+    """Take the better of two random replicas (Mitzenmacher, 2001)."""
+
+    def _pick(self, usable: list[BackendServer], now: float) -> BackendServer:
+        return self._best(self._rng.sample(usable, 2), now)
+
+
+class RandomChoice(_Chooser):
+    """Take any usable replica."""
+
+    def _pick(self, usable: list[BackendServer], now: float) -> BackendServer:
+        return self._rng.choice(usable)
+
+
+_RULES: dict[ChoiceRule, type[_Chooser]] = {
+    ChoiceRule.LEAST_EXPECTED_FINISH: LeastExpectedFinish,
+    ChoiceRule.POWER_OF_TWO: PowerOfTwo,
+    ChoiceRule.RANDOM: RandomChoice,
+}
+
+
+def make_chooser(
+    *,
+    rule: ChoiceRule,
+    rng: Random,
+    links: LinkTimes,
+    view: ServerView,
+    board: ReplicaBoard,
+) -> ReplicaChooser:
+    """Return a chooser that follows ``rule``."""
+    return _RULES[rule](rng=rng, links=links, view=view, board=board)
--- /dev/null
+++ b/src/savorypond/outlier.py
@@ -0,0 +1,205 @@
+"""Take failing and slow backend servers out of use for a while."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import floor
+from statistics import median
+
+from savorypond.reasons import EjectReason
+from savorypond.servicetime import ServiceTime
+
+MAX_DOUBLINGS = 16
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OutlierConfig:
+    """When a backend server is ejected and how it comes back.
+
+    :param failures: failures in a row that eject.
+    :param slow_factor: times the siblings' median latency that eject.
+    :param slow_gap: seconds above the siblings' median that a slow server must
+        also exceed.
+    :param min_samples: latencies needed before a server is called slow.
+    :param first_ejection: seconds of the first ejection; each next one doubles.
+    :param max_ejection: seconds of the longest ejection.
+    :param max_share: share of the usable servers of a service that may be
+        ejected at once; the last one never is.
+    :param probation: successes after a return that end the probation; one
+        failure before that ejects again.
+    :param forgive_after: seconds without an ejection that halve the next one.
+    :param ramp: seconds until a cold or returned server has its whole weight.
+    :param ramp_floor: weight that such a server starts with.
+    """
+
+    failures: int = 5
+    slow_factor: float = 3.0
+    slow_gap: float = 0.005
+    min_samples: int = 20
+    first_ejection: float = 1.0
+    max_ejection: float = 60.0
+    max_share: float = 0.5
+    probation: int = 5
+    forgive_after: float = 60.0
+    ramp: float = 5.0
+    ramp_floor: float = 0.1
+
+
+DEFAULT_OUTLIER = OutlierConfig()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ejection:
+    """One backend server gets no work for a while.
+
+    :param until: monotonic seconds at which it comes back on probation.
+    """
+
+    server: str
+    reason: EjectReason
+    until: float
+
+
+@dataclass(slots=True, kw_only=True)
+class _Health:
+    """What is kept about one backend server."""
+
+    service: str
+    failures: int = 0
+    samples: int = 0
+    times: ServiceTime = field(default_factory=ServiceTime)
+    ejected_until: float | None = None
+    ejections: int = 0
+    last_ejection: float = 0.0
+    probation: int = 0
+    cold_since: float | None = None
+
+
+class OutlierDetector:
+    """Eject backend servers that fail in a row or are far slower than siblings."""
+
+    def __init__(self, *, config: OutlierConfig = DEFAULT_OUTLIER) -> None:
+        self._config = config
+        self._servers: dict[str, _Health] = {}
+        self._usable: dict[str, frozenset[str]] = {}
+
+    def set_usable(self, *, service: str, servers: Iterable[str], now: float) -> None:
+        """Name the servers of ``service`` that no other sign rules out.
+
+        Those ejected beyond the cap come back at once, soonest due first.
+        """
+        usable = frozenset(servers)
+        for gone in self._usable.get(service, frozenset()) - usable:
+            del self._servers[gone]
+        self._usable[service] = usable
+        for server in usable:
+            self._servers.setdefault(server, _Health(service=service))
+        ejected = self._ejected_of(service, now)
+        ejected.sort(key=lambda name: self._servers[name].ejected_until or 0.0)
+        surplus = len(ejected) - self._ejection_cap(service)
+        for server in ejected[: max(0, surplus)]:
+            self._bring_back(self._servers[server], now)
+
+    def mark_cold(self, *, server: str, now: float) -> None:
+        """Begin the slow start of a server that is new or was restarted."""
+        health = self._servers.get(server)
+        if health is None:
+            return
+        health.cold_since = now
+        health.times = ServiceTime()
+        health.samples = 0
+        health.failures = 0
+
+    def record_success(
+        self, *, server: str, latency: float, now: float
+    ) -> Ejection | None:
+        """Count one answer; return the ejection that it leads to, if any."""
+        health = self._servers.get(server)
+        if health is None or self.ejected(server=server, now=now):
+            return None
+        health.failures = 0
+        health.probation = max(0, health.probation - 1)
+        health.times.record(latency)
+        health.samples += 1
+        if not self._is_slow(server, health):
+            return None
+        return self._eject(server, health, EjectReason.SLOW, now)
+
+    def record_failure(self, *, server: str, now: float) -> Ejection | None:
+        """Count one failure or timeout; return the ejection that it leads to."""
+        health = self._servers.get(server)
+        if health is None or self.ejected(server=server, now=now):
+            return None
+        health.failures += 1
+        if not health.probation and health.failures < self._config.failures:
+            return None
+        return self._eject(server, health, EjectReason.CONSECUTIVE_FAILURES, now)
+
+    def ejected(self, *, server: str, now: float) -> bool:
+        """Return whether ``server`` gets no work now."""
+        health = self._servers.get(server)
+        if health is None or health.ejected_until is None:
+            return False
+        if now < health.ejected_until:
+            return True
+        self._bring_back(health, health.ejected_until)
+        return False
+
+    def weight(self, *, server: str, now: float) -> float:
+        """Return the share of its usual work a server should get, up to 1.0."""
+        health = self._servers.get(server)
+        if health is None or health.cold_since is None:
+            return 1.0
+        done = (now - health.cold_since) / self._config.ramp
+        if done >= 1.0:
+            health.cold_since = None
+            return 1.0
+        return max(self._config.ramp_floor, done)
+
+    def _ejected_of(self, service: str, now: float) -> list[str]:
+        usable = self._usable.get(service, frozenset())
+        return [name for name in usable if self.ejected(server=name, now=now)]
+
+    def _ejection_cap(self, service: str) -> int:
+        usable = len(self._usable.get(service, frozenset()))
+        return max(0, min(floor(usable * self._config.max_share), usable - 1))
+
+    def _is_slow(self, server: str, health: _Health) -> bool:
+        if health.samples < self._config.min_samples:
+            return False
+        siblings = self._sibling_means(server, health.service)
+        if not siblings:
+            return False
+        usual = median(siblings)
+        if health.times.mean < usual + self._config.slow_gap:
+            return False
+        return health.times.mean > usual * self._config.slow_factor
+
+    def _sibling_means(self, server: str, service: str) -> list[float]:
+        others = (self._servers[n] for n in self._usable[service] if n != server)
+        enough = self._config.min_samples
+        return [other.times.mean for other in others if other.samples >= enough]
+
+    def _eject(
+        self, server: str, health: _Health, reason: EjectReason, now: float
+    ) -> Ejection | None:
+        cap = self._ejection_cap(health.service)
+        if len(self._ejected_of(health.service, now)) >= cap:
+            return None
+        calm = max(0.0, now - health.last_ejection)
+        forgiven = floor(calm / self._config.forgive_after)
+        health.ejections = max(0, health.ejections - forgiven)
+        doublings = min(health.ejections, MAX_DOUBLINGS)
+        length = self._config.first_ejection * 2**doublings
+        until = now + min(length, self._config.max_ejection)
+        health.ejections += 1
+        health.last_ejection = until
+        health.ejected_until = until
+        return Ejection(server=server, reason=reason, until=until)
+
+    def _bring_back(self, health: _Health, since: float) -> None:
+        health.ejected_until = None
+        health.failures = 0
+        health.samples = 0
+        health.times = ServiceTime()
+        health.probation = self._config.probation
+        health.cold_since = since
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,100 @@
+from collections import Counter
+from unittest import TestCase
+
+from hypothesis import given, strategies as st
+
+from savorypond.admission import (
+    Admission,
+    AdmissionConfig,
+    Admitted,
+    RequestOutcome,
+)
+from savorypond.model import Priority
+from savorypond.reasons import RefusalReason
+
+CONFIG = AdmissionConfig(initial=20, least=4, most=40)
+EVENTS = st.lists(
+    st.tuples(
+        st.booleans(),
+        st.sampled_from(Priority),
+        st.sampled_from(RequestOutcome),
+        st.sampled_from([0.0, 0.01, 0.3]),
+    ),
+    max_size=300,
+)
+
+
+def offer(admission, *, priority=Priority.INTERACTIVE, left=1.0, now=0.0):
+    return admission.offer(priority=priority, deadline=now + left, now=now)
+
+
+class AdmissionTests(TestCase):
+    @given(events=EVENTS)
+    def test_stays_within_the_limit_in_any_order_of_events(self, events):
+        admission = Admission(config=CONFIG)
+        in_flight, now = Counter(), 0.0
+        for arrives, priority, outcome, gap in events:
+            now += gap
+            if arrives:
+                verdict = offer(admission, priority=priority, now=now)
+                in_flight[priority] += verdict == Admitted()
+                if verdict == Admitted():
+                    self.assertLessEqual(admission.in_flight, admission.limit)
+            elif in_flight[priority]:
+                in_flight[priority] -= 1
+                admission.finish(
+                    priority=priority, now=now, elapsed=gap, outcome=outcome
+                )
+            self.assertEqual(admission.in_flight, in_flight.total())
+            self.assertTrue(CONFIG.least <= admission.limit <= CONFIG.most)
+
+    def test_each_class_finds_room_while_another_floods(self):
+        for flood in Priority:
+            for other in set(Priority) - {flood}:
+                with self.subTest(flood=flood, other=other):
+                    admission = Admission(config=CONFIG)
+                    while offer(admission, priority=flood) == Admitted():
+                        pass
+                    self.assertEqual(offer(admission, priority=other), Admitted())
+
+    def test_refusals_say_why_and_when_to_repeat(self):
+        admission = Admission(config=CONFIG)
+        while offer(admission) == Admitted():
+            pass
+        self.assertGreater(offer(admission).retry_after, 0.0)
+        self.assertEqual(offer(admission).reason, RefusalReason.OVERLOADED)
+        late = offer(admission, left=0.0)
+        self.assertEqual(late.reason, RefusalReason.TIME_TOO_SHORT)
+        self.assertIsNone(late.retry_after)
+
+    def test_limit_falls_once_for_a_round_trip_and_grows_in_use(self):
+        admission = Admission(config=CONFIG)
+        for _ in range(10):
+            offer(admission)
+        for _ in range(5):
+            admission.finish(
+                priority=Priority.INTERACTIVE,
+                now=1.0,
+                elapsed=0.9,
+                outcome=RequestOutcome.OVERLOADED,
+            )
+        self.assertEqual(admission.limit, 18)
+        for step in range(400):
+            while offer(admission, now=2.0 + step) == Admitted():
+                pass
+            admission.finish(
+                priority=Priority.INTERACTIVE,
+                now=2.1 + step,
+                elapsed=0.1,
+                outcome=RequestOutcome.ANSWERED,
+            )
+        self.assertGreater(admission.limit, 25)
+
+    def test_finishing_what_was_not_admitted_is_an_error(self):
+        with self.assertRaises(ValueError):
+            Admission().finish(
+                priority=Priority.URGENT,
+                now=0.0,
+                elapsed=0.0,
+                outcome=RequestOutcome.ANSWERED,
+            )
--- /dev/null
+++ b/tests/test_outlier.py
@@ -0,0 +1,110 @@
+from unittest import TestCase
+
+from hypothesis import given, strategies as st
+
+from savorypond.outlier import OutlierConfig, OutlierDetector
+from savorypond.reasons import EjectReason
+
+NAMES = ("a", "b", "c", "d", "e")
+CONFIG = OutlierConfig(failures=3, min_samples=4, ramp=5.0, ramp_floor=0.1)
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["ok", "slow", "fail", "fail", "usable"]),
+        st.sampled_from(NAMES),
+        st.sampled_from([0.0, 0.0, 0.1, 2.0]),
+        st.sets(st.sampled_from(NAMES)),
+    ),
+    max_size=120,
+)
+
+
+class EjectionCapTests(TestCase):
+    @given(events=EVENTS)
+    def test_cap_holds_and_the_last_usable_server_stays(self, events):
+        detector = OutlierDetector(config=CONFIG)
+        usable, now = set(NAMES), 0.0
+        detector.set_usable(service="s", servers=usable, now=now)
+        for kind, name, gap, servers in events:
+            now += gap
+            if kind == "usable":
+                usable = servers
+                detector.set_usable(service="s", servers=usable, now=now)
+            elif kind == "fail":
+                detector.record_failure(server=name, now=now)
+            else:
+                latency = 0.9 if kind == "slow" else 0.01
+                detector.record_success(server=name, latency=latency, now=now)
+            ejected = [n for n in usable if detector.ejected(server=n, now=now)]
+            self.assertLessEqual(len(ejected), len(usable) / 2)
+            self.assertLess(len(ejected), max(1, len(usable)))
+
+
+class OutlierTests(TestCase):
+    def setUp(self):
+        self.detector = OutlierDetector(config=CONFIG)
+        self.detector.set_usable(service="s", servers=["a", "b"], now=0.0)
+
+    def fail(self, server, *, times=3, now=0.0):
+        ejection = None
+        for _ in range(times):
+            ejection = self.detector.record_failure(server=server, now=now)
+        return ejection
+
+    def succeed(self, server, *, times=1, latency=0.01, now=0.0):
+        ejection = None
+        for _ in range(times):
+            ejection = ejection or self.detector.record_success(
+                server=server, latency=latency, now=now
+            )
+        return ejection
+
+    def test_failures_in_a_row_eject_and_a_success_between_does_not(self):
+        self.fail("a", times=2)
+        self.succeed("a")
+        self.assertIsNone(self.fail("a", times=2))
+        ejection = self.fail("a", times=1)
+        self.assertEqual(ejection.reason, EjectReason.CONSECUTIVE_FAILURES)
+        self.assertTrue(self.detector.ejected(server="a", now=0.5))
+        self.assertFalse(self.detector.ejected(server="a", now=ejection.until))
+
+    def test_latency_far_above_the_sibling_ejects(self):
+        table = [
+            ("alike", 0.01, 0.02, None),
+            ("far above", 0.01, 0.05, EjectReason.SLOW),
+            ("far above, yet by little time", 0.0001, 0.004, None),
+        ]
+        for name, usual, latency, reason in table:
+            with self.subTest(name):
+                self.setUp()
+                self.succeed("b", times=9, latency=usual)
+                ejection = self.succeed("a", times=9, latency=latency)
+                self.assertEqual(ejection and ejection.reason, reason)
+
+    def test_both_replicas_failing_ejects_only_one(self):
+        self.assertIsNotNone(self.fail("a"))
+        self.assertIsNone(self.fail("b", times=9))
+
+    def test_an_ejected_server_comes_back_when_its_sibling_is_ruled_out(self):
+        self.fail("a")
+        self.detector.set_usable(service="s", servers=["a"], now=0.1)
+        self.assertFalse(self.detector.ejected(server="a", now=0.1))
+
+    def test_a_failure_on_probation_ejects_for_twice_as_long(self):
+        first = self.fail("a")
+        back = first.until
+        self.assertFalse(self.detector.ejected(server="a", now=back))
+        second = self.fail("a", times=1, now=back)
+        self.assertAlmostEqual(second.until - back, 2 * first.until)
+        self.assertFalse(self.detector.ejected(server="a", now=second.until))
+        self.succeed("a", times=CONFIG.probation, now=second.until)
+        self.assertIsNone(self.fail("a", times=1, now=second.until))
+
+    def test_weight_ramps_up_after_a_return_and_after_a_cold_start(self):
+        back = self.fail("a").until
+        self.detector.mark_cold(server="b", now=back)
+        self.detector.ejected(server="a", now=back)
+        for server in ("a", "b"):
+            for elapsed, expected in [(0.0, 0.1), (2.5, 0.5), (5.0, 1.0), (9.0, 1.0)]:
+                with self.subTest(server=server, elapsed=elapsed):
+                    weight = self.detector.weight(server=server, now=back + elapsed)
+                    self.assertAlmostEqual(weight, expected)
