--- /dev/null
+++ b/src/savorypond/bundle.py
@@ -0,0 +1,160 @@
+"""Bundles: all services checked as a whole, under one revision."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, replace
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import Decoder, encode
+
+from savorypond.exceptions import BundleError
+from savorypond.model import KEY_SPACE, Address, Bundle, Service, ShardRange
+from savorypond.servicerules import service_problems
+
+MAX_VALUE_BYTES = 1_000_000  # largest value of the configuration service
+MAX_REVISION = 2**63 - 1
+
+
+class _BundleValue(Struct, forbid_unknown_fields=True):
+    revision: int
+    services: list[Service]
+
+
+_decoder = Decoder(_BundleValue)
+
+
+def next_revision(in_force: Bundle | None) -> int:
+    """Return the revision that follows the bundle in force, or 1."""
+    return 1 if in_force is None else in_force.revision + 1
+
+
+def bundle_problems(services: Iterable[Service]) -> list[str]:
+    """Return what is wrong with each service and with all as a whole."""
+    services = list(services)
+    problems = []
+    for service in services:
+        problems += [
+            f"service {service.name!r}: {problem.field}: {problem.text}"
+            for problem in service_problems(service)
+        ]
+    problems += _twice("service", (s.name for s in services))
+    servers = [server for s in services for server in s.backend_servers]
+    problems += _twice("backend server", (server.name for server in servers))
+    problems += _twice("address", (str(server.address) for server in servers))
+    return problems + list(_tiling_problems(services))
+
+
+def _twice(what: str, names: Iterable[str]) -> list[str]:
+    seen: set[str] = set()
+    problems = []
+    for name in names:
+        if name in seen:
+            problems.append(f"{what} {name!r} stands twice")
+        seen.add(name)
+    return problems
+
+
+@dataclass(frozen=True, slots=True)
+class _LayoutKey:
+    index: str
+    number: int
+
+
+def _tiling_problems(services: Iterable[Service]) -> Iterator[str]:
+    layouts: dict[_LayoutKey, list[ShardRange]] = {}
+    for service in services:
+        for layout in service.layouts:
+            key = _LayoutKey(service.index, layout.number)
+            layouts.setdefault(key, []).extend(layout.shards)
+    for key, shards in layouts.items():
+        where = f"index {key.index!r} layout {key.number}"
+        for text in _twice("shard", (shard.shard for shard in shards)):
+            yield f"{where}: {text}"
+        for text in _gap_problems(shards):
+            yield f"{where}: {text}"
+
+
+def _gap_problems(shards: list[ShardRange]) -> Iterator[str]:
+    covered = 0
+    for shard in sorted(shards, key=lambda shard: shard.low):
+        if shard.low > covered:
+            yield f"no shard holds keys [{covered}, {shard.low})"
+        if shard.low < covered:
+            yield f"shard {shard.shard!r} overlaps another below key {covered}"
+        covered = max(covered, shard.high)
+    if covered < KEY_SPACE:
+        yield f"no shard holds keys [{covered}, {KEY_SPACE})"
+
+
+def check_bundle(bundle: Bundle) -> None:
+    """Check every service and all as a whole.
+
+    :raises ExceptionGroup: of one BundleError for each problem.
+    """
+    problems = bundle_problems(bundle.services.values())
+    if not 1 <= bundle.revision <= MAX_REVISION:
+        problems.append(f"revision is not in 1 to {MAX_REVISION}")
+    for name, service in bundle.services.items():
+        if name != service.name:
+            problems.append(f"service {service.name!r} is filed under {name!r}")
+    refuse(bundle.revision, problems)
+
+
+def refuse(revision: int, problems: list[str]) -> None:
+    """Raise the problems of one revision together, if there are any.
+
+    :raises ExceptionGroup: of one BundleError for each problem.
+    """
+    if problems:
+        errors = [BundleError(revision=revision, problem=text) for text in problems]
+        raise ExceptionGroup(f"bundle revision {revision} cannot be used", errors)
+
+
+def encode_bundle(bundle: Bundle) -> bytes:
+    """Return the bundle as one JSON value, the same for equal bundles.
+
+    :raises ExceptionGroup: of BundleErrors where it breaks a rule or is larger
+        than the configuration service holds.
+    """
+    check_bundle(bundle)
+    services = [bundle.services[name] for name in sorted(bundle.services)]
+    value = encode(_BundleValue(revision=bundle.revision, services=services))
+    if len(value) > MAX_VALUE_BYTES:
+        text = f"{len(value)} bytes are more than {MAX_VALUE_BYTES}"
+        refuse(bundle.revision, [text])
+    return value
+
+
+def decode_bundle(value: bytes) -> Bundle:
+    """Read and check a bundle from its JSON value.
+
+    :raises ExceptionGroup: of one BundleError for each problem.
+    """
+    if len(value) > MAX_VALUE_BYTES:
+        refuse(0, [f"{len(value)} bytes are more than {MAX_VALUE_BYTES}"])
+    try:
+        read = _decoder.decode(value)
+    except (DecodeError, ValidationError) as error:
+        problem = BundleError(revision=0, problem=str(error))
+        raise ExceptionGroup("bundle cannot be read", [problem]) from error
+    refuse(read.revision, _twice("service", (s.name for s in read.services)))
+    services = {service.name: service for service in read.services}
+    bundle = Bundle(revision=read.revision, services=services)
+    check_bundle(bundle)
+    return bundle
+
+
+def with_addresses(
+    services: Mapping[str, Service], addresses: Mapping[str, Address]
+) -> dict[str, Service]:
+    """Return the services with new addresses for the backend servers named.
+
+    :param addresses: address by backend server name; others keep theirs.
+    """
+    moved = {}
+    for name, service in services.items():
+        servers = tuple(
+            replace(server, address=addresses.get(server.name, server.address))
+            for server in service.backend_servers
+        )
+        moved[name] = replace(service, backend_servers=servers)
+    return moved
