--- /dev/null
+++ b/src/savorypond/controllers/backend_servers.py
@@ -0,0 +1,262 @@
+"""What this instance knows about backend servers, and the work it has there."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from random import Random
+
+from savorypond.balancer import (
+    ChoiceRule,
+    LinkTimes,
+    ReplicaBoard,
+    ReplicaStats,
+    make_chooser,
+)
+from savorypond.budget import RetryBudget
+from savorypond.clock import Clock
+from savorypond.controllers.slots import SlotGate
+from savorypond.latency import LatencyTracker, PercentileHedge
+from savorypond.limiter import ServerGate
+from savorypond.model import (
+    BackendServer,
+    Bundle,
+    Counters,
+    Holding,
+    Pin,
+    Service,
+)
+from savorypond.outlier import Ejection, OutlierDetector
+from savorypond.protocols import ReplicaChooser
+from savorypond.snapshots import PinChoice, SnapshotBook
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KnownServer:
+    """A backend server in force, its service and its gate."""
+
+    server: BackendServer
+    service: Service
+    gate: SlotGate
+
+
+class BackendServers:
+    """The backend servers in force, with their gates, statistics and snapshots.
+
+    Implements the view that replica choice takes of them.
+    """
+
+    def __init__(
+        self,
+        *,
+        data_centre: str,
+        clock: Clock,
+        rng: Random,
+        counters: Counters,
+        link_time: float,
+    ) -> None:
+        self._clock = clock
+        self._counters = counters
+        self._known: dict[str, KnownServer] = {}
+        self._leaving: set[str] = set()
+        self._board = ReplicaBoard()
+        self._outliers = OutlierDetector()
+        self._budget = RetryBudget()
+        self._latencies = LatencyTracker()
+        self._hedging = PercentileHedge(tracker=self._latencies)
+        self._snapshots = SnapshotBook()
+        self._usable_version = 0
+        self._chooser = make_chooser(
+            rule=ChoiceRule.LEAST_EXPECTED_FINISH,
+            rng=rng,
+            links=LinkTimes(own=data_centre, other=link_time),
+            view=self,
+            board=self._board,
+        )
+
+    @property
+    def chooser(self) -> ReplicaChooser:
+        """Chooses replicas."""
+        return self._chooser
+
+    @property
+    def budget(self) -> RetryBudget:
+        """Limits hedges and retries."""
+        return self._budget
+
+    @property
+    def hedging(self) -> PercentileHedge:
+        """Tells when to hedge."""
+        return self._hedging
+
+    @property
+    def known(self) -> Mapping[str, KnownServer]:
+        """The backend servers in force by name."""
+        return self._known
+
+    def apply(self, bundle: Bundle) -> None:
+        """Take over the backend servers of ``bundle``."""
+        wanted = {
+            server.name: (server, service)
+            for service in bundle.services.values()
+            for server in service.backend_servers
+        }
+        for name in list(self._known):
+            if name not in wanted:
+                self._remove(name)
+        for server, service in wanted.values():
+            self._put(server, service)
+        for service in bundle.services.values():
+            self._update_usable(service)
+        self._usable_version += 1
+
+    def set_share(self, *, server: str, share: float) -> None:
+        """Put the share of a backend server's slots that this instance uses."""
+        known = self._known.get(server)
+        if known is not None:
+            known.gate.set_limits(limits=known.service.limits, share=share)
+
+    def set_leaving(self, *, server: str, leaving: bool) -> None:
+        """Note whether a backend server must get no new work."""
+        if leaving == (server in self._leaving):
+            return
+        if leaving:
+            self._leaving.add(server)
+            self._counters.add("ejections", "leaving")
+        else:
+            self._leaving.discard(server)
+        self._usable_version += 1
+        known = self._known.get(server)
+        if known is not None:
+            self._update_usable(known.service)
+
+    def mark_cold(self, *, server: str) -> None:
+        """Note that a backend server has just started."""
+        self._outliers.mark_cold(server=server, now=self._clock.now())
+
+    def stats(self, server: str) -> ReplicaStats:
+        """Return what attempts at ``server`` have shown."""
+        return self._board.get(server=server)
+
+    def record_success(self, *, server: str, seconds: float) -> None:
+        """Count one usable answer and its latency in seconds since dispatch."""
+        now = self._clock.now()
+        known = self._known.get(server)
+        if known is not None:
+            self._latencies.record(
+                service=known.service.name, seconds=seconds, now=now
+            )
+        self._count_ejection(
+            self._outliers.record_success(server=server, latency=seconds, now=now)
+        )
+
+    def record_failure(self, *, server: str) -> None:
+        """Count one failed or unusable attempt."""
+        now = self._clock.now()
+        self._count_ejection(self._outliers.record_failure(server=server, now=now))
+
+    def record_answer(
+        self, *, service: Service, server: str, pin: Pin, shards: Iterable[str]
+    ) -> None:
+        """Note that ``server`` answered for ``shards`` from the snapshot of ``pin``."""
+        self._snapshots.record_answer(
+            index=service.index,
+            server=server,
+            pin=pin,
+            shards=shards,
+            now=self._clock.now(),
+        )
+
+    def record_refusal(
+        self, *, service: Service, server: str, pin: Pin, held: Iterable[Holding]
+    ) -> None:
+        """Note that ``server`` does not hold ``pin`` and what it holds instead."""
+        self._snapshots.record_refusal(
+            index=service.index,
+            server=server,
+            pin=pin,
+            held=held,
+            now=self._clock.now(),
+        )
+
+    def record_report(
+        self, *, service: Service, server: str, held: Iterable[Holding]
+    ) -> None:
+        """Note what the health endpoint of ``server`` lists."""
+        self._snapshots.record_report(
+            index=service.index, server=server, held=held, now=self._clock.now()
+        )
+
+    def pin(self, services: tuple[Service, ...]) -> PinChoice | None:
+        """Return the snapshot to answer a query to ``services`` from, or None."""
+        return self._snapshots.pin(
+            services=services,
+            now=self._clock.now(),
+            usable=self._is_usable,
+            usable_version=self._usable_version,
+        )
+
+    def leaving(self, *, server: str) -> bool:
+        """Return whether ``server`` must get no new work."""
+        return server in self._leaving
+
+    def ejected(self, *, server: str, now: float) -> bool:
+        """Return whether ``server`` is ejected as an outlier."""
+        return self._outliers.ejected(server=server, now=now)
+
+    def overloaded(self, *, server: str, now: float) -> bool:
+        """Return whether work for ``server`` would have to wait for a slot."""
+        known = self._known.get(server)
+        return known is not None and known.gate.decision.overloaded(now=now)
+
+    def expected_wait(self, *, server: str, now: float) -> float:
+        """Return the seconds that new work would wait for a slot."""
+        known = self._known.get(server)
+        return known.gate.decision.expected_wait(now=now) if known else 0.0
+
+    def weight(self, *, server: str, now: float) -> float:
+        """Return the share of its usual work that ``server`` should get."""
+        return self._outliers.weight(server=server, now=now)
+
+    def has(self, *, server: str, pin: Pin) -> bool | None:
+        """Return whether ``server`` holds ``pin``, or None where unknown."""
+        known = self._known.get(server)
+        if known is None:
+            return None
+        return self._snapshots.holds(
+            index=known.service.index, server=server, pin=pin, now=self._clock.now()
+        )
+
+    def _is_usable(self, server: str) -> bool:
+        return server in self._known and server not in self._leaving
+
+    def _put(self, server: BackendServer, service: Service) -> None:
+        known = self._known.get(server.name)
+        if known is not None and known.server == server:
+            known.gate.set_limits(limits=service.limits, share=known.gate.share)
+            gate = known.gate
+        else:
+            gate = self._new_gate(service)
+        self._known[server.name] = KnownServer(
+            server=server, service=service, gate=gate
+        )
+
+    def _new_gate(self, service: Service) -> SlotGate:
+        limits = service.limits
+        decision = ServerGate(slots=limits.slots, connections=limits.connections)
+        return SlotGate(decision=decision, clock=self._clock)
+
+    def _remove(self, name: str) -> None:
+        known = self._known.pop(name)
+        self._leaving.discard(name)
+        self._board.forget(server=name)
+        self._budget.forget(server=name)
+        self._snapshots.forget_server(index=known.service.index, server=name)
+
+    def _update_usable(self, service: Service) -> None:
+        names = [s.name for s in service.backend_servers if self._is_usable(s.name)]
+        self._outliers.set_usable(
+            service=service.name, servers=names, now=self._clock.now()
+        )
+
+    def _count_ejection(self, ejection: Ejection | None) -> None:
+        if ejection is not None:
+            self._counters.add("ejections", ejection.reason)
--- /dev/null
+++ b/src/savorypond/controllers/connections.py
@@ -0,0 +1,221 @@
+"""The open connections to backend servers."""
+
+from contextlib import suppress
+from random import Random
+from typing import Self
+
+from curio import Event, TaskTimeout, spawn, timeout_after
+
+from savorypond.clock import Clock
+from savorypond.exceptions import BackendServerError
+from savorypond.httpclient import HttpConnection
+from savorypond.httptypes import HttpRequest, HttpResponse
+from savorypond.model import Address, Counters
+from savorypond.pool import (
+    ConnectionPool,
+    Open,
+    PoolLimits,
+    ProbeFirst,
+    Refuse,
+    Release,
+    Use,
+)
+
+PROBE_TIME = 0.03  # seconds in which a connection must answer a probe
+CONNECT_TIME = 0.25  # seconds in which a connection must be open
+_PROBE = HttpRequest(method="GET", path="/v1/health")
+
+
+class ServerConnections:
+    """The connections of this instance to one backend server."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: Address,
+        source_host: str,
+        limits: PoolLimits,
+        clock: Clock,
+        rng: Random,
+        counters: Counters,
+    ) -> None:
+        self._name = name
+        self._address = address
+        self._source_host = source_host
+        self._clock = clock
+        self._counters = counters
+        self._pool = ConnectionPool(limits=limits, random=rng)
+        self._open: dict[int, HttpConnection] = {}
+        self._released = Event()
+
+    @property
+    def pool(self) -> ConnectionPool:
+        """The pool that decides."""
+        return self._pool
+
+    async def close(self) -> None:
+        """Close every connection."""
+        connections, self._open = list(self._open.values()), {}
+        for connection in connections:
+            await connection.close()
+
+    async def resize(self, cap: int) -> None:
+        """Change how many connections may be open."""
+        await self._close_all(self._pool.resize(cap, self._clock.now()))
+
+    async def reap(self) -> None:
+        """Close connections that have been idle for too long."""
+        await self._close_all(self._pool.reap(self._clock.now()))
+
+    async def lease(self, *, proven: bool = False) -> "ConnectionLease":
+        """Return a connection for one request.
+
+        :param proven: whether it must have answered a moment ago.
+
+        Raises BackendServerError, nothing sent, where none can be had.
+        """
+        while True:
+            decision = self._pool.acquire(self._clock.now(), proven=proven)
+            if isinstance(decision, Use):
+                return self._lease(decision.connection)
+            if isinstance(decision, Open):
+                return await self._open_one(decision.connection)
+            if isinstance(decision, ProbeFirst):
+                if await self._probe(decision.connection):
+                    return self._lease(decision.connection)
+                continue
+            if isinstance(decision, Refuse):
+                raise BackendServerError(
+                    server=self._name, problem="no connection can be had", sent=False
+                )
+            self._released.clear()
+            await self._released.wait()
+
+    async def give_back(self, number: int, outcome: Release) -> None:
+        """Take a connection back after its request."""
+        now = self._clock.now()
+        closing = self._pool.released(number, now, outcome)
+        abort = outcome is Release.TIMED_OUT
+        await self._close_all(closing, abort=abort)
+        await self._released.set()
+        if abort:
+            self._counters.add("connections_closed", "timed-out")
+            await self._probe_suspects()
+
+    async def give_back_unused(self, number: int) -> None:
+        """Take a connection back over which nothing was sent."""
+        self._pool.given_back(number)
+        await self._released.set()
+
+    def distrust(self) -> None:
+        """Have every open connection probed before its next use."""
+        self._pool.distrust()
+
+    async def _open_one(self, number: int) -> "ConnectionLease":
+        connection = HttpConnection(
+            address=self._address, source_host=self._source_host
+        )
+        try:
+            async with timeout_after(CONNECT_TIME):
+                await connection.open()
+        except (BackendServerError, TaskTimeout) as error:
+            self._pool.failed(number, self._clock.now())
+            await self._released.set()
+            self._counters.add("connects_failed", type(error).__name__)
+            raise BackendServerError(
+                server=self._name, problem="connect failed", sent=False
+            ) from error
+        except BaseException:
+            self._pool.failed(number, self._clock.now())
+            raise
+        self._open[number] = connection
+        self._pool.opened(number, self._clock.now())
+        self._counters.add("connections_opened", "new")
+        return self._lease(number)
+
+    def _lease(self, number: int) -> "ConnectionLease":
+        return ConnectionLease(
+            owner=self, number=number, connection=self._open[number]
+        )
+
+    async def _probe(self, number: int) -> bool:
+        try:
+            async with timeout_after(PROBE_TIME):
+                await self._open[number].request(_PROBE)
+        except (BackendServerError, TaskTimeout):
+            self._counters.add("probes", "failed")
+            closing = self._pool.released(
+                number, self._clock.now(), Release.TIMED_OUT
+            )
+            await self._close_all(closing, abort=True)
+            return False
+        self._counters.add("probes", "answered")
+        self._pool.probed(number, self._clock.now())
+        return True
+
+    async def _probe_suspects(self) -> None:
+        for doubtful in self._pool.doubtful():
+            await spawn(self._probe_idle, doubtful.connection, daemon=True)
+
+    async def _probe_idle(self, number: int) -> None:
+        if number in self._open and await self._probe(number):
+            with suppress(KeyError):
+                await self.give_back(number, Release.ANSWERED)
+
+    async def _close_all(
+        self, numbers: tuple[int, ...], *, abort: bool = False
+    ) -> None:
+        for number in numbers:
+            connection = self._open.pop(number, None)
+            if connection is not None:
+                await connection.close(abort=abort)
+
+
+class ConnectionLease:
+    """A connection in use by one request; leaving the context gives it back."""
+
+    def __init__(
+        self, *, owner: ServerConnections, number: int, connection: HttpConnection
+    ) -> None:
+        self._owner = owner
+        self._number = number
+        self._connection = connection
+        self._used = False
+        self._timed_out = False
+
+    @property
+    def sent(self) -> bool:
+        """Whether a byte of the request may have left."""
+        return self._used and self._connection.sent
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *reason: object) -> None:
+        if not self._used:
+            await self._owner.give_back_unused(self._number)
+            return
+        outcome = Release.CLOSED
+        if self._timed_out:
+            outcome = Release.TIMED_OUT
+        elif self._connection.reusable:
+            outcome = Release.ANSWERED
+        await self._owner.give_back(self._number, outcome)
+
+    async def request(
+        self, request: HttpRequest, *, seconds: float
+    ) -> HttpResponse:
+        """Send ``request`` and return its response.
+
+        Raises BackendServerError, also where none comes within ``seconds``.
+        """
+        self._used = True
+        try:
+            async with timeout_after(seconds):
+                return await self._connection.request(request)
+        except TaskTimeout as error:
+            self._timed_out = True
+            raise BackendServerError(
+                server=self._owner._name, problem="timed out", sent=True
+            ) from error
--- /dev/null
+++ b/src/savorypond/controllers/slots.py
@@ -0,0 +1,152 @@
+"""Waits for the slots that a gate hands out."""
+
+from types import TracebackType
+from typing import Self
+
+from curio import Event, TaskTimeout, timeout_at
+
+from savorypond.clock import Clock
+from savorypond.limiter import (
+    GateChange,
+    Granted,
+    Outcome,
+    Queued,
+    Refused,
+    ServerGate,
+)
+from savorypond.model import Priority, ServerLimits
+from savorypond.reasons import RefusalReason
+
+
+class SlotRefused(Exception):  # noqa: N818
+    """No slot could be had in time.
+
+    :param retry_after: seconds until a repeat may be taken, or None.
+    """
+
+    def __init__(self, *, reason: RefusalReason, retry_after: float | None) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+class _Waiter:
+    """One request in the queue of a gate."""
+
+    def __init__(self) -> None:
+        self.woken = Event()
+        self.granted = False
+
+
+class SlotGate:
+    """One backend server's gate, and the requests that wait at it."""
+
+    def __init__(self, *, decision: ServerGate, clock: Clock) -> None:
+        self._decision = decision
+        self._clock = clock
+        self._share = 1.0
+
+    @property
+    def decision(self) -> ServerGate:
+        """The gate that decides."""
+        return self._decision
+
+    @property
+    def share(self) -> float:
+        """Share of the backend server's limits that this instance uses."""
+        return self._share
+
+    def set_limits(self, *, limits: ServerLimits, share: float) -> None:
+        """Put new limits into force; waiters learn at their next wake."""
+        self._share = share
+        change = self._decision.set_limits(
+            slots=limits.slots,
+            connections=limits.connections,
+            now=self._clock.now(),
+            share=share,
+        )
+        self._mark(change)
+
+    async def take(self, *, priority: Priority, deadline: float) -> "Slot":
+        """Return a slot; raise SlotRefused where none can be had in time."""
+        waiter = _Waiter()
+        offer = self._decision.offer(
+            waiter=waiter, priority=priority, deadline=deadline, now=self._clock.now()
+        )
+        if isinstance(offer, Refused):
+            raise SlotRefused(reason=offer.reason, retry_after=offer.retry_after)
+        if isinstance(offer, Queued):
+            await self._wait(waiter, deadline)
+        else:
+            assert isinstance(offer, Granted)
+        return Slot(gate=self, taken=self._clock.now())
+
+    async def give_back(self, *, seconds: float, outcome: Outcome) -> None:
+        """Release one slot that was held for ``seconds``."""
+        change = self._decision.release(
+            now=self._clock.now(), service_time=seconds, outcome=outcome
+        )
+        await self._announce(change)
+
+    async def _wait(self, waiter: _Waiter, deadline: float) -> None:
+        try:
+            while not waiter.granted:
+                due = self._decision.next_event()
+                until = deadline if due is None else min(deadline, due)
+                try:
+                    async with timeout_at(max(until, self._clock.now() + 0.0005)):
+                        await waiter.woken.wait()
+                except TaskTimeout:
+                    await self._announce(self._decision.advance(now=self._clock.now()))
+                if waiter.woken.is_set() and not waiter.granted:
+                    raise SlotRefused(
+                        reason=RefusalReason.OVERLOADED, retry_after=None
+                    )
+        except BaseException:
+            await self._leave(waiter)
+            raise
+
+    async def _leave(self, waiter: _Waiter) -> None:
+        waits = self._decision.cancel(waiter=waiter)
+        if not waits and waiter.granted:
+            await self.give_back(seconds=0.0, outcome=Outcome.CANCELLED)
+
+    def _mark(self, change: GateChange) -> list[_Waiter]:
+        woken = []
+        for waiter in change.granted:
+            assert isinstance(waiter, _Waiter)
+            waiter.granted = True
+            woken.append(waiter)
+        for waiter in change.expired:
+            assert isinstance(waiter, _Waiter)
+            woken.append(waiter)
+        return woken
+
+    async def _announce(self, change: GateChange) -> None:
+        for waiter in self._mark(change):
+            await waiter.woken.set()
+
+
+class Slot:
+    """A slot in use; leaving the context gives it back."""
+
+    def __init__(self, *, gate: SlotGate, taken: float) -> None:
+        self._gate = gate
+        self._taken = taken
+        self._outcome = Outcome.FAILED
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        seconds = self._gate._clock.now() - self._taken
+        await self._gate.give_back(seconds=seconds, outcome=self._outcome)
+
+    def ended(self, outcome: Outcome) -> None:
+        """Tell how the request that used the slot ended."""
+        self._outcome = outcome
