Add the decisions for calls that run at most once, for drains and for connections

Cause: a call that is not idempotent may be sent again by its caller or by a balancer, to another instance, while instances share no state; connections can go silent; stops must cut nothing.

All are plain decisions without I/O.

--- /dev/null
+++ b/src/savorypond/callrun.py
@@ -0,0 +1,270 @@
+"""Runs one non-idempotent call: when to write, and what the caller is told."""
+
+from enum import Enum, auto
+from typing import Protocol
+
+from savorypond.callsteps import (
+    Acquire,
+    Acquired,
+    Action,
+    Answered,
+    CallerGone,
+    ConnectionLost,
+    Event,
+    Finish,
+    HandBack,
+    NotAcquired,
+    Probe,
+    Probed,
+    Result,
+    SaidNotRun,
+    Tick,
+    Write,
+)
+from savorypond.ledger import TicketLedger
+from savorypond.pause import PauseDetector
+from savorypond.pool import Release
+from savorypond.reasons import Execution, RefusalReason
+from savorypond.tickets import Refuse, Ticket
+
+MAX_WRITES = 3
+MAX_ACQUIRES = 6
+
+
+class LeavingServers(Protocol):
+    """Knows which backend servers must get no new work."""
+
+    def is_leaving(self, server: str) -> bool:
+        """Tell whether the backend server called ``server`` is leaving."""
+
+
+class _State(Enum):
+    ACQUIRING = auto()
+    PROBING = auto()
+    WRITTEN = auto()
+    DONE = auto()
+
+
+class CallRun:
+    """Takes one claimed ticket to its end.
+
+    Right before each write it checks again what may have changed while it waited:
+    a pause of this process, the deadline, the right of the ticket, whether the
+    backend server is leaving, and whether the connection is alive. Once the first
+    byte may have left, the request is sent again only if the backend server itself
+    said that it did not run.
+
+    :param deadline: monotonic seconds by which the caller must have its answer.
+    :param least_time: seconds below which a write is not worth starting.
+    """
+
+    def __init__(
+        self,
+        *,
+        ticket: Ticket,
+        deadline: float,
+        ledger: TicketLedger,
+        pause: PauseDetector,
+        servers: LeavingServers,
+        least_time: float = 0.001,
+        max_writes: int = MAX_WRITES,
+    ) -> None:
+        self._ticket = ticket
+        self._deadline = deadline
+        self._ledger = ledger
+        self._pause = pause
+        self._servers = servers
+        self._least_time = least_time
+        self._writes_left = max_writes
+        self._acquires_left = MAX_ACQUIRES
+        self._state = _State.ACQUIRING
+        self._server = ""
+        self._tried: frozenset[str] = frozenset()
+        self._last = _no_server(None)
+
+    @property
+    def done(self) -> bool:
+        """Whether the call has ended."""
+        return self._state is _State.DONE
+
+    @property
+    def deadline(self) -> float:
+        """Monotonic seconds by which the caller must have its answer."""
+        return self._deadline
+
+    def start(self, *, now: float) -> tuple[Action, ...]:
+        """Return the first actions."""
+        return self._acquire(now)
+
+    def on(self, event: Event, *, now: float) -> tuple[Action, ...]:
+        """Take ``event`` in and return the actions that follow, in order.
+
+        An event that comes after the end, or that does not fit the state, such as
+        the late answer of an abandoned probe, changes nothing.
+        """
+        match (self._state, event):
+            case (_State.DONE, Acquired()):
+                return (HandBack(how=Release.UNUSED),)
+            case (_State.DONE, _):
+                return ()
+            case (_State.WRITTEN, _):
+                return self._on_written(event, now)
+            case (_, Tick()):
+                return self._on_waiting_tick(now)
+            case (_, CallerGone()):
+                return self._on_caller_gone()
+            case (_State.ACQUIRING, Acquired(server=server, proven=proven)):
+                self._server = server
+                return self._probe_or_write(proven, now)
+            case (_State.ACQUIRING, NotAcquired()):
+                return self._on_not_acquired(event, now)
+            case (_State.PROBING, Probed(alive=True)):
+                return self._write(now)
+            case (_State.PROBING, Probed()):
+                return (HandBack(how=Release.TIMED_OUT), *self._acquire(now))
+            case (_State.PROBING, ConnectionLost()):
+                return (HandBack(how=Release.CLOSED), *self._acquire(now))
+        return ()
+
+    def _acquire(self, now: float) -> tuple[Action, ...]:
+        if self._time_left(now) < self._least_time:
+            return self._refuse(_too_late(self._last))
+        if self._acquires_left == 0:
+            return self._refuse(self._last)
+        self._acquires_left -= 1
+        self._state = _State.ACQUIRING
+        return (Acquire(tried=self._tried),)
+
+    def _on_not_acquired(self, event: NotAcquired, now: float) -> tuple[Action, ...]:
+        self._last = _no_server(event.retry_after)
+        if not event.server:
+            return self._refuse(self._last)
+        self._tried |= {event.server}
+        return self._acquire(now)
+
+    def _probe_or_write(self, proven: bool, now: float) -> tuple[Action, ...]:
+        if proven:
+            return self._write(now)
+        self._state = _State.PROBING
+        return (Probe(),)
+
+    def _write(self, now: float) -> tuple[Action, ...]:
+        woke = self._pause.observe(now) is not None
+        unused = HandBack(how=Release.UNUSED)
+        if self._time_left(now) < self._least_time:
+            return (unused, *self._refuse(_too_late(self._last)))
+        if self._servers.is_leaving(self._server):
+            self._tried |= {self._server}
+            self._last = _leaving(self._server)
+            return (unused, *self._acquire(now))
+        refusal = self._ledger.right(self._ticket, now=now)
+        if woke and refusal is None:
+            return (unused, *self._acquire(now))
+        refusal = refusal or self._ledger.dispatched(self._ticket, now=now)
+        if refusal is not None:
+            return (unused, *self._refuse(refusal))
+        self._state = _State.WRITTEN
+        self._writes_left -= 1
+        return (Write(time_left=self._time_left(now)),)
+
+    def _on_written(self, event: Event, now: float) -> tuple[Action, ...]:
+        match event:
+            case Result(result=result):
+                self._ledger.finished(self._ticket, result)
+                return self._end(Release.ANSWERED, Answered(result=result))
+            case SaidNotRun():
+                return self._on_said_not_run(event, now)
+            case ConnectionLost():
+                self._ledger.lost(self._ticket)
+                return self._end(Release.CLOSED, _LOST)
+            case Tick() if now >= self._deadline:
+                self._ledger.lost(self._ticket)
+                return self._end(Release.TIMED_OUT, _TIMED_OUT)
+        return ()
+
+    def _on_said_not_run(self, event: SaidNotRun, now: float) -> tuple[Action, ...]:
+        self._ledger.said_not_run(self._ticket)
+        self._tried |= {self._server}
+        self._last = _shed(self._server, event.retry_after)
+        answered = HandBack(how=Release.ANSWERED)
+        if self._writes_left == 0:
+            return (answered, *self._refuse(self._last))
+        return (answered, *self._acquire(now))
+
+    def _on_waiting_tick(self, now: float) -> tuple[Action, ...]:
+        if now < self._deadline:
+            return ()
+        return (*self._drop_probe(), *self._refuse(_too_late(self._last)))
+
+    def _on_caller_gone(self) -> tuple[Action, ...]:
+        dropped = self._drop_probe()
+        self._ledger.abandoned_before_send(self._ticket)
+        self._state = _State.DONE
+        return (*dropped, Finish(outcome=_CALLER_GONE))
+
+    def _drop_probe(self) -> tuple[Action, ...]:
+        if self._state is _State.PROBING:
+            return (HandBack(how=Release.TIMED_OUT),)
+        return ()
+
+    def _refuse(self, refusal: Refuse) -> tuple[Action, ...]:
+        self._state = _State.DONE
+        return (Finish(outcome=self._ledger.refused(self._ticket, refusal)),)
+
+    def _end(self, how: Release, outcome: Answered | Refuse) -> tuple[Action, ...]:
+        self._state = _State.DONE
+        return (HandBack(how=how), Finish(outcome=outcome))
+
+    def _time_left(self, now: float) -> float:
+        return self._deadline - now
+
+
+def _no_server(retry_after: float | None) -> Refuse:
+    return Refuse(
+        reason=RefusalReason.NO_BACKEND_SERVER,
+        execution=Execution.NOT_RUN,
+        detail="no backend server of the service can be reached",
+        retry_after=retry_after,
+    )
+
+
+def _leaving(server: str) -> Refuse:
+    return Refuse(
+        reason=RefusalReason.SERVER_LEAVING,
+        execution=Execution.NOT_RUN,
+        detail=f"backend server {server} is leaving",
+    )
+
+
+def _shed(server: str, retry_after: float | None) -> Refuse:
+    return Refuse(
+        reason=RefusalReason.SHED,
+        execution=Execution.NOT_RUN,
+        detail=f"backend server {server} refused the call as not run",
+        retry_after=retry_after,
+    )
+
+
+def _too_late(last: Refuse) -> Refuse:
+    return Refuse(
+        reason=RefusalReason.TIME_TOO_SHORT,
+        execution=Execution.NOT_RUN,
+        detail=f"no time is left to send the call; before that: {last.detail}",
+    )
+
+
+_CALLER_GONE = Refuse(
+    reason=RefusalReason.CALLER_GONE,
+    execution=Execution.NOT_RUN,
+    detail="the caller closed its connection before the call was sent",
+)
+_LOST = Refuse(
+    reason=RefusalReason.CONNECTION_LOST,
+    execution=Execution.UNKNOWN,
+    detail="the call was sent, but the connection was lost before its answer",
+)
+_TIMED_OUT = Refuse(
+    reason=RefusalReason.TIMED_OUT,
+    execution=Execution.UNKNOWN,
+    detail="the call was sent, but no answer came in time",
+)
--- a/src/savorypond/exceptions.py
+++ b/src/savorypond/exceptions.py
@@ -84,3 +84,11 @@
         self.server = server
         self.problem = problem
         self.sent = sent
+
+
+class TicketError(SavorypondError):
+    """The text of a ticket cannot be read."""
+
+    def __init__(self, *, problem: str) -> None:
+        super().__init__(f"ticket: {problem}")
+        self.problem = problem
--- /dev/null
+++ b/src/savorypond/pool.py
@@ -0,0 +1,321 @@
+"""Decides which connection to one backend server a request may use."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, StrEnum, auto
+from itertools import count
+from random import Random
+
+REPLACEMENT_FACTOR = 2  # fleets at once while all instances are replaced
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolLimits:
+    """Bounds on the connections to one backend server.
+
+    :param cap: connections this instance may have open or opening.
+    :param idle_limit: seconds after which an idle connection is closed.
+    :param proven_for: seconds after its last answer for which a connection counts
+        as alive without a probe.
+    :param backoff_base: seconds of the first wait after a failed connect.
+    :param backoff_cap: longest wait in seconds after a failed connect.
+    """
+
+    cap: int
+    idle_limit: float = 30.0
+    proven_for: float = 1.0
+    backoff_base: float = 0.05
+    backoff_cap: float = 5.0
+
+
+def connection_cap(
+    *, connections: int, holders: int, factor: int = REPLACEMENT_FACTOR
+) -> int:
+    """Return the connections that each of ``holders`` instances may open.
+
+    The caps of all holders together stay within ``connections`` while a whole new
+    fleet stands beside the old one. 0 means that not every holder can have one, so
+    that this instance has to send through another.
+    """
+    return connections // (max(holders, 1) * factor)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Use:
+    """Send on ``connection``."""
+
+    connection: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ProbeFirst:
+    """Send on ``connection`` once it has answered a probe."""
+
+    connection: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Open:
+    """Open a connection and call it ``connection``; it is already counted."""
+
+    connection: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Wait:
+    """All connections are in use; ask again when one is released."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refuse:
+    """No connection can be had.
+
+    :param retry_after: seconds until another connect is tried, or None where none
+        will be.
+    """
+
+    retry_after: float | None
+
+
+class Release(StrEnum):
+    """How the use of a connection ended."""
+
+    ANSWERED = "answered"
+    CLOSED = "closed"
+    TIMED_OUT = "timed-out"
+    UNUSED = "unused"
+
+
+class _State(Enum):
+    OPENING = auto()
+    IDLE = auto()
+    IN_USE = auto()
+
+
+@dataclass(slots=True, kw_only=True)
+class _Connection:
+    state: _State
+    proven_at: float
+    suspect: bool = False
+
+
+class ConnectionPool:
+    """The connections of this instance to one backend server.
+
+    Idle connections are used newest first, so that the surplus ages and is closed.
+    One that timed out is never used again, and since what lost track of it may
+    have lost its siblings too, they are replaced or probed before their next use:
+    a new one is opened while the cap leaves room, because a new connection is sure
+    to work where a probe of a silent one costs its whole timeout. Where a suspect
+    one fails its probe, that tells nothing new about the others.
+
+    :param random: spreads the waits after failed connects.
+    """
+
+    def __init__(self, *, limits: PoolLimits, random: Random) -> None:
+        self._limits = limits
+        self._cap = limits.cap
+        self._random = random
+        self._ids = count(1)
+        self._connections: dict[int, _Connection] = {}
+        self._failures = 0
+        self._connect_after = 0.0
+
+    @property
+    def cap(self) -> int:
+        """Connections that may be open or opening at once."""
+        return self._cap
+
+    @property
+    def open(self) -> int:
+        """Open connections, idle or in use."""
+        return len(self._connections) - self.opening
+
+    @property
+    def opening(self) -> int:
+        """Connections that are being opened."""
+        return self._count(_State.OPENING)
+
+    @property
+    def idle(self) -> int:
+        """Open connections that nobody uses."""
+        return self._count(_State.IDLE)
+
+    @property
+    def in_use(self) -> int:
+        """Connections handed out and not yet released."""
+        return self._count(_State.IN_USE)
+
+    @property
+    def suspects(self) -> int:
+        """Idle connections that must be probed or replaced before use."""
+        return sum(c.suspect for c in self._connections.values())
+
+    def acquire(
+        self, now: float, *, proven: bool = False
+    ) -> Use | ProbeFirst | Open | Wait | Refuse:
+        """Choose a connection and hand it out.
+
+        :param proven: whether it must have answered a moment ago, as for a call
+            that must not be sent twice.
+        """
+        trusted = self._newest(lambda c: not c.suspect and not self._too_old(c, now))
+        if trusted is not None:
+            number = self._take(trusted)
+            if proven and not self.is_proven(number, now):
+                return ProbeFirst(connection=number)
+            return Use(connection=number)
+        if self._may_open(now):
+            return self._start_opening(now)
+        doubtful = self._newest(lambda c: True)
+        if doubtful is not None:
+            return ProbeFirst(connection=self._take(doubtful))
+        return self._wait_or_refuse(now)
+
+    def is_proven(self, connection: int, now: float) -> bool:
+        """Tell whether a connection answered a moment ago and nothing speaks against.
+
+        False for a connection that the pool no longer knows.
+        """
+        found = self._connections.get(connection)
+        if found is None or found.suspect:
+            return False
+        return now - found.proven_at <= self._limits.proven_for
+
+    def doubtful(self) -> tuple[ProbeFirst, ...]:
+        """Hand out every suspect idle connection, to be probed in the background."""
+        suspects = [
+            number
+            for number, connection in self._connections.items()
+            if connection.suspect and connection.state is _State.IDLE
+        ]
+        return tuple(ProbeFirst(connection=self._take(n)) for n in suspects)
+
+    def resize(self, cap: int, now: float) -> tuple[int, ...]:
+        """Change the cap, as when the number of holders changes.
+
+        :returns: the idle connections to close now; those in use above the cap are
+            closed when they are released.
+        """
+        self._cap = cap
+        return self.reap(now)
+
+    def open_ahead(self, now: float, *, target: int) -> tuple[Open, ...]:
+        """Return the connections to open so that ``target`` stand ready.
+
+        Those in use, suspect or opening count as standing: a burst is met by
+        waiting for a release and not by a second pool.
+
+        :param target: this instance's slots at the backend server and a spare or
+            two for hedges and replacements.
+        """
+        lacking = target - len(self._connections)
+        started = []
+        while lacking > 0 and self._may_open(now):
+            started.append(self._start_opening(now))
+            lacking -= 1
+        return tuple(started)
+
+    def opened(self, connection: int, now: float) -> None:
+        """Note that a connect succeeded; its opener holds the connection."""
+        self._failures = 0
+        self._connect_after = 0.0
+        found = self._connections[connection]
+        found.state = _State.IN_USE
+        found.proven_at = now
+
+    def failed(self, connection: int, now: float) -> None:
+        """Note that a connect failed, and wait longer before the next."""
+        del self._connections[connection]
+        ceiling = min(
+            self._limits.backoff_cap,
+            self._limits.backoff_base * 2 ** min(self._failures, 32),
+        )
+        self._failures += 1
+        self._connect_after = now + self._random.uniform(ceiling / 2, ceiling)
+
+    def probed(self, connection: int, now: float) -> None:
+        """Note that a connection in hand answered a probe; it stays in hand."""
+        found = self._connections[connection]
+        found.suspect = False
+        found.proven_at = now
+
+    def released(
+        self, connection: int, now: float, outcome: Release
+    ) -> tuple[int, ...]:
+        """Take a connection back.
+
+        :returns: the connections to close now, of which the pool forgot already.
+        """
+        found = self._connections[connection]
+        if outcome is Release.ANSWERED:
+            found.suspect = False
+            found.proven_at = now
+        kept = outcome in (Release.ANSWERED, Release.UNUSED)
+        if kept and len(self._connections) <= self._cap:
+            found.state = _State.IDLE
+            return ()
+        del self._connections[connection]
+        if outcome is Release.TIMED_OUT and not found.suspect:
+            self.distrust()
+        return (connection,)
+
+    def closed(self, connection: int) -> None:
+        """Note that the other end closed an idle connection."""
+        self._connections.pop(connection, None)
+
+    def distrust(self) -> None:
+        """Make every open connection suspect until it answers, as after a pause."""
+        for connection in self._connections.values():
+            connection.suspect = connection.state is not _State.OPENING
+
+    def reap(self, now: float) -> tuple[int, ...]:
+        """Return the idle connections to close now, dropped from the pool.
+
+        They are those past the idle limit, and the oldest of those above the cap.
+        """
+        idle = sorted(
+            (connection.proven_at, number)
+            for number, connection in self._connections.items()
+            if connection.state is _State.IDLE
+        )
+        ended = []
+        for _, number in idle:
+            above = len(self._connections) > self._cap
+            if above or self._too_old(self._connections[number], now):
+                del self._connections[number]
+                ended.append(number)
+        return tuple(ended)
+
+    def _count(self, state: _State) -> int:
+        return sum(c.state is state for c in self._connections.values())
+
+    def _too_old(self, connection: _Connection, now: float) -> bool:
+        return now - connection.proven_at > self._limits.idle_limit
+
+    def _newest(self, usable: Callable[[_Connection], bool]) -> int | None:
+        found = [
+            (connection.proven_at, number)
+            for number, connection in self._connections.items()
+            if connection.state is _State.IDLE and usable(connection)
+        ]
+        return max(found)[1] if found else None
+
+    def _take(self, number: int) -> int:
+        self._connections[number].state = _State.IN_USE
+        return number
+
+    def _may_open(self, now: float) -> bool:
+        return len(self._connections) < self._cap and now >= self._connect_after
+
+    def _start_opening(self, now: float) -> Open:
+        number = next(self._ids)
+        self._connections[number] = _Connection(state=_State.OPENING, proven_at=now)
+        return Open(connection=number)
+
+    def _wait_or_refuse(self, now: float) -> Wait | Refuse:
+        if self._connections:
+            return Wait()
+        if self._cap == 0:
+            return Refuse(retry_after=None)
+        return Refuse(retry_after=max(self._connect_after - now, 0.0))
--- a/src/savorypond/reasons.py
+++ b/src/savorypond/reasons.py
@@ -38,6 +38,11 @@
     TICKET_FOREIGN = "ticket-foreign"
     INSTANCE_GONE = "instance-gone"
     INTERNAL = "internal"
+    TICKET_VOID = "ticket-void"
+    TICKET_UNRESOLVED = "ticket-unresolved"
+    TICKET_IN_PROGRESS = "ticket-in-progress"
+    SERVER_LEAVING = "server-leaving"
+    CALLER_GONE = "caller-gone"
 
 
 class MissingReason(StrEnum):
