--- a/src/savorypond/controllers/backend_servers.py
+++ b/src/savorypond/controllers/backend_servers.py
@@ -141,9 +141,7 @@
         now = self._clock.now()
         known = self._known.get(server)
         if known is not None:
-            self._latencies.record(
-                service=known.service.name, seconds=seconds, now=now
-            )
+            self._latencies.record(service=known.service.name, seconds=seconds, now=now)
         self._count_ejection(
             self._outliers.record_success(server=server, latency=seconds, now=now)
         )
--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -135,9 +135,7 @@
         return self._lease(number)
 
     def _lease(self, number: int) -> "ConnectionLease":
-        return ConnectionLease(
-            owner=self, number=number, connection=self._open[number]
-        )
+        return ConnectionLease(owner=self, number=number, connection=self._open[number])
 
     async def _probe(self, number: int) -> bool:
         try:
@@ -145,9 +143,7 @@
                 await self._open[number].request(_PROBE)
         except (BackendServerError, TaskTimeout):
             self._counters.add("probes", "failed")
-            closing = self._pool.released(
-                number, self._clock.now(), Release.TIMED_OUT
-            )
+            closing = self._pool.released(number, self._clock.now(), Release.TIMED_OUT)
             await self._close_all(closing, abort=True)
             return False
         self._counters.add("probes", "answered")
@@ -203,9 +199,7 @@
             outcome = Release.ANSWERED
         await self._owner.give_back(self._number, outcome)
 
-    async def request(
-        self, request: HttpRequest, *, seconds: float
-    ) -> HttpResponse:
+    async def request(self, request: HttpRequest, *, seconds: float) -> HttpResponse:
         """Send ``request`` and return its response.
 
         Raises BackendServerError, also where none comes within ``seconds``.
--- a/src/savorypond/controllers/slots.py
+++ b/src/savorypond/controllers/slots.py
@@ -99,9 +99,7 @@
                 except TaskTimeout:
                     await self._announce(self._decision.advance(now=self._clock.now()))
                 if waiter.woken.is_set() and not waiter.granted:
-                    raise SlotRefused(
-                        reason=RefusalReason.OVERLOADED, retry_after=None
-                    )
+                    raise SlotRefused(reason=RefusalReason.OVERLOADED, retry_after=None)
         except BaseException:
             await self._leave(waiter)
             raise
--- a/src/savorypond/exceptions.py
+++ b/src/savorypond/exceptions.py
@@ -94,3 +94,11 @@
         self.field = field
         self.expected = expected
         self.found = found
+
+
+class TicketError(SavorypondError):
+    """The text of a ticket cannot be read."""
+
+    def __init__(self, *, problem: str) -> None:
+        super().__init__(f"ticket: {problem}")
+        self.problem = problem
