--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,207 @@
+from random import Random
+from unittest import TestCase
+
+from hypothesis import given, strategies as st
+
+from savorypond.issuer import TicketIssuer
+from savorypond.ledger import InProgress, Replay, Run, TicketLedger
+from savorypond.reasons import Execution, RefusalReason
+from savorypond.tickets import Refuse, TicketLimits, TicketSeal
+
+LIMITS = TicketLimits(
+    lifetime=10.0,
+    grace=5.0,
+    max_outstanding=1 << 16,
+    max_entries=8,
+    max_result_bytes=100,
+)
+NOT_RUN = Execution.NOT_RUN
+UNKNOWN = Execution.UNKNOWN
+REFUSAL = Refuse(reason=RefusalReason.SHED, execution=NOT_RUN, detail="")
+
+
+def make_process(*, seed=1, incarnation=7, limits=LIMITS):
+    shared = {
+        "incarnation": incarnation,
+        "seal": TicketSeal(key=Random(seed).randbytes(32)),
+        "limits": limits,
+    }
+    issuer = TicketIssuer(instance="entry-1", fleet="baric", **shared)
+    return issuer, TicketLedger(**shared)
+
+
+class ClaimTableTests(TestCase):
+    """Each row: what befell a ticket, and what a copy of it is told then."""
+
+    def setUp(self):
+        self.issuer, self.ledger = make_process()
+        (self.ticket,) = self.issuer.issue(now=0.0)
+
+    def claim(self):
+        self.assertEqual(
+            self.ledger.claim(self.ticket, now=1.0), Run(ticket=self.ticket)
+        )
+
+    def dispatch(self):
+        self.claim()
+        self.assertIsNone(self.ledger.dispatched(self.ticket, now=1.0))
+
+    def run_whole(self, result=b"ok"):
+        self.dispatch()
+        self.ledger.finished(self.ticket, result)
+
+    def run_and_drop(self):
+        self.run_whole(b"x" * 101)
+
+    def lose(self):
+        self.dispatch()
+        self.ledger.lost(self.ticket)
+
+    def lose_then_answer(self):
+        self.lose()
+        self.ledger.finished(self.ticket, b"late")
+
+    def abandon(self):
+        self.claim()
+        self.ledger.abandoned_before_send(self.ticket)
+
+    def abandon_after_dispatch(self):
+        self.dispatch()
+        self.ledger.abandoned_before_send(self.ticket)
+
+    def refuse(self):
+        self.claim()
+        self.ledger.refused(self.ticket, REFUSAL)
+
+    def said_not_run(self):
+        self.dispatch()
+        self.ledger.said_not_run(self.ticket)
+
+    def raise_(self):
+        self.ledger.raise_incarnation(8)
+
+    def claim_and_raise(self):
+        self.claim()
+        self.raise_()
+
+    def dispatch_and_raise(self):
+        self.dispatch()
+        self.raise_()
+
+    def run_and_raise(self):
+        self.run_whole()
+        self.raise_()
+
+    def said_not_run_after_raise(self):
+        self.dispatch_and_raise()
+        self.ledger.said_not_run(self.ticket)
+
+    def restart(self):
+        _, self.ledger = make_process(seed=2, incarnation=9)
+
+    def restart_with_clock_back(self):
+        _, self.ledger = make_process(seed=2, incarnation=3)
+
+    def restart_with_same_incarnation(self):
+        _, self.ledger = make_process(seed=2)
+
+    def test_table(self):
+        reason = RefusalReason
+        run = Run(ticket=self.ticket)
+        table = [
+            (lambda: None, 1.0, run),
+            (self.claim, 1.0, InProgress(dispatched=False)),
+            (self.dispatch, 1.0, InProgress(dispatched=True)),
+            (self.dispatch, 14.9, InProgress(dispatched=True)),
+            (self.run_whole, 1.0, Replay(result=b"ok")),
+            (self.run_whole, 15.0, (reason.TICKET_EXPIRED, UNKNOWN)),
+            (self.run_and_drop, 1.0, (reason.TICKET_SPENT, UNKNOWN)),
+            (self.lose, 1.0, (reason.TICKET_UNRESOLVED, UNKNOWN)),
+            (self.lose, 14.9, (reason.TICKET_UNRESOLVED, UNKNOWN)),
+            (self.lose_then_answer, 1.0, (reason.TICKET_UNRESOLVED, UNKNOWN)),
+            (self.abandon, 1.0, run),
+            (self.abandon_after_dispatch, 1.0, InProgress(dispatched=True)),
+            (self.refuse, 1.0, (reason.TICKET_VOID, NOT_RUN)),
+            (self.said_not_run, 1.0, InProgress(dispatched=False)),
+            (lambda: None, 10.0, (reason.TICKET_EXPIRED, NOT_RUN)),
+            (lambda: None, 15.0, (reason.TICKET_EXPIRED, UNKNOWN)),
+            (self.raise_, 1.0, (reason.TICKET_VOID, NOT_RUN)),
+            (self.claim_and_raise, 1.0, (reason.TICKET_VOID, NOT_RUN)),
+            (self.dispatch_and_raise, 1.0, InProgress(dispatched=True)),
+            (self.run_and_raise, 1.0, Replay(result=b"ok")),
+            (self.said_not_run_after_raise, 1.0, (reason.TICKET_VOID, NOT_RUN)),
+            (self.restart, 1.0, (reason.INSTANCE_GONE, UNKNOWN)),
+            (self.restart_with_clock_back, 1.0, (reason.INSTANCE_GONE, UNKNOWN)),
+            (self.restart_with_same_incarnation, 1.0, (reason.TICKET_UNKNOWN, UNKNOWN)),
+        ]
+        for befall, now, expected in table:
+            with self.subTest(befall=befall.__name__, now=now):
+                self.setUp()
+                befall()
+                got = self.ledger.claim(self.ticket, now=now)
+                if isinstance(got, Refuse):
+                    got = (got.reason, got.execution)
+                self.assertEqual(got, expected)
+
+    def test_right_to_write_is_checked_again(self):
+        reason = RefusalReason
+        table = [
+            (self.claim, 10.0, (reason.TICKET_EXPIRED, NOT_RUN)),
+            (self.claim_and_raise, 1.0, (reason.TICKET_VOID, NOT_RUN)),
+            (self.abandon, 1.0, (reason.TICKET_VOID, NOT_RUN)),
+            (self.dispatch, 1.0, (reason.TICKET_UNRESOLVED, UNKNOWN)),
+            (self.dispatch, 10.0, (reason.TICKET_UNRESOLVED, UNKNOWN)),
+            (self.dispatch_and_raise, 1.0, (reason.TICKET_UNRESOLVED, UNKNOWN)),
+            (self.run_whole, 1.0, (reason.TICKET_SPENT, UNKNOWN)),
+        ]
+        for befall, now, expected in table:
+            with self.subTest(befall=befall.__name__, now=now):
+                self.setUp()
+                befall()
+                refusal = self.ledger.dispatched(self.ticket, now=now)
+                self.assertEqual((refusal.reason, refusal.execution), expected)
+
+    def test_a_refusal_never_denies_a_dispatch(self):
+        for befall in (self.dispatch, self.lose, self.run_whole):
+            with self.subTest(befall.__name__):
+                self.setUp()
+                befall()
+                told = self.ledger.refused(self.ticket, REFUSAL)
+                self.assertEqual(told.execution, UNKNOWN)
+
+
+class MemoryTests(TestCase):
+    def test_an_unclaimed_ticket_costs_nothing(self):
+        issuer, ledger = make_process()
+        tickets = issuer.issue(now=0.0, count=10_000)
+        ledger.claim(tickets[5], now=0.0)
+        self.assertEqual((ledger.entries, ledger.spent_bytes), (1, 0))
+
+    def test_calls_in_progress_are_bounded_by_refusals(self):
+        issuer, ledger = make_process()
+        claims = [ledger.claim(t, now=0.0) for t in issuer.issue(now=0.0, count=9)]
+        self.assertEqual(claims[8].reason, RefusalReason.OVERLOADED)
+        self.assertEqual(ledger.entries, 8)
+
+    @given(st.lists(st.tuples(st.integers(0, 60), st.floats(0.0, 3.0)), max_size=60))
+    def test_bounds_hold_and_nothing_runs_twice(self, calls):
+        issuer, ledger = make_process()
+        ran = set()
+        now = 0.0
+        for size, wait in calls:
+            now += wait
+            (ticket,) = issuer.issue(now=now)
+            for copy in (ticket, ticket):
+                if not isinstance(ledger.claim(copy, now=now), Run):
+                    continue
+                self.assertIsNone(ledger.dispatched(copy, now=now))
+                self.assertNotIn(copy.number, ran)
+                ran.add(copy.number)
+                ledger.finished(copy, b"x" * size)
+            self.assertLessEqual(ledger.entries, LIMITS.max_entries)
+            self.assertLessEqual(ledger.result_bytes, LIMITS.max_result_bytes)
+        self.assertEqual(len(ran), len(calls))
+        (last,) = issuer.issue(now=now + 20.0)
+        ledger.claim(last, now=now + 20.0)
+        self.assertEqual((ledger.entries, ledger.result_bytes), (1, 0))
+        self.assertEqual(ledger.spent_bytes, 0)
--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,136 @@
+from random import Random
+from unittest import TestCase
+
+from hypothesis import given, strategies as st
+
+from savorypond.exceptions import RequestRefused, TicketError
+from savorypond.issuer import TicketIssuer, new_incarnation
+from savorypond.model import Address, Instance, InstanceState
+from savorypond.reasons import Execution, RefusalReason
+from savorypond.ticketroute import Forward, RunHere, route_ticket
+from savorypond.tickets import (
+    Ticket,
+    TicketLimits,
+    TicketSeal,
+    decode_ticket,
+    encode_ticket,
+)
+
+LIMITS = TicketLimits(lifetime=10.0, grace=5.0, max_outstanding=100)
+
+
+def make_issuer(seed=1):
+    return TicketIssuer(
+        instance="entry-1",
+        incarnation=7,
+        fleet="baric",
+        seal=TicketSeal(key=Random(seed).randbytes(32)),
+        limits=LIMITS,
+    )
+
+
+class Peers:
+    def __init__(self, *instances):
+        self._instances = {i.name: i for i in instances}
+
+    def find(self, name):
+        return self._instances.get(name)
+
+
+def peer(name, state):
+    address = Address(host="127.0.0.1", port=1)
+    return Instance(
+        name=name,
+        data_centre="split",
+        peer_address=address,
+        incarnation=9,
+        state=state,
+    )
+
+
+class TicketTextTests(TestCase):
+    @given(
+        instance=st.text(min_size=1, max_size=30),
+        incarnation=st.integers(0, 2**62),
+        number=st.integers(0, 2**40),
+        expires_ms=st.integers(0, 2**50),
+        seal=st.binary(min_size=12, max_size=12),
+    )
+    def test_text_gives_the_same_ticket_back(self, **fields):
+        ticket = Ticket(fleet=3, **fields)
+        self.assertEqual(decode_ticket(encode_ticket(ticket)), ticket)
+
+    @given(st.text(max_size=300))
+    def test_any_other_text_is_an_error_and_nothing_else(self, text):
+        try:
+            ticket = decode_ticket(text)
+        except TicketError:
+            return
+        self.assertFalse(TicketSeal(key=bytes(32)).verify(ticket))
+
+    @given(st.data())
+    def test_no_changed_character_passes_the_seal(self, data):
+        key = Random(1).randbytes(32)
+        text = encode_ticket(make_issuer().issue(now=0.0)[0])
+        at = data.draw(st.integers(0, len(text) - 1))
+        other = data.draw(st.sampled_from("AZaz09-_").filter(lambda c: c != text[at]))
+        try:
+            changed = decode_ticket(text[:at] + other + text[at + 1 :])
+        except TicketError:
+            return
+        self.assertFalse(TicketSeal(key=key).verify(changed))
+
+
+class IssuerTests(TestCase):
+    def test_numbers_differ_across_calls_and_incarnations(self):
+        issuer = make_issuer()
+        first = issuer.issue(now=0.0, count=3)
+        issuer.raise_incarnation(8)
+        second = issuer.issue(now=0.0, count=3)
+        self.assertEqual([t.number for t in first + second], list(range(6)))
+        self.assertEqual({t.incarnation for t in second}, {8})
+
+    def test_outstanding_tickets_are_bounded_until_forgotten(self):
+        issuer = make_issuer()
+        issuer.issue(now=0.0, count=100)
+        with self.assertRaises(RequestRefused) as caught:
+            issuer.issue(now=14.9)
+        self.assertEqual(caught.exception.reason, RefusalReason.OVERLOADED)
+        wait = caught.exception.retry_after
+        self.assertEqual(len(issuer.issue(now=14.9 + wait)), 1)
+
+    def test_incarnations_rise_and_differ(self):
+        random = Random(3)
+        starts = [new_incarnation(wall=1e9 + s, random=random) for s in range(100)]
+        self.assertEqual(starts, sorted(set(starts)))
+        together = {new_incarnation(wall=1e9, random=random) for _ in range(100)}
+        self.assertEqual(len(together), 100)
+        self.assertGreater(
+            new_incarnation(wall=1.0, random=random, above=starts[-1]), starts[-1]
+        )
+
+
+class RouteTests(TestCase):
+    def test_who_answers(self):
+        live = peer("entry-1", InstanceState.LIVE)
+        leaving = peer("entry-1", InstanceState.LEAVING)
+        dead = peer("entry-1", InstanceState.DEAD)
+        table = [
+            ("named here", "baric", "entry-1", [], RunHere()),
+            ("peer lives", "baric", "entry-2", [live], Forward(instance=live)),
+            ("peer leaves", "baric", "entry-2", [leaving], Forward(instance=leaving)),
+            ("peer died", "baric", "entry-2", [dead], RefusalReason.INSTANCE_GONE),
+            ("never heard of", "baric", "entry-2", [], RefusalReason.INSTANCE_GONE),
+            ("other fleet", "rodantes", "entry-1", [], RefusalReason.TICKET_FOREIGN),
+        ]
+        ticket = make_issuer().issue(now=0.0)[0]
+        for name, fleet, myself, peers, expected in table:
+            with self.subTest(name):
+                route = route_ticket(
+                    ticket=ticket, fleet=fleet, myself=myself, peers=Peers(*peers)
+                )
+                if isinstance(expected, RefusalReason):
+                    self.assertEqual(route.reason, expected)
+                    self.assertEqual(route.execution, Execution.UNKNOWN)
+                else:
+                    self.assertEqual(route, expected)
