--- /dev/null
+++ b/src/savorypond/callerapi.py
@@ -0,0 +1,161 @@
+"""The HTTP interface for callers: reads requests, writes answers."""
+
+from itertools import count
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from savorypond.clock import Clock
+from savorypond.exceptions import RequestRefused
+from savorypond.filters.chain import Chain, Exchange
+from savorypond.httptypes import (
+    HttpRequest,
+    HttpResponse,
+    json_response,
+    problem_response,
+)
+from savorypond.model import Answer, Bundle, Preference, Priority, Query, Service
+from savorypond.protocols import ConfigView
+from savorypond.reasons import RefusalReason
+
+QUERY_PATH = "/v1/query"
+LONGEST_TIME_LIMIT = 60_000.0  # milliseconds
+DEFAULT_TIME_LIMIT = 0.054  # seconds, where no service states one
+_MILLISECONDS = 1000.0  # per second
+_MOST_SERVICES = 10_000
+
+
+class QueryBody(BaseModel):
+    """The JSON body of a query.
+
+    :param time_limit_ms: milliseconds from arrival until the answer must leave.
+    :param least_coverage: share of shards below which the caller prefers a
+        refusal, from 0 to 1.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    index: str = Field(default="", max_length=200)
+    services: tuple[str, ...] = Field(default=(), max_length=_MOST_SERVICES)
+    query: Any
+    time_limit_ms: float | None = Field(default=None, ge=0.0, le=LONGEST_TIME_LIMIT)
+    prefer: Preference | None = None
+    least_coverage: float | None = Field(default=None, ge=0.0, le=1.0)
+
+
+class CallerApi:
+    """Answers callers."""
+
+    def __init__(
+        self, *, instance: str, chain: Chain, config: ConfigView, clock: Clock
+    ) -> None:
+        self._instance = instance
+        self._chain = chain
+        self._config = config
+        self._clock = clock
+        self._numbers = count(1)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Return the response to ``request``."""
+        path = request.path.partition("?")[0]
+        if path != QUERY_PATH:
+            raise RequestRefused(
+                reason=RefusalReason.NOT_FOUND, detail=f"no resource at {path}"
+            )
+        if request.method != "POST":
+            raise RequestRefused(
+                reason=RefusalReason.METHOD_NOT_ALLOWED,
+                detail=f"{path} takes POST, not {request.method}",
+            )
+        return await self._query(request)
+
+    async def _query(self, request: HttpRequest) -> HttpResponse:
+        arrived = self._clock.now()
+        request_id = f"{self._instance}-{next(self._numbers):x}"
+        try:
+            query = self._read_query(request, request_id, arrived)
+            answer = await self._chain.run(Exchange(query=query, arrived=arrived))
+        except RequestRefused as refusal:
+            return problem_response(refusal, request_id=request_id)
+        return _answer_response(answer)
+
+    def _read_query(
+        self, request: HttpRequest, request_id: str, arrived: float
+    ) -> Query:
+        try:
+            body = QueryBody.model_validate_json(request.body)
+        except ValidationError as error:
+            raise _invalid_body(error) from error
+        if not body.index and not body.services:
+            raise RequestRefused(
+                reason=RefusalReason.MALFORMED,
+                detail="index: a query names an index or services",
+            )
+        asked = _asked_services(self._config.bundle, body)
+        limit = _time_limit(body, asked)
+        return Query(
+            request_id=request_id,
+            index=body.index,
+            services=body.services,
+            body=body.query,
+            deadline=arrived + limit,
+            prefer=body.prefer or _preference(asked),
+            priority=min((s.priority for s in asked), default=Priority.INTERACTIVE),
+            least_coverage=_least_coverage(body, asked),
+        )
+
+
+def _asked_services(bundle: Bundle | None, body: QueryBody) -> tuple[Service, ...]:
+    if bundle is None:
+        return ()
+    if body.services:
+        found = (bundle.services.get(name) for name in body.services)
+        return tuple(service for service in found if service is not None)
+    return bundle.index_services(body.index)
+
+
+def _time_limit(body: QueryBody, asked: tuple[Service, ...]) -> float:
+    if body.time_limit_ms is not None:
+        return body.time_limit_ms / _MILLISECONDS
+    return max((s.time_limit for s in asked), default=DEFAULT_TIME_LIMIT)
+
+
+def _preference(asked: tuple[Service, ...]) -> Preference:
+    coverage_first = any(s.prefer is Preference.COVERAGE for s in asked)
+    return Preference.COVERAGE if coverage_first else Preference.LATENCY
+
+
+def _least_coverage(body: QueryBody, asked: tuple[Service, ...]) -> float:
+    if body.least_coverage is not None:
+        return body.least_coverage
+    return max((s.least_coverage for s in asked), default=0.0)
+
+
+def _invalid_body(error: ValidationError) -> RequestRefused:
+    problems = [
+        f"{'.'.join(str(part) for part in one['loc']) or 'body'}: {one['msg']}"
+        for one in error.errors()
+    ]
+    return RequestRefused(reason=RefusalReason.MALFORMED, detail="; ".join(problems))
+
+
+def _answer_response(answer: Answer) -> HttpResponse:
+    coverage = answer.coverage
+    content = {
+        "request_id": answer.request_id,
+        "snapshot": answer.snapshot,
+        "layout": answer.layout,
+        "results": [
+            {"shard": partial.shard, "results": partial.results}
+            for partial in answer.partials
+        ],
+        "coverage": {
+            "asked": len(coverage.asked),
+            "covered": len(coverage.covered),
+            "missing": [
+                {"shard": missing.shard, "reason": missing.reason}
+                for missing in coverage.missing
+            ],
+        },
+    }
+    return json_response(content)
--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -103,11 +103,6 @@
             self._counters.add("connections_closed", "timed-out")
             await self._probe_suspects()
 
-    async def give_back_unused(self, number: int) -> None:
-        """Take a connection back over which nothing was sent."""
-        self._pool.given_back(number)
-        await self._released.set()
-
     def distrust(self) -> None:
         """Have every open connection probed before its next use."""
         self._pool.distrust()
@@ -189,11 +184,10 @@
         return self
 
     async def __aexit__(self, *reason: object) -> None:
-        if not self._used:
-            await self._owner.give_back_unused(self._number)
-            return
         outcome = Release.CLOSED
-        if self._timed_out:
+        if not self._used:
+            outcome = Release.UNUSED
+        elif self._timed_out:
             outcome = Release.TIMED_OUT
         elif self._connection.reusable:
             outcome = Release.ANSWERED
--- /dev/null
+++ b/src/savorypond/controllers/health.py
@@ -0,0 +1,152 @@
+"""Asks backend servers for their health, and believes it only so far."""
+
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Self
+
+from curio import TaskGroup, sleep, spawn
+from msgspec import DecodeError, Struct
+from msgspec.json import Decoder
+
+from savorypond.clock import Clock
+from savorypond.controllers.backend_servers import BackendServers, KnownServer
+from savorypond.controllers.pools import ConnectionPools
+from savorypond.exceptions import BackendServerError
+from savorypond.httptypes import HttpRequest
+from savorypond.leaving import ServerDrain
+from savorypond.model import Counters, Holding, ServiceKind
+
+HEALTH_PATH = "/v1/health"
+_ANSWER_TIME = 0.25  # seconds
+_AT_ONCE = 32  # health requests in flight
+_REQUEST = HttpRequest(method="GET", path=HEALTH_PATH)
+
+
+class HeldSnapshot(Struct, frozen=True, kw_only=True):
+    """One snapshot that a health answer lists."""
+
+    snapshot: int
+    layout: int
+    shards: frozenset[str]
+
+
+class HealthAnswer(Struct, frozen=True, kw_only=True):
+    """What a backend server says of itself."""
+
+    state: str
+    running: int = 0
+    waiting: int = 0
+    held: tuple[HeldSnapshot, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HealthInterval:
+    """Seconds between two questions to a backend server.
+
+    :param jitter: share by which each interval is drawn shorter or longer.
+    """
+
+    seconds: float = 1.0
+    jitter: float = 0.2
+
+
+_decoder = Decoder(HealthAnswer)
+
+
+class HealthPoller:
+    """Asks each backend server in force again and again."""
+
+    def __init__(
+        self,
+        *,
+        servers: BackendServers,
+        pools: ConnectionPools,
+        drain: ServerDrain,
+        clock: Clock,
+        rng: Random,
+        counters: Counters,
+        interval: HealthInterval,
+    ) -> None:
+        self._servers = servers
+        self._pools = pools
+        self._drain = drain
+        self._clock = clock
+        self._rng = rng
+        self._counters = counters
+        self._interval = interval
+        self._due: dict[str, float] = {}
+        self._cold: set[str] = set()
+        self._task: Any = None
+
+    async def __aenter__(self) -> Self:
+        self._task = await spawn(self._poll)
+        return self
+
+    async def __aexit__(self, *reason: object) -> None:
+        await self._task.cancel()
+
+    async def _poll(self) -> None:
+        while True:
+            for batch in _batches(self._take_due()):
+                async with TaskGroup() as group:
+                    for name in batch:
+                        await group.spawn(self._ask, name)
+            await sleep(self._interval.seconds / 20.0)
+
+    def _take_due(self) -> list[str]:
+        now = self._clock.now()
+        known = self._servers.known
+        for gone in self._due.keys() - known.keys():
+            del self._due[gone]
+        due = [name for name in known if self._due.get(name, 0.0) <= now]
+        for name in due:
+            spread = self._interval.jitter * (2.0 * self._rng.random() - 1.0)
+            self._due[name] = now + self._interval.seconds * (1.0 + spread)
+        return due
+
+    async def _ask(self, name: str) -> None:
+        known = self._servers.known.get(name)
+        connections = self._pools.connections(name)
+        if known is None or connections is None:
+            return
+        asked_at = self._clock.now()
+        try:
+            async with await connections.lease() as lease:
+                response = await lease.request(_REQUEST, seconds=_ANSWER_TIME)
+            answer = _decoder.decode(response.body)
+        except BackendServerError:
+            self._counters.add("health_failures", "connection")
+            return
+        except DecodeError:
+            self._counters.add("health_failures", "malformed")
+            return
+        self._learn(name, known, answer, asked_at)
+
+    def _learn(
+        self, name: str, known: KnownServer, answer: HealthAnswer, asked_at: float
+    ) -> None:
+        self._drain.health_answered(
+            server=name,
+            leaving=answer.state == "draining",
+            asked_at=asked_at,
+            now=self._clock.now(),
+        )
+        self._servers.set_leaving(server=name, leaving=self._drain.is_leaving(name))
+        self._note_cold(name, answer.state == "cold")
+        if known.service.kind is ServiceKind.SEARCH:
+            held = [
+                Holding(snapshot=h.snapshot, layout=h.layout, shards=h.shards)
+                for h in answer.held
+            ]
+            self._servers.record_report(service=known.service, server=name, held=held)
+
+    def _note_cold(self, name: str, cold: bool) -> None:
+        if not cold:
+            self._cold.discard(name)
+        elif name not in self._cold:
+            self._cold.add(name)
+            self._servers.mark_cold(server=name)
+
+
+def _batches(names: list[str]) -> list[list[str]]:
+    return [names[i : i + _AT_ONCE] for i in range(0, len(names), _AT_ONCE)]
--- /dev/null
+++ b/src/savorypond/controllers/pools.py
@@ -0,0 +1,104 @@
+"""All connection pools of this instance, one for each backend server."""
+
+from random import Random
+from typing import Any, Protocol, Self
+
+from curio import sleep, spawn
+
+from savorypond.clock import Clock
+from savorypond.controllers.connections import ServerConnections
+from savorypond.model import BackendServer, Bundle, Counters, Service
+from savorypond.pool import PoolLimits
+
+_REAP_INTERVAL = 5.0  # seconds
+
+
+class ConnectionShare(Protocol):
+    """Tells how many connections this instance may have to a backend server."""
+
+    def connections(self, *, service: Service, server: BackendServer) -> int:
+        """Return the cap on connections to ``server``."""
+
+
+class ConnectionPools:
+    """Keeps a pool for each backend server in force."""
+
+    def __init__(
+        self,
+        *,
+        source_host: str,
+        share: ConnectionShare,
+        clock: Clock,
+        rng: Random,
+        counters: Counters,
+    ) -> None:
+        self._source_host = source_host
+        self._share = share
+        self._clock = clock
+        self._rng = rng
+        self._counters = counters
+        self._pools: dict[str, ServerConnections] = {}
+        self._servers: dict[str, BackendServer] = {}
+        self._reaper: Any = None
+
+    async def __aenter__(self) -> Self:
+        self._reaper = await spawn(self._reap)
+        return self
+
+    async def __aexit__(self, *reason: object) -> None:
+        await self._reaper.cancel()
+        for pool in self._pools.values():
+            await pool.close()
+
+    async def apply(self, bundle: Bundle) -> None:
+        """Take over the backend servers of ``bundle``."""
+        wanted = {
+            server.name: server
+            for service in bundle.services.values()
+            for server in service.backend_servers
+        }
+        for name in list(self._pools):
+            if wanted.get(name) != self._servers[name]:
+                del self._servers[name]
+                await self._pools.pop(name).close()
+        for service in bundle.services.values():
+            for server in service.backend_servers:
+                await self._put(service, server)
+
+    async def resize(self, *, service: Service, server: BackendServer) -> None:
+        """Put the present share of connections to ``server`` into force."""
+        pool = self._pools.get(server.name)
+        cap = self._share.connections(service=service, server=server)
+        if pool is not None and pool.pool.cap != cap:
+            await pool.resize(cap)
+
+    def connections(self, server: str) -> ServerConnections | None:
+        """Return the connections to ``server``, or None where it is not in force."""
+        return self._pools.get(server)
+
+    def distrust(self) -> None:
+        """Have every open connection probed before its next use."""
+        for pool in self._pools.values():
+            pool.distrust()
+
+    async def _put(self, service: Service, server: BackendServer) -> None:
+        if server.name in self._pools:
+            await self.resize(service=service, server=server)
+            return
+        cap = self._share.connections(service=service, server=server)
+        self._servers[server.name] = server
+        self._pools[server.name] = ServerConnections(
+            name=server.name,
+            address=server.address,
+            source_host=self._source_host,
+            limits=PoolLimits(cap=cap),
+            clock=self._clock,
+            rng=self._rng,
+            counters=self._counters,
+        )
+
+    async def _reap(self) -> None:
+        while True:
+            await sleep(_REAP_INTERVAL)
+            for pool in list(self._pools.values()):
+                await pool.reap()
--- /dev/null
+++ b/src/savorypond/filters/deadline.py
@@ -0,0 +1,41 @@
+"""Ends every query by its deadline."""
+
+from curio import TaskTimeout, timeout_at
+
+from savorypond.clock import Clock
+from savorypond.exceptions import RequestRefused
+from savorypond.filters.chain import Exchange, Step
+from savorypond.model import Answer
+from savorypond.reasons import Execution, RefusalReason
+
+END_GRACE = 0.05  # seconds past the deadline by which a query surely has ended
+
+
+class DeadlineFilter:
+    """Refuses a query without time, and ends one that outlives its deadline.
+
+    :param margin: seconds before the deadline at which answers are composed.
+    """
+
+    def __init__(self, *, clock: Clock, margin: float) -> None:
+        self._clock = clock
+        self._margin = margin
+
+    async def __call__(self, exchange: Exchange, proceed: Step) -> Answer:
+        """Return the answer of ``proceed``; raise RequestRefused."""
+        deadline = exchange.query.deadline
+        left = deadline - self._clock.now()
+        if left <= self._margin:
+            raise RequestRefused(
+                reason=RefusalReason.TIME_TOO_SHORT,
+                detail=f"{max(left, 0.0) * 1000:.1f} ms are left for the query",
+            )
+        try:
+            async with timeout_at(deadline + END_GRACE):
+                return await proceed(exchange)
+        except TaskTimeout as error:
+            raise RequestRefused(
+                reason=RefusalReason.TIMED_OUT,
+                detail="the query outlived its time limit",
+                execution=Execution.UNKNOWN,
+            ) from error
--- /dev/null
+++ b/src/savorypond/queryrun.py
@@ -0,0 +1,142 @@
+"""Runs the fan-out of one query at the instance that sends its attempts."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from curio import CancelledError, Queue, TaskTimeout, timeout_at
+
+from savorypond.attempts import (
+    Action,
+    Attempt,
+    AttemptFailure,
+    CancelAttempt,
+    Finish,
+    RejectAnswer,
+    Repin,
+    SendAttempt,
+)
+from savorypond.clock import Clock
+from savorypond.controllers.backend_servers import BackendServers
+from savorypond.fanout import Fanout
+from savorypond.fanoutpolicies import FanoutPolicies
+from savorypond.model import Answer, Pin, Query, Service
+from savorypond.partials import ServerAnswer
+from savorypond.shardcalls import RunningCall, ShardCaller
+
+_Event = Callable[[Fanout, float], list[Action]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueryTools:
+    """What every query run needs, built once."""
+
+    servers: BackendServers
+    caller: ShardCaller
+    clock: Clock
+    policies: FanoutPolicies
+
+
+class QueryRun:
+    """One query's fan-out: feeds its decisions and carries out their actions."""
+
+    def __init__(
+        self, *, tools: QueryTools, query: Query, pin: Pin, services: Sequence[Service]
+    ) -> None:
+        self._tools = tools
+        self._query = query
+        self._services = tuple(services)
+        self._events: Queue = Queue()
+        self._calls: dict[int, RunningCall] = {}
+        self._over = False
+        self._fanout = Fanout(
+            query=query,
+            pin=pin,
+            services=services,
+            policies=tools.policies,
+        )
+
+    async def run(self) -> Answer:
+        """Return the answer; it comes by the query's deadline."""
+        try:
+            return await self._drive()
+        except CancelledError:
+            await self._apply(self._fanout.caller_gone(self._now()))
+            raise
+        finally:
+            self._over = True
+
+    async def dispatched(self, attempt: Attempt) -> None:
+        """Note that ``attempt`` has its slot and is about to be written."""
+        await self._put(lambda fanout, now: fanout.dispatched(attempt, now))
+
+    async def answered(self, attempt: Attempt, answer: ServerAnswer) -> None:
+        """Take the answer to ``attempt``."""
+        await self._put(lambda fanout, now: fanout.answered(attempt, answer, now))
+
+    async def failed(self, attempt: Attempt, failure: AttemptFailure) -> None:
+        """Note that ``attempt`` ended without an answer."""
+        await self._put(lambda fanout, now: fanout.failed(attempt, failure, now))
+
+    async def _put(self, event: _Event) -> None:
+        if self._over:
+            event(self._fanout, self._now())  # counts what came too late
+        else:
+            await self._events.put(event)
+
+    async def _drive(self) -> Answer:
+        answer = await self._apply(self._fanout.start(self._now()))
+        while answer is None:
+            event = await self._next_event()
+            answer = await self._apply(event(self._fanout, self._now()))
+        return answer
+
+    async def _next_event(self) -> _Event:
+        if not self._events.empty():
+            event: _Event = await self._events.get()
+            return event
+        timer = self._fanout.next_timer()
+        try:
+            async with timeout_at(timer):
+                event = await self._events.get()
+                return event
+        except TaskTimeout:
+            return Fanout.tick
+
+    async def _apply(self, actions: list[Action]) -> Answer | None:
+        answer = None
+        for action in actions:
+            if isinstance(action, SendAttempt):
+                await self._send(action)
+            elif isinstance(action, CancelAttempt):
+                await self._cancel(action)
+            elif isinstance(action, RejectAnswer):
+                self._reject(action)
+            elif isinstance(action, Repin):
+                answer = await self._repin()
+            elif isinstance(action, Finish):
+                answer = action.answer
+        return answer
+
+    async def _send(self, action: SendAttempt) -> None:
+        attempt = action.attempt
+        self._calls[attempt.number] = await self._tools.caller.start(
+            attempt, query=self._query, deadline=action.deadline, events=self
+        )
+
+    async def _cancel(self, action: CancelAttempt) -> None:
+        call = self._calls.pop(action.attempt.number, None)
+        if call is not None:
+            await self._tools.caller.cancel(
+                call, query=self._query, reason=action.reason
+            )
+
+    def _reject(self, action: RejectAnswer) -> None:
+        self._tools.servers.record_failure(server=action.attempt.server.name)
+
+    async def _repin(self) -> Answer | None:
+        choice = self._tools.servers.pin(self._services)
+        pin = choice.pin if choice is not None else None
+        return await self._apply(self._fanout.restart(pin, self._now()))
+
+    def _now(self) -> float:
+        return self._tools.clock.now()
--- /dev/null
+++ b/src/savorypond/shardcalls.py
@@ -0,0 +1,308 @@
+"""Sends attempts to backend servers and reports how each ended."""
+
+from dataclasses import dataclass
+from typing import Any, Protocol, Self
+
+from absl.logging import exception as log_exception
+from curio import CancelledError, sleep, spawn
+from msgspec.json import encode
+
+from savorypond.attempts import Attempt, AttemptFailure, FailureKind
+from savorypond.clock import Clock
+from savorypond.controllers.backend_servers import BackendServers
+from savorypond.controllers.connections import ConnectionLease, ServerConnections
+from savorypond.controllers.slots import Slot, SlotRefused
+from savorypond.exceptions import BackendServerError, WireError
+from savorypond.httptypes import Header, HttpRequest, HttpResponse
+from savorypond.limiter import Outcome
+from savorypond.model import Counters, Pin, Query
+from savorypond.partials import ServerAnswer, decode_answer, decode_not_held, is_shed
+from savorypond.reasons import CancelReason
+
+SEARCH_PATH = "/v1/search"
+CANCEL_PATH = "/v1/requests/"
+REQUEST_ID = "x-request-id"
+TIME_LEFT = "x-time-left-ms"
+_JSON = Header(name="content-type", value="application/json")
+_MILLISECONDS = 1000.0  # per second
+_CANCEL_TIME = 0.05  # seconds that a cancelled request may take to end
+_LATE_GRACE = 0.01  # seconds past the deadline that an answer may still arrive
+_DRAIN_POLL = 0.005  # seconds
+
+
+class AttemptEvents(Protocol):
+    """Takes what happens to attempts."""
+
+    async def dispatched(self, attempt: Attempt) -> None:
+        """Note that ``attempt`` has its slot and is about to be written."""
+
+    async def answered(self, attempt: Attempt, answer: ServerAnswer) -> None:
+        """Take the answer to ``attempt``."""
+
+    async def failed(self, attempt: Attempt, failure: AttemptFailure) -> None:
+        """Note that ``attempt`` ended without an answer."""
+
+
+class ConnectionSource(Protocol):
+    """Finds the connections to a backend server."""
+
+    def connections(self, server: str) -> ServerConnections | None:
+        """Return the connections to ``server``, or None where it is not in force."""
+
+
+@dataclass(slots=True, kw_only=True)
+class RunningCall:
+    """One attempt on its way.
+
+    :param cancelled: why nobody waits for it any longer, or None.
+    """
+
+    attempt: Attempt
+    task: Any = None
+    sent: bool = False
+    cancelled: CancelReason | None = None
+
+
+class ShardCaller:
+    """Runs attempts as tasks that outlive their query where need be.
+
+    A cancelled attempt that was sent goes on until the backend server ends it:
+    its connection stays whole and its slot is counted until it is free.
+    """
+
+    def __init__(
+        self,
+        *,
+        servers: BackendServers,
+        connections: ConnectionSource,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._servers = servers
+        self._connections = connections
+        self._clock = clock
+        self._counters = counters
+        self._running: set[Any] = set()
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *reason: object) -> None:
+        for task in list(self._running):
+            await task.cancel()
+
+    async def drain(self) -> None:
+        """Wait until no attempt is running."""
+        while self._running:
+            await sleep(_DRAIN_POLL)
+
+    async def start(
+        self, attempt: Attempt, *, query: Query, deadline: float, events: AttemptEvents
+    ) -> RunningCall:
+        """Start ``attempt`` and return a handle to cancel it by."""
+        call = RunningCall(attempt=attempt)
+        call.task = await spawn(self._run, call, query, deadline, events, daemon=True)
+        self._running.add(call.task)
+        return call
+
+    async def cancel(
+        self, call: RunningCall, *, query: Query, reason: CancelReason
+    ) -> None:
+        """End ``call``: take it out of its queue, or tell the backend server."""
+        if call.cancelled is not None:
+            return
+        call.cancelled = reason
+        if not call.sent:
+            await call.task.cancel(blocking=False)
+            return
+        self._counters.add("cancels_sent", reason)
+        await spawn(self._send_cancel, call, query, daemon=True)
+
+    async def _run(
+        self, call: RunningCall, query: Query, deadline: float, events: AttemptEvents
+    ) -> None:
+        try:
+            await self._attempt(call, query, deadline, events)
+        except CancelledError:
+            raise
+        except Exception:
+            log_exception("attempt at %s failed", call.attempt.server.name)
+            await events.failed(
+                call.attempt, AttemptFailure(kind=FailureKind.CONNECTION_FAILED)
+            )
+        finally:
+            self._running.discard(call.task)
+
+    async def _attempt(
+        self, call: RunningCall, query: Query, deadline: float, events: AttemptEvents
+    ) -> None:
+        attempt = call.attempt
+        known = self._servers.known.get(attempt.server.name)
+        connections = self._connections.connections(attempt.server.name)
+        if known is None or connections is None:
+            failure = AttemptFailure(kind=FailureKind.CONNECTION_FAILED, not_run=True)
+            await events.failed(attempt, failure)
+            return
+        try:
+            slot = await known.gate.take(priority=query.priority, deadline=deadline)
+        except SlotRefused as refused:
+            failure = AttemptFailure(
+                kind=FailureKind.OVERLOADED,
+                not_run=True,
+                retry_after=refused.retry_after,
+            )
+            await events.failed(attempt, failure)
+            return
+        async with slot:
+            await self._send(call, query, deadline, events, slot, connections)
+
+    async def _send(
+        self,
+        call: RunningCall,
+        query: Query,
+        deadline: float,
+        events: AttemptEvents,
+        slot: Slot,
+        connections: ServerConnections,
+    ) -> None:
+        attempt = call.attempt
+        stats = self._servers.stats(attempt.server.name)
+        stats.started()
+        started = self._clock.now()
+        try:
+            async with await connections.lease() as lease:
+                response = await self._exchange(call, query, deadline, events, lease)
+        except BackendServerError as error:
+            seconds = self._clock.now() - started
+            stats.finished(now=self._clock.now(), latency=seconds, ok=False)
+            if call.cancelled is None:
+                self._servers.record_failure(server=attempt.server.name)
+            await events.failed(attempt, _connection_failure(error))
+            return
+        except BaseException:
+            stats.cancelled()
+            raise
+        seconds = self._clock.now() - started
+        ok = response.status == 200
+        stats.finished(now=self._clock.now(), latency=seconds, ok=ok)
+        slot.ended(_slot_outcome(call, response))
+        if call.cancelled is None:
+            await self._report(attempt, response, seconds, events)
+
+    async def _exchange(
+        self,
+        call: RunningCall,
+        query: Query,
+        deadline: float,
+        events: AttemptEvents,
+        lease: ConnectionLease,
+    ) -> HttpResponse:
+        now = self._clock.now()
+        request = _search_request(call.attempt, query, deadline - now)
+        call.sent = True
+        await events.dispatched(call.attempt)
+        return await lease.request(request, seconds=deadline - now + _LATE_GRACE)
+
+    async def _report(
+        self,
+        attempt: Attempt,
+        response: HttpResponse,
+        seconds: float,
+        events: AttemptEvents,
+    ) -> None:
+        server = attempt.server.name
+        if response.status == 200:
+            try:
+                answer = decode_answer(response.body, server=server)
+            except WireError:
+                self._servers.record_failure(server=server)
+                failure = AttemptFailure(kind=FailureKind.INVALID_ANSWER)
+                await events.failed(attempt, failure)
+                return
+            self._learn(attempt, answer, seconds)
+            await events.answered(attempt, answer)
+            return
+        failure = _refusal(response, server)
+        if failure.kind is FailureKind.SNAPSHOT_NOT_HELD:
+            self._servers.record_refusal(
+                service=attempt.service,
+                server=server,
+                pin=attempt.pin,
+                held=failure.held,
+            )
+        elif failure.kind is not FailureKind.SHED:
+            self._servers.record_failure(server=server)
+        await events.failed(attempt, failure)
+
+    def _learn(self, attempt: Attempt, answer: ServerAnswer, seconds: float) -> None:
+        pin = Pin(snapshot=answer.snapshot, layout=answer.layout)
+        if pin != attempt.pin:
+            return
+        server = attempt.server.name
+        shards = frozenset(p.shard for p in answer.partials) & attempt.shards
+        self._servers.record_answer(
+            service=attempt.service, server=server, pin=pin, shards=shards
+        )
+        self._servers.record_success(server=server, seconds=seconds)
+
+    async def _send_cancel(self, call: RunningCall, query: Query) -> None:
+        server = call.attempt.server.name
+        connections = self._connections.connections(server)
+        if connections is None:
+            return
+        request = HttpRequest(method="DELETE", path=CANCEL_PATH + query.request_id)
+        try:
+            async with await connections.lease() as lease:
+                await lease.request(request, seconds=_CANCEL_TIME)
+        except BackendServerError:
+            self._counters.add("cancels_failed", "connection")
+
+
+def _search_request(attempt: Attempt, query: Query, time_left: float) -> HttpRequest:
+    milliseconds = round(time_left * _MILLISECONDS, 3)
+    body = encode(
+        {
+            "request_id": query.request_id,
+            "snapshot": attempt.pin.snapshot,
+            "layout": attempt.pin.layout,
+            "shards": sorted(attempt.shards),
+            "query": query.body,
+            "time_left_ms": milliseconds,
+        }
+    )
+    headers = (
+        _JSON,
+        Header(name=REQUEST_ID, value=query.request_id),
+        Header(name=TIME_LEFT, value=str(milliseconds)),
+    )
+    return HttpRequest(method="POST", path=SEARCH_PATH, headers=headers, body=body)
+
+
+def _connection_failure(error: BackendServerError) -> AttemptFailure:
+    timed_out = error.problem == "timed out"
+    kind = FailureKind.TIMED_OUT if timed_out else FailureKind.CONNECTION_FAILED
+    return AttemptFailure(kind=kind, not_run=not error.sent)
+
+
+def _refusal(response: HttpResponse, server: str) -> AttemptFailure:
+    if response.status == 503 and is_shed(response.body):
+        return AttemptFailure(kind=FailureKind.SHED, not_run=True)
+    if response.status == 409:
+        try:
+            held = decode_not_held(response.body, server=server)
+        except WireError:
+            return AttemptFailure(kind=FailureKind.INVALID_ANSWER)
+        return AttemptFailure(
+            kind=FailureKind.SNAPSHOT_NOT_HELD, not_run=True, held=held
+        )
+    return AttemptFailure(kind=FailureKind.INVALID_ANSWER)
+
+
+def _slot_outcome(call: RunningCall, response: HttpResponse) -> Outcome:
+    if call.cancelled is not None:
+        return Outcome.CANCELLED
+    if response.status == 200:
+        return Outcome.SUCCESS
+    if response.status == 503 and is_shed(response.body):
+        return Outcome.SHED
+    return Outcome.FAILED
