--- a/src/savorypond/controllers/slots.py
+++ b/src/savorypond/controllers/slots.py
@@ -3,7 +3,7 @@
 from types import TracebackType
 from typing import Self
 
-from curio import Event, TaskTimeout, timeout_at
+from curio import Event, TaskTimeout, timeout_after
 
 from savorypond.clock import Clock
 from savorypond.limiter import (
@@ -17,6 +17,8 @@
 from savorypond.model import Priority, ServerLimits
 from savorypond.reasons import RefusalReason
 
+_LEAST_WAIT = 0.0005  # seconds
+
 
 class SlotRefused(Exception):  # noqa: N818
     """No slot could be had in time.
@@ -93,8 +95,9 @@
             while not waiter.granted:
                 due = self._decision.next_event()
                 until = deadline if due is None else min(deadline, due)
+                seconds = max(until - self._clock.now(), _LEAST_WAIT)
                 try:
-                    async with timeout_at(max(until, self._clock.now() + 0.0005)):
+                    async with timeout_after(seconds):
                         await waiter.woken.wait()
                 except TaskTimeout:
                     await self._announce(self._decision.advance(now=self._clock.now()))
--- a/src/savorypond/filters/deadline.py
+++ b/src/savorypond/filters/deadline.py
@@ -1,6 +1,6 @@
 """Ends every query by its deadline."""
 
-from curio import TaskTimeout, timeout_at
+from curio import TaskTimeout, timeout_after
 
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused
@@ -31,7 +31,7 @@
                 detail=f"{max(left, 0.0) * 1000:.1f} ms are left for the query",
             )
         try:
-            async with timeout_at(deadline + END_GRACE):
+            async with timeout_after(left + END_GRACE):
                 return await proceed(exchange)
         except TaskTimeout as error:
             raise RequestRefused(
--- a/src/savorypond/logs.py
+++ b/src/savorypond/logs.py
@@ -5,6 +5,7 @@
 
 from typing import Any
 
+from absl.flags import FLAGS
 from absl.logging import (
     INFO,
     PythonFormatter,
@@ -63,6 +64,7 @@
 
 def set_up_logs(*, log_format: LogFormat, instance: str) -> None:
     """Send logs to standard error in ``log_format``."""
+    FLAGS.mark_as_parsed()  # the command line is read by another library
     use_absl_handler()
     set_verbosity(INFO)
     as_json = log_format is LogFormat.JSON
--- /dev/null
+++ b/src/savorypond/platformclient.py
@@ -0,0 +1,96 @@
+"""Reads the platform's configuration service and instance list over HTTP."""
+
+from urllib.parse import quote
+
+from curio import TaskTimeout, timeout_after
+from msgspec import DecodeError, Raw, Struct
+from msgspec.json import Decoder
+
+from savorypond.exceptions import BackendServerError, SavorypondError
+from savorypond.httpclient import HttpConnection
+from savorypond.httptypes import HttpRequest, HttpResponse
+from savorypond.model import Address
+
+_READ_TIME = 2.0  # seconds for one read
+_WATCH_GRACE = 2.0  # seconds beyond the wait of a watch
+
+
+class PlatformError(SavorypondError):
+    """The platform did not answer, or not as its contract says."""
+
+    def __init__(self, *, service: str, problem: str) -> None:
+        super().__init__(f"{service}: {problem}")
+        self.service = service
+        self.problem = problem
+
+
+class StoredValue(Struct, frozen=True, kw_only=True):
+    """One value of the configuration service.
+
+    :param value: the value as encoded JSON.
+    """
+
+    key: str
+    revision: int
+    value: Raw
+
+
+class HttpConfigService:
+    """Reads values and watches them."""
+
+    def __init__(self, *, address: Address, source_host: str) -> None:
+        self._address = address
+        self._source_host = source_host
+        self._decoder = Decoder(StoredValue)
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Return the value of ``key``, or None where there is none.
+
+        Raises PlatformError.
+        """
+        response = await self._request(f"/v1/values/{quote(key)}", _READ_TIME)
+        if response.status == 404:
+            return None
+        return self._decode(response)
+
+    async def watch(
+        self, key: str, *, after: int, seconds: float
+    ) -> StoredValue | None:
+        """Return the value once its revision exceeds ``after``, or None.
+
+        Raises PlatformError.
+        """
+        path = f"/v1/values/{quote(key)}?after={after}&wait={seconds}"
+        response = await self._request(path, seconds + _WATCH_GRACE)
+        return None if response.status == 204 else self._decode(response)
+
+    async def _request(self, path: str, seconds: float) -> HttpResponse:
+        return await _get(
+            self._address, self._source_host, path, seconds, "configuration service"
+        )
+
+    def _decode(self, response: HttpResponse) -> StoredValue:
+        if response.status != 200:
+            raise PlatformError(
+                service="configuration service", problem=f"status {response.status}"
+            )
+        try:
+            return self._decoder.decode(response.body)
+        except DecodeError as error:
+            raise PlatformError(
+                service="configuration service", problem=str(error)
+            ) from error
+
+
+async def _get(
+    address: Address, source_host: str, path: str, seconds: float, service: str
+) -> HttpResponse:
+    connection = HttpConnection(address=address, source_host=source_host)
+    try:
+        async with timeout_after(seconds), connection:
+            return await connection.request(HttpRequest(method="GET", path=path))
+    except TaskTimeout as error:
+        await connection.close()
+        raise PlatformError(service=service, problem="no answer") from error
+    except BackendServerError as error:
+        raise PlatformError(service=service, problem=error.problem) from error
--- a/src/savorypond/queryrun.py
+++ b/src/savorypond/queryrun.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from curio import CancelledError, Queue, TaskTimeout, timeout_at
+from curio import CancelledError, Queue, TaskTimeout, timeout_after
 
 from savorypond.attempts import (
     Action,
@@ -94,9 +94,9 @@
         if not self._events.empty():
             event: _Event = await self._events.get()
             return event
-        timer = self._fanout.next_timer()
+        timer = self._fanout.next_timer() or self._query.deadline
         try:
-            async with timeout_at(timer):
+            async with timeout_after(max(timer - self._now(), 0.0)):
                 event = await self._events.get()
                 return event
         except TaskTimeout:
