--- /dev/null
+++ b/src/savorypond/controllers/membership.py
@@ -0,0 +1,278 @@
+"""Runs the membership decisions over UDP."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+from types import TracebackType
+from typing import Protocol, Self
+
+from absl import logging
+from curio import TaskGroup, TaskTimeout, sleep, timeout_after
+from curio.socket import AF_INET, AF_INET6, SOCK_DGRAM, socket
+
+from savorypond.clock import Clock
+from savorypond.exceptions import DatagramError, SavorypondError
+from savorypond.membersettings import (
+    ConfigDiffers,
+    MemberAction,
+    MembershipSettings,
+    Send,
+)
+from savorypond.membership import Membership
+from savorypond.memberwire import MAX_DATAGRAM, decode, encode
+from savorypond.model import Address, Counters, Instance, InstanceState
+from savorypond.reasons import DatagramReason, ListReason
+
+DATAGRAMS = "member_datagrams"  # counter, by DatagramReason
+DATAGRAM_BYTES = "member_datagram_bytes"  # counter of bytes sent and received
+LIST_READS = "instance_list_reads"  # counter, by ListReason
+DATAGRAMS_PER_TURN = 32  # received before other tasks get a turn
+RECEIVE_PAUSE = 0.1  # seconds without receiving after a socket error
+
+
+class InstanceList(Protocol):
+    """The platform's list of live and leaving instances, which lags."""
+
+    async def fetch(self) -> Sequence[Instance]:
+        """Return the listed instances.
+
+        :raises SavorypondError: the list cannot be read.
+        """
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberStatus:
+    """One peer as the operators' page shows it.
+
+    :param silent_for: seconds since its own last datagram, or None.
+    """
+
+    name: str
+    data_centre: str
+    address: Address
+    incarnation: int
+    state: InstanceState
+    silent_for: float | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MembershipStatus:
+    """What this instance believes about itself and its peers."""
+
+    myself: Instance
+    may_own: bool
+    slowness: int
+    unreachable: tuple[str, ...]
+    members: tuple[MemberStatus, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MembershipTimes:
+    """How often the controller works; all times in seconds.
+
+    :param tick_interval: from one look at what has fallen due to the next.
+    :param list_interval: from one reading of the platform's list to the next,
+        on average.
+    :param list_retry: the same after a failed reading.
+    :param list_timeout: that one reading may take.
+    """
+
+    tick_interval: float = 0.1
+    list_interval: float = 30.0
+    list_retry: float = 2.0
+    list_timeout: float = 5.0
+
+
+class MembershipController:
+    """Owns the datagram socket of one instance and its membership decisions.
+
+    :param address: where peers reach this instance; with port 0 a free one is
+        taken on entry.
+    :param incarnation: nanoseconds of the wall clock at the start.
+    :param on_config: told, without being waited for, of each peer that has
+        another configuration.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        data_centre: str,
+        address: Address,
+        incarnation: int,
+        fleet: str,
+        instance_list: InstanceList,
+        clock: Clock,
+        rng: Random,
+        counters: Counters,
+        on_config: Callable[[ConfigDiffers], None] | None = None,
+        settings: MembershipSettings | None = None,
+        times: MembershipTimes | None = None,
+    ) -> None:
+        self._name = name
+        self._data_centre = data_centre
+        self._address = address
+        self._incarnation = incarnation
+        self._fleet = fleet
+        self._instance_list = instance_list
+        self._clock = clock
+        self._rng = rng
+        self._counters = counters
+        self._on_config = on_config
+        self._settings = settings
+        self._times = times or MembershipTimes()
+        self._tasks = TaskGroup()
+
+    @property
+    def membership(self) -> Membership:
+        """The decisions; there from entry on."""
+        return self._membership
+
+    @property
+    def counters(self) -> Counters:
+        """Where this controller counts."""
+        return self._counters
+
+    @property
+    def status(self) -> MembershipStatus:
+        """What this instance believes now."""
+        now = self._clock.now()
+        membership = self._membership
+        return MembershipStatus(
+            myself=membership.myself,
+            may_own=membership.may_own(now),
+            slowness=membership.slowness,
+            unreachable=tuple(sorted(membership.unreachable)),
+            members=tuple(self._member_statuses(now)),
+        )
+
+    async def __aenter__(self) -> Self:
+        host = self._address.host
+        self._socket = socket(AF_INET6 if ":" in host else AF_INET, SOCK_DGRAM)
+        try:
+            self._socket.bind((host, self._address.port))
+        except OSError:
+            await self._socket.close()
+            raise
+        self._membership = self._build_membership()
+        await self._tasks.spawn(self._receive_all)
+        await self._tasks.spawn(self._tick_all)
+        await self._tasks.spawn(self._read_lists)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._tasks.cancel_remaining()
+        await self._socket.close()
+
+    async def leave(self) -> None:
+        """Tell peers that this instance is leaving."""
+        await self._do(self._membership.leave(self._clock.now()))
+
+    async def woke(self, gap: float) -> None:
+        """Start anew after a pause of ``gap`` seconds."""
+        await self._do(self._membership.woke(gap, self._clock.now()))
+
+    def _build_membership(self) -> Membership:
+        port: int = self._socket.getsockname()[1]
+        myself = Instance(
+            name=self._name,
+            data_centre=self._data_centre,
+            peer_address=Address(host=self._address.host, port=port),
+            incarnation=self._incarnation,
+        )
+        return Membership(
+            myself=myself,
+            now=self._clock.now(),
+            rng=self._rng,
+            settings=self._settings,
+        )
+
+    def _member_statuses(self, now: float) -> list[MemberStatus]:
+        return [
+            MemberStatus(
+                name=member.name,
+                data_centre=member.data_centre,
+                address=member.address,
+                incarnation=member.update.incarnation,
+                state=member.state,
+                silent_for=member.silent_for(now),
+            )
+            for member in self._membership.members
+        ]
+
+    async def _tick_all(self) -> None:
+        while True:
+            await self._do(self._membership.tick(self._clock.now()))
+            await sleep(self._times.tick_interval)
+
+    async def _receive_all(self) -> None:
+        while True:
+            for _ in range(DATAGRAMS_PER_TURN):
+                await self._receive()
+            await sleep(0)
+
+    async def _receive(self) -> None:
+        try:
+            data, source = await self._socket.recvfrom(MAX_DATAGRAM + 1)
+        except OSError:
+            self._counters.add(DATAGRAMS, DatagramReason.RECEIVE_FAILED)
+            await sleep(RECEIVE_PAUSE)
+            return
+        sender = Address(host=source[0], port=source[1])
+        try:
+            packet = decode(data, fleet=self._fleet, source=sender)
+        except DatagramError as error:
+            self._counters.add(DATAGRAMS, error.reason)
+            return
+        self._count(DatagramReason.RECEIVED, len(data))
+        now = self._clock.now()
+        await self._do(self._membership.received(packet, sender, now))
+
+    async def _read_lists(self) -> None:
+        while True:
+            read = await self._read_list()
+            pause = self._times.list_interval if read else self._times.list_retry
+            await sleep(pause * self._rng.uniform(0.5, 1.5))
+
+    async def _read_list(self) -> bool:
+        try:
+            async with timeout_after(self._times.list_timeout):
+                instances = await self._instance_list.fetch()
+        except TaskTimeout:
+            self._counters.add(LIST_READS, ListReason.TIMED_OUT)
+            return False
+        except (SavorypondError, OSError) as error:
+            self._counters.add(LIST_READS, ListReason.FAILED)
+            logging.warning("cannot read the list of instances: %s", error)
+            return False
+        self._counters.add(LIST_READS, ListReason.READ)
+        await self._do(self._membership.listed(instances, self._clock.now()))
+        return True
+
+    async def _do(self, actions: Sequence[MemberAction]) -> None:
+        for action in actions:
+            match action:
+                case Send():
+                    await self._send(action)
+                case ConfigDiffers():
+                    if self._on_config is not None:
+                        self._on_config(action)
+
+    async def _send(self, action: Send) -> None:
+        target = (action.address.host, action.address.port)
+        try:
+            data = encode(action.packet, fleet=self._fleet)
+            await self._socket.sendto(data, target)
+        except (OSError, ValueError):
+            self._counters.add(DATAGRAMS, DatagramReason.SEND_FAILED)
+            return
+        self._count(DatagramReason.SENT, len(data))
+
+    def _count(self, reason: DatagramReason, size: int) -> None:
+        self._counters.add(DATAGRAMS, reason)
+        self._counters.add(DATAGRAM_BYTES, reason, size)
--- a/src/savorypond/exceptions.py
+++ b/src/savorypond/exceptions.py
@@ -1,6 +1,6 @@
 """Every error that savorypond raises, each naming its culprit."""
 
-from savorypond.reasons import Execution, RefusalReason
+from savorypond.reasons import DatagramReason, Execution, RefusalReason
 
 
 class SavorypondError(Exception):
@@ -84,3 +84,19 @@
         self.server = server
         self.problem = problem
         self.sent = sent
+
+
+class DatagramError(WireError):
+    """A datagram from another instance cannot be used."""
+
+    def __init__(self, *, sender: str, reason: DatagramReason, problem: str) -> None:
+        super().__init__(sender=sender, problem=problem)
+        self.reason = reason
+
+
+class InstanceListError(SavorypondError):
+    """The platform's list of instances cannot be read."""
+
+    def __init__(self, *, problem: str) -> None:
+        super().__init__(f"instance list: {problem}")
+        self.problem = problem
--- a/src/savorypond/reasons.py
+++ b/src/savorypond/reasons.py
@@ -110,3 +110,24 @@
     STALE = "stale"
     CONFLICT = "conflict"
     SERVICE_DOWN = "service-down"
+
+
+class DatagramReason(StrEnum):
+    """What became of a datagram between instances."""
+
+    SENT = "sent"
+    RECEIVED = "received"
+    MALFORMED = "malformed"
+    TOO_LONG = "too-long"
+    OTHER_VERSION = "other-version"
+    OTHER_FLEET = "other-fleet"
+    SEND_FAILED = "send-failed"
+    RECEIVE_FAILED = "receive-failed"
+
+
+class ListReason(StrEnum):
+    """What became of an attempt to read the platform's list of instances."""
+
+    READ = "read"
+    TIMED_OUT = "timed-out"
+    FAILED = "failed"
--- /dev/null
+++ b/tests/test_controllers_membership.py
@@ -0,0 +1,136 @@
+from random import Random
+from socket import AF_INET, SOCK_DGRAM, socket
+from unittest import TestCase
+
+from curio import run, sleep, timeout_after
+
+from savorypond.clock import SystemClock
+from savorypond.controllers.membership import (
+    DATAGRAMS,
+    LIST_READS,
+    MembershipController,
+    MembershipTimes,
+)
+from savorypond.exceptions import InstanceListError
+from savorypond.memberwire import MAX_DATAGRAM
+from savorypond.model import Address, Counters, Instance, InstanceState
+from savorypond.reasons import DatagramReason, ListReason
+
+HANG_GUARD = 60.0  # seconds
+TIMES = MembershipTimes(tick_interval=0.01, list_interval=0.05, list_retry=0.01)
+
+
+class FakeList:
+    def __init__(self):
+        self.instances = []
+        self.failures = 0
+
+    async def fetch(self):
+        if self.failures:
+            self.failures -= 1
+            raise InstanceListError(problem="down")
+        return tuple(self.instances)
+
+    def add(self, controller):
+        myself = controller.membership.myself
+        listed = Instance(
+            name=myself.name,
+            data_centre=myself.data_centre,
+            peer_address=myself.peer_address,
+            incarnation=0,
+        )
+        self.instances.append(listed)
+
+
+def controller(number, instance_list, on_config=None):
+    return MembershipController(
+        name=f"i{number}",
+        data_centre=f"dc{number % 2}",
+        address=Address(host="127.0.0.1", port=0),
+        incarnation=1 + number,
+        fleet="test",
+        instance_list=instance_list,
+        clock=SystemClock(),
+        rng=Random(number),
+        counters=Counters(),
+        on_config=on_config,
+        times=TIMES,
+    )
+
+
+async def until(condition):
+    while not condition():
+        await sleep(0.01)
+
+
+def sees(one, *names):
+    return tuple(peer.name for peer in one.membership.live()) == names
+
+
+class MembershipControllerTests(TestCase):
+    def run_guarded(self, scenario):
+        async def guarded():
+            async with timeout_after(HANG_GUARD):
+                await scenario()
+
+        run(guarded)
+
+    def test_three_meet_and_one_leaves_and_one_is_gone(self):
+        async def scenario():
+            listing = FakeList()
+            listing.failures = 2
+            a, b, c = (controller(number, listing) for number in range(3))
+            async with a:
+                async with b:
+                    async with c:
+                        for one in (a, b, c):
+                            listing.add(one)
+                        for one in (a, b, c):
+                            await until(lambda x=one: sees(x, "i0", "i1", "i2"))
+                        self.assertTrue(a.status.may_own)
+                        await c.leave()
+                        await until(lambda: sees(a, "i0", "i1"))
+                        await until(lambda: sees(b, "i0", "i1"))
+                    states = {m.name: m.state for m in a.status.members}
+                    self.assertEqual(states["i2"], InstanceState.LEAVING)
+                await until(lambda: sees(a, "i0"))
+            failed = [
+                x.counters.value(LIST_READS, ListReason.FAILED) for x in (a, b, c)
+            ]
+            self.assertEqual(sum(failed), 2)
+
+        self.run_guarded(scenario)
+
+    def test_tells_of_a_peer_with_another_configuration(self):
+        async def scenario():
+            heard = []
+
+            def on_config(event):
+                heard.append((event.peer.name, event.revision, event.digest))
+
+            listing = FakeList()
+            a = controller(0, listing, on_config=on_config)
+            async with a, controller(1, listing) as b:
+                b.membership.set_config(revision=7, digest=2**63 + 1)
+                listing.add(a)
+                listing.add(b)
+                await until(lambda: ("i1", 7, 2**63 + 1) in heard)
+
+        self.run_guarded(scenario)
+
+    def test_counts_unusable_datagrams_and_goes_on(self):
+        async def scenario():
+            listing = FakeList()
+            async with controller(0, listing) as a, controller(1, listing) as b:
+                target = a.membership.myself.peer_address
+                with socket(AF_INET, SOCK_DGRAM) as stranger:
+                    stranger.sendto(b"noise", (target.host, target.port))
+                    stranger.sendto(bytes(2 * MAX_DATAGRAM), (target.host, target.port))
+                counters = a.counters
+                for reason in (DatagramReason.MALFORMED, DatagramReason.TOO_LONG):
+                    await until(lambda r=reason: counters.value(DATAGRAMS, r) == 1)
+                listing.add(a)
+                listing.add(b)
+                await until(lambda: sees(a, "i0", "i1"))
+
+        self.run_guarded(scenario)
