--- a/src/savorypond/reasons.py
+++ b/src/savorypond/reasons.py
@@ -135,3 +135,22 @@
     NO_BETTER_PIN = "no-better-pin"
     NO_TIME = "no-time"
     FIRST_RUN_KEPT = "first-run-kept"
+class DatagramReason(StrEnum):
+    """What became of a datagram between instances."""
+
+    SENT = "sent"
+    RECEIVED = "received"
+    MALFORMED = "malformed"
+    TOO_LONG = "too-long"
+    OTHER_VERSION = "other-version"
+    OTHER_FLEET = "other-fleet"
+    SEND_FAILED = "send-failed"
+    RECEIVE_FAILED = "receive-failed"
+
+
+class ListReason(StrEnum):
+    """What became of an attempt to read the platform's list of instances."""
+
+    READ = "read"
+    TIMED_OUT = "timed-out"
+    FAILED = "failed"
