--- a/src/savorypond/clock.py
+++ b/src/savorypond/clock.py
@@ -1,6 +1,6 @@
 """The clock that decisions are given in place of the system's."""
 
-from time import monotonic
+from time import CLOCK_BOOTTIME, clock_gettime
 from typing import Protocol
 
 
@@ -12,11 +12,11 @@
 
 
 class SystemClock:
-    """The monotonic clock of this process."""
+    """The clock of this instance, which also counts the time it was suspended."""
 
     def now(self) -> float:
         """Return monotonic seconds."""
-        return monotonic()
+        return clock_gettime(CLOCK_BOOTTIME)
 
 
 class VirtualClock:
--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -68,13 +68,23 @@
         """Close connections that have been idle for too long."""
         await self._close_all(self._pool.reap(self._clock.now()))
 
-    async def lease(self, *, proven: bool = False) -> "ConnectionLease":
+    async def lease(self, *, seconds: float, proven: bool = False) -> "ConnectionLease":
         """Return a connection for one request.
 
+        :param seconds: longest time to wait for one.
         :param proven: whether it must have answered a moment ago.
 
         Raises BackendServerError, nothing sent, where none can be had.
         """
+        try:
+            async with timeout_after(seconds):
+                return await self._acquire(proven)
+        except TaskTimeout as error:
+            raise BackendServerError(
+                server=self._name, problem="no connection in time", sent=False
+            ) from error
+
+    async def _acquire(self, proven: bool) -> "ConnectionLease":
         while True:
             decision = self._pool.acquire(self._clock.now(), proven=proven)
             if isinstance(decision, Use):
--- a/src/savorypond/controllers/health.py
+++ b/src/savorypond/controllers/health.py
@@ -111,7 +111,7 @@
             return
         asked_at = self._clock.now()
         try:
-            async with await connections.lease() as lease:
+            async with await connections.lease(seconds=_ANSWER_TIME) as lease:
                 response = await lease.request(_REQUEST, seconds=_ANSWER_TIME)
             answer = _decoder.decode(response.body)
         except BackendServerError:
--- /dev/null
+++ b/src/savorypond/controllers/owners.py
@@ -0,0 +1,69 @@
+"""What this instance knows about the owners it forwards work to."""
+
+from collections.abc import Sequence
+
+from savorypond.budget import BudgetConfig, RetryBudget
+from savorypond.clock import Clock
+from savorypond.controllers.backend_servers import BackendServers
+from savorypond.forwarding import owner_key
+from savorypond.latency import LatencyTracker, PercentileHedge
+from savorypond.metrics import Metrics
+from savorypond.model import Holding, Instance, Pin, Service
+
+_HEDGE_SHARE = 0.05  # extra requests for each first one
+_HEDGE_FLOOR = 2.0  # extra requests a second where the share yields fewer
+_LEAST_HEDGE_DELAY = 0.01  # seconds
+
+
+class Owners:
+    """Latencies of owners, the budget for hedging them, and what they report."""
+
+    def __init__(
+        self, *, servers: BackendServers, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._servers = servers
+        self._clock = clock
+        self._metrics = metrics
+        self._latencies = LatencyTracker()
+        self._hedging = PercentileHedge(
+            tracker=self._latencies, min_delay=_LEAST_HEDGE_DELAY
+        )
+        self._budget = RetryBudget(
+            config=BudgetConfig(share=_HEDGE_SHARE, floor=_HEDGE_FLOOR)
+        )
+
+    @property
+    def hedging(self) -> PercentileHedge:
+        """Tells when to ask a backup besides a slow owner."""
+        return self._hedging
+
+    @property
+    def budget(self) -> RetryBudget:
+        """Limits hedges of owners."""
+        return self._budget
+
+    def owner_answered(self, *, owner: Instance, seconds: float) -> None:
+        """Count one answer of ``owner`` and its latency in seconds."""
+        self._latencies.record(
+            service=owner_key(owner), seconds=seconds, now=self._clock.now()
+        )
+        self._metrics.latency("owner").record(seconds)
+
+    def owner_lost(self, *, owner: Instance) -> None:
+        """Count one request to ``owner`` that got no answer."""
+        self._metrics.counters.add("owners_lost", owner.data_centre)
+
+    def owner_holds(self, *, services: Sequence[Service], pins: Sequence[Pin]) -> None:
+        """Note which snapshots the backend servers of ``services`` hold."""
+        for service in services:
+            held = [_holding(service, pin) for pin in pins]
+            for server in service.backend_servers:
+                self._servers.record_report(
+                    service=service, server=server.name, held=held
+                )
+
+
+def _holding(service: Service, pin: Pin) -> Holding:
+    layout = service.layout(pin.layout)
+    shards = frozenset(s.shard for s in layout.shards) if layout else frozenset()
+    return Holding(snapshot=pin.snapshot, layout=pin.layout, shards=shards)
--- a/src/savorypond/controllers/pools.py
+++ b/src/savorypond/controllers/pools.py
@@ -16,8 +16,8 @@
 class ConnectionShare(Protocol):
     """Tells how many connections this instance may have to a backend server."""
 
-    def connections(self, *, service: Service, server: BackendServer) -> int:
-        """Return the cap on connections to ``server``."""
+    def connections(self, *, service: Service) -> int:
+        """Return the cap on connections to each server of ``service``."""
 
 
 class ConnectionPools:
@@ -68,7 +68,7 @@
     async def resize(self, *, service: Service, server: BackendServer) -> None:
         """Put the present share of connections to ``server`` into force."""
         pool = self._pools.get(server.name)
-        cap = self._share.connections(service=service, server=server)
+        cap = self._share.connections(service=service)
         if pool is not None and pool.pool.cap != cap:
             await pool.resize(cap)
 
@@ -85,7 +85,7 @@
         if server.name in self._pools:
             await self.resize(service=service, server=server)
             return
-        cap = self._share.connections(service=service, server=server)
+        cap = self._share.connections(service=service)
         self._servers[server.name] = server
         self._pools[server.name] = ServerConnections(
             name=server.name,
--- a/src/savorypond/exceptions.py
+++ b/src/savorypond/exceptions.py
@@ -101,6 +101,8 @@
 
     def __init__(self, *, problem: str) -> None:
         super().__init__(f"ticket: {problem}")
+
+
 class DatagramError(WireError):
     """A datagram from another instance cannot be used."""
 
--- a/src/savorypond/filters/fanout.py
+++ b/src/savorypond/filters/fanout.py
@@ -1,23 +1,59 @@
 """The end of the chain: runs the fan-out and returns its answer."""
 
+from savorypond.clock import Clock
 from savorypond.filters.chain import Exchange
-from savorypond.model import Answer
-from savorypond.queryrun import QueryRun, QueryTools
+from savorypond.filters.snapshot import PinSource
+from savorypond.forwardrun import ForwardRun, ForwardTools
+from savorypond.model import Answer, Counters, Pin
+from savorypond.reasons import MissingReason, RepinReason
+
+LEAST_SECOND_RUN = 0.015  # seconds below which no second run is worth starting
 
 
 class FanoutStep:
-    """Sends the work of every service itself."""
+    """Runs a query on its pin, and once more as a whole where the pin fails."""
 
-    def __init__(self, *, tools: QueryTools) -> None:
+    def __init__(
+        self, *, tools: ForwardTools, pins: PinSource, clock: Clock, counters: Counters
+    ) -> None:
         self._tools = tools
+        self._pins = pins
+        self._clock = clock
+        self._counters = counters
 
     async def __call__(self, exchange: Exchange) -> Answer:
         """Return the answer to ``exchange``."""
         assert exchange.pin is not None
-        run = QueryRun(
+        started = self._clock.now()
+        first = await self._run(exchange, exchange.pin)
+        pin = self._second_pin(exchange, first, started)
+        if pin is None:
+            return first
+        self._counters.add("repins", RepinReason.RESTARTED)
+        second = await self._run(exchange, pin)
+        return max(second, first, key=lambda answer: answer.coverage.share)
+
+    async def _run(self, exchange: Exchange, pin: Pin) -> Answer:
+        run = ForwardRun(
             tools=self._tools,
             query=exchange.query,
-            pin=exchange.pin,
+            pin=pin,
             services=exchange.services,
         )
         return await run.run()
+
+    def _second_pin(
+        self, exchange: Exchange, first: Answer, started: float
+    ) -> Pin | None:
+        reasons = {missing.reason for missing in first.coverage.missing}
+        if MissingReason.SNAPSHOT_NOT_HELD not in reasons:
+            return None
+        now = self._clock.now()
+        if exchange.query.deadline - now < max(now - started, LEAST_SECOND_RUN):
+            self._counters.add("repins", RepinReason.NO_TIME)
+            return None
+        choice = self._pins.pin(exchange.services)
+        if choice is None or choice.pin == exchange.pin:
+            self._counters.add("repins", RepinReason.NO_BETTER_PIN)
+            return None
+        return choice.pin
--- /dev/null
+++ b/src/savorypond/forwarding.py
@@ -0,0 +1,301 @@
+"""Decides how one query reaches the owners of its services.
+
+The work of a service goes to its owner, from there to the backup owner, and in
+the end to the backend servers directly. A slow owner is hedged as a slow
+replica is (Dean and Barroso, "The Tail at Scale", 2013).
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from savorypond.layouts import asked_shards
+from savorypond.merge import merge_answers
+from savorypond.model import (
+    Answer,
+    Counters,
+    Instance,
+    Pin,
+    Preference,
+    Query,
+    Service,
+)
+from savorypond.protocols import ExtraWorkBudget, HedgePolicy, Route
+from savorypond.reasons import (
+    CancelReason,
+    HedgeReason,
+    MissingReason,
+    RetryReason,
+)
+
+LEAST_ASK_TIME = 0.005  # seconds below which no other owner is asked
+_DIRECT = ""  # stands for this instance among those asked
+_WORTH_ANOTHER = frozenset(
+    {
+        MissingReason.CONNECTION_FAILED,
+        MissingReason.NO_BACKEND_SERVER,
+        MissingReason.OWNER_UNREACHABLE,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ask:
+    """One request for the answers of some services.
+
+    :param owner: the instance asked, or None for this one.
+    """
+
+    number: int
+    owner: Instance | None
+    services: tuple[Service, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendAsk:
+    """Send ``ask``; its answer is of no use after ``deadline``."""
+
+    ask: Ask
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CancelAsk:
+    """Nobody waits for the answer to ``ask`` any longer."""
+
+    ask: Ask
+    reason: CancelReason
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FinishForwarding:
+    """Return ``answer``; nothing follows."""
+
+    answer: Answer
+
+
+ForwardAction = SendAsk | CancelAsk | FinishForwarding
+
+
+@dataclass(slots=True, kw_only=True)
+class _ServiceState:
+    """How far one service has come.
+
+    :param steps: whom to ask next, this instance last.
+    :param running: numbers of the asks that include the service.
+    """
+
+    service: Service
+    steps: list[Instance | None]
+    running: set[int] = field(default_factory=set)
+    done: bool = False
+
+
+class Forwarding:
+    """One query's way over owners; each event returns what to do.
+
+    An owner gets one request for all its services. Where it fails or is slow,
+    they go on to their backups, again in one request for each backup.
+
+    :param finish_at: monotonic seconds at which the answer is composed from
+        what has come.
+    """
+
+    def __init__(
+        self,
+        *,
+        query: Query,
+        pin: Pin,
+        routes: Sequence[Route],
+        hedging: HedgePolicy,
+        budget: ExtraWorkBudget,
+        counters: Counters,
+        finish_at: float,
+    ) -> None:
+        self._query = query
+        self._pin = pin
+        self._hedging = hedging
+        self._budget = budget
+        self._counters = counters
+        self._finish_at = finish_at
+        self._states = {route.service.name: _first_state(route) for route in routes}
+        services = [route.service for route in routes]
+        self._asked = asked_shards(services, pin.layout).asked
+        self._asks: dict[int, Ask] = {}
+        self._hedges: dict[int, float] = {}
+        self._answers: list[Answer] = []
+        self._unsettled = len(self._states)
+        self._numbers = 0
+        self._finished = False
+
+    @property
+    def finished(self) -> bool:
+        """Whether the query is over."""
+        return self._finished
+
+    def next_timer(self) -> float:
+        """Return the monotonic seconds at which to tick."""
+        return min([self._finish_at, *self._hedges.values()])
+
+    def start(self, now: float) -> list[ForwardAction]:
+        """Ask every owner."""
+        return self._close(self._ask_next(list(self._states.values()), now), now)
+
+    def answered(self, ask: Ask, answer: Answer, now: float) -> list[ForwardAction]:
+        """Take the answer to ``ask``, which may be late or partial."""
+        if not self._forget(ask) or self._finished:
+            return []
+        self._answers.append(answer)
+        missing = {m.shard: m.reason for m in answer.coverage.missing}
+        again = []
+        for state in self._open_states(ask):
+            if self._wants_another(state, missing, now):
+                again.append(state)
+            else:
+                self._settle(state)
+        actions = self._cancel_useless()
+        if again:
+            self._counters.add("retries", RetryReason.OWNER_UNREACHABLE)
+            actions += self._ask_next(again, now)
+        return self._close(actions, now)
+
+    def lost(self, ask: Ask, now: float) -> list[ForwardAction]:
+        """Note that no answer to ``ask`` will come."""
+        if not self._forget(ask) or self._finished:
+            return []
+        alone = [state for state in self._open_states(ask) if not state.running]
+        if not alone:
+            return self._close([], now)
+        self._counters.add("retries", RetryReason.OWNER_UNREACHABLE)
+        return self._close(self._ask_next(alone, now), now)
+
+    def tick(self, now: float) -> list[ForwardAction]:
+        """Hedge slow owners, or finish."""
+        actions: list[ForwardAction] = []
+        for number, due in list(self._hedges.items()):
+            if due <= now:
+                del self._hedges[number]
+                actions += self._hedge(self._asks[number], now)
+        return self._close(actions, now)
+
+    def cancel(self) -> list[ForwardAction]:
+        """Stop without an answer, since nobody waits for it."""
+        self._finished = True
+        return self._cancel_running(CancelReason.CALLER_GONE)
+
+    def _open_states(self, ask: Ask) -> list[_ServiceState]:
+        states = [self._states[service.name] for service in ask.services]
+        return [state for state in states if not state.done]
+
+    def _forget(self, ask: Ask) -> bool:
+        known = self._asks.pop(ask.number, None)
+        self._hedges.pop(ask.number, None)
+        for service in ask.services:
+            self._states[service.name].running.discard(ask.number)
+        return known is not None
+
+    def _wants_another(
+        self, state: _ServiceState, missing: dict[str, MissingReason], now: float
+    ) -> bool:
+        if state.running or not state.steps:
+            return False
+        if self._query.prefer is not Preference.COVERAGE:
+            return False
+        if self._finish_at - now < LEAST_ASK_TIME:
+            return False
+        layout = state.service.layout(self._pin.layout)
+        shards = layout.shards if layout else ()
+        return any(missing.get(shard.shard) in _WORTH_ANOTHER for shard in shards)
+
+    def _ask_next(self, states: list[_ServiceState], now: float) -> list[ForwardAction]:
+        """Ask whom each service goes to next, one request for each."""
+        batches: dict[str, _Batch] = {}
+        for state in states:
+            if not state.steps or now >= self._finish_at:
+                self._settle(state)
+                continue
+            owner = state.steps.pop(0)
+            key = owner_key(owner)
+            batches.setdefault(key, _Batch(owner=owner)).states.append(state)
+        return [self._send(batch, now) for batch in batches.values()]
+
+    def _send(self, batch: "_Batch", now: float) -> ForwardAction:
+        self._numbers += 1
+        services = tuple(state.service for state in batch.states)
+        ask = Ask(number=self._numbers, owner=batch.owner, services=services)
+        self._asks[ask.number] = ask
+        for state in batch.states:
+            state.running.add(ask.number)
+        if batch.owner is not None:
+            key = owner_key(batch.owner)
+            self._budget.record_first(server=key, now=now)
+            delay = self._hedging.delay(service=key)
+            if delay is not None:
+                self._hedges[ask.number] = now + delay
+        return SendAsk(ask=ask, deadline=self._finish_at)
+
+    def _hedge(self, ask: Ask, now: float) -> list[ForwardAction]:
+        states = [state for state in self._open_states(ask) if state.steps]
+        if not states or ask.owner is None:
+            return []
+        if not self._budget.try_spend(server=owner_key(ask.owner), now=now):
+            return []
+        self._counters.add("hedges", HedgeReason.SLOW_OWNER)
+        return self._ask_next(states, now)
+
+    def _settle(self, state: _ServiceState) -> None:
+        if not state.done:
+            state.done = True
+            self._unsettled -= 1
+
+    def _cancel_useless(self) -> list[ForwardAction]:
+        useless = [ask for ask in self._asks.values() if not self._open_states(ask)]
+        for ask in useless:
+            self._forget(ask)
+            self._counters.add("cancels", CancelReason.LOST_RACE)
+        return [CancelAsk(ask=ask, reason=CancelReason.LOST_RACE) for ask in useless]
+
+    def _close(self, actions: list[ForwardAction], now: float) -> list[ForwardAction]:
+        if self._finished:
+            return actions
+        over = now >= self._finish_at
+        if not over and self._unsettled:
+            return actions
+        self._finished = True
+        actions += self._cancel_running(CancelReason.DEADLINE)
+        return [*actions, FinishForwarding(answer=self._merge())]
+
+    def _cancel_running(self, reason: CancelReason) -> list[ForwardAction]:
+        running = list(self._asks.values())
+        for ask in running:
+            self._forget(ask)
+            self._counters.add("cancels", reason)
+        return [CancelAsk(ask=ask, reason=reason) for ask in running]
+
+    def _merge(self) -> Answer:
+        return merge_answers(
+            request_id=self._query.request_id,
+            pin=self._pin,
+            answers=self._answers,
+            asked=self._asked,
+            unexplained=MissingReason.OWNER_UNREACHABLE,
+        )
+
+
+@dataclass(slots=True, kw_only=True)
+class _Batch:
+    """The services that one instance is asked for."""
+
+    owner: Instance | None
+    states: list[_ServiceState] = field(default_factory=list)
+
+
+def owner_key(owner: Instance | None) -> str:
+    """Return the name under which hedging and budgets know an owner."""
+    return f"owner {owner.name}" if owner is not None else _DIRECT
+
+
+def _first_state(route: Route) -> _ServiceState:
+    steps: list[Instance | None] = [
+        one for one in (route.owner, route.backup) if one is not None
+    ]
+    return _ServiceState(service=route.service, steps=[*steps, None])
--- /dev/null
+++ b/src/savorypond/forwardrun.py
@@ -0,0 +1,248 @@
+"""Carries out how one query reaches the owners of its services."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from typing import Any, Protocol
+
+from absl.logging import exception as log_exception
+from curio import CancelledError, Queue, TaskTimeout, spawn, timeout_after
+
+from savorypond.clock import Clock
+from savorypond.exceptions import RequestRefused, WireError
+from savorypond.forwarding import (
+    Ask,
+    CancelAsk,
+    FinishForwarding,
+    ForwardAction,
+    Forwarding,
+    SendAsk,
+    owner_key,
+)
+from savorypond.layouts import asked_shards
+from savorypond.linkwire import ForwardAnswer, ForwardQuery
+from savorypond.merge import build_answer
+from savorypond.model import (
+    Answer,
+    Counters,
+    Instance,
+    Pin,
+    Query,
+    Service,
+    ShardPartial,
+)
+from savorypond.peerlink import LinkLost, PeerLinks
+from savorypond.protocols import ExtraWorkBudget, HedgePolicy, Placement
+from savorypond.queryrun import QueryRun, QueryTools
+from savorypond.reasons import DropReason
+
+LOCAL_HEAD_START = 0.001  # seconds by which own parts end before the whole
+
+_Event = Callable[[Forwarding, float], list[ForwardAction]]
+
+
+class OwnerReports(Protocol):
+    """Takes what owners tell along with their answers."""
+
+    def owner_answered(self, *, owner: Instance, seconds: float) -> None:
+        """Count one answer of ``owner`` and its latency in seconds."""
+
+    def owner_lost(self, *, owner: Instance) -> None:
+        """Count one request to ``owner`` that got no answer."""
+
+    def owner_holds(self, *, services: Sequence[Service], pins: Sequence[Pin]) -> None:
+        """Note which snapshots the backend servers of ``services`` hold."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ForwardTools:
+    """What every forwarded query needs, built once.
+
+    :param link_time: one-way seconds to a peer in another data centre.
+    :param margin: seconds before the deadline at which answers are composed.
+    """
+
+    local: QueryTools
+    placement: Placement
+    links: PeerLinks
+    reports: OwnerReports
+    hedging: HedgePolicy
+    budget: ExtraWorkBudget
+    counters: Counters
+    clock: Clock
+    data_centre: str
+    link_time: float
+    margin: float
+
+
+class ForwardRun:
+    """One query's way over owners: feeds the decisions and acts on them."""
+
+    def __init__(
+        self,
+        *,
+        tools: ForwardTools,
+        query: Query,
+        pin: Pin,
+        services: Sequence[Service],
+    ) -> None:
+        self._tools = tools
+        self._query = query
+        self._pin = pin
+        self._events: Queue = Queue()
+        self._tasks: dict[int, Any] = {}
+        routes = tools.placement.routes(services=services, now=tools.clock.now())
+        self._forwarding = Forwarding(
+            query=query,
+            pin=pin,
+            routes=routes,
+            hedging=tools.hedging,
+            budget=tools.budget,
+            counters=tools.counters,
+            finish_at=query.deadline - tools.margin,
+        )
+
+    async def run(self) -> Answer:
+        """Return the answer; it comes by the query's deadline."""
+        try:
+            return await self._drive()
+        except CancelledError:
+            await self._apply(self._forwarding.cancel())
+            raise
+
+    async def _drive(self) -> Answer:
+        answer = await self._apply(self._forwarding.start(self._now()))
+        while answer is None:
+            event = await self._next_event()
+            answer = await self._apply(event(self._forwarding, self._now()))
+        return answer
+
+    async def _next_event(self) -> _Event:
+        wait = max(self._forwarding.next_timer() - self._now(), 0.0)
+        try:
+            async with timeout_after(wait):
+                event: _Event = await self._events.get()
+                return event
+        except TaskTimeout:
+            return Forwarding.tick
+
+    async def _apply(self, actions: list[ForwardAction]) -> Answer | None:
+        answer = None
+        for action in actions:
+            if isinstance(action, SendAsk):
+                task = await spawn(self._ask, action, daemon=True)
+                self._tasks[action.ask.number] = task
+            elif isinstance(action, CancelAsk):
+                task = self._tasks.pop(action.ask.number, None)
+                if task is not None:
+                    await task.cancel(blocking=False)
+            elif isinstance(action, FinishForwarding):
+                answer = action.answer
+        return answer
+
+    async def _ask(self, action: SendAsk) -> None:
+        ask = action.ask
+        try:
+            if ask.owner is None:
+                answer = await self._ask_directly(ask)
+            else:
+                answer = await self._ask_owner(ask, ask.owner, action.deadline)
+        except CancelledError:
+            raise
+        except (LinkLost, RequestRefused, WireError):
+            await self._events.put(lambda way, now: way.lost(ask, now))
+            return
+        except Exception:
+            log_exception("asking %s failed", owner_key(ask.owner))
+            await self._events.put(lambda way, now: way.lost(ask, now))
+            return
+        await self._events.put(lambda way, now: way.answered(ask, answer, now))
+
+    async def _ask_directly(self, ask: Ask) -> Answer:
+        deadline = self._query.deadline - LOCAL_HEAD_START
+        run = QueryRun(
+            tools=self._tools.local,
+            query=replace(self._query, deadline=deadline),
+            pin=self._pin,
+            services=ask.services,
+        )
+        return await run.run()
+
+    async def _ask_owner(self, ask: Ask, owner: Instance, deadline: float) -> Answer:
+        started = self._now()
+        link_time = self._link_time(owner)
+        time_left = deadline - started - 2.0 * link_time + self._tools.margin
+        message = self._message(ask, time_left)
+        try:
+            reply = await self._tools.links.ask(
+                owner.peer_address, message, seconds=deadline - started
+            )
+        except LinkLost:
+            self._tools.reports.owner_lost(owner=owner)
+            raise
+        if not isinstance(reply, ForwardAnswer):
+            raise WireError(sender=owner.name, problem=f"unexpected {type(reply)}")
+        self._tools.reports.owner_answered(owner=owner, seconds=self._now() - started)
+        self._note_holdings(ask, reply)
+        return self._to_answer(ask, owner, reply)
+
+    def _message(self, ask: Ask, time_left: float) -> ForwardQuery:
+        query = self._query
+        return ForwardQuery(
+            request_id=query.request_id,
+            index=ask.services[0].index,
+            services=tuple(service.name for service in ask.services),
+            snapshot=self._pin.snapshot,
+            layout=self._pin.layout,
+            body=query.body,
+            time_left=time_left,
+            prefer=query.prefer,
+            priority=query.priority,
+        )
+
+    def _note_holdings(self, ask: Ask, reply: ForwardAnswer) -> None:
+        pins = [Pin(snapshot=h.snapshot, layout=h.layout) for h in reply.held]
+        if pins:
+            self._tools.reports.owner_holds(services=ask.services, pins=pins)
+
+    def _to_answer(self, ask: Ask, owner: Instance, reply: ForwardAnswer) -> Answer:
+        reason = self._fault(reply)
+        if reason is not None:
+            self._tools.counters.add("drops", reason)
+            raise WireError(sender=owner.name, problem=f"answer is {reason.value}")
+        return build_answer(
+            request_id=self._query.request_id,
+            pin=self._pin,
+            asked=asked_shards(ask.services, self._pin.layout).asked,
+            partials=(
+                ShardPartial(shard=partial.shard, results=partial.results)
+                for partial in reply.partials
+            ),
+            missing={missing.shard: missing.reason for missing in reply.missing},
+        )
+
+    def _fault(self, reply: ForwardAnswer) -> DropReason | None:
+        if reply.request_id != self._query.request_id:
+            return DropReason.WRONG_REQUEST
+        if reply.snapshot != self._pin.snapshot:
+            return DropReason.WRONG_SNAPSHOT
+        if reply.layout != self._pin.layout:
+            return DropReason.WRONG_LAYOUT
+        return None
+
+    def _link_time(self, owner: Instance) -> float:
+        near = owner.data_centre == self._tools.data_centre
+        return 0.0 if near else self._tools.link_time
+
+    def _now(self) -> float:
+        return self._tools.clock.now()
+
+
+def renamed(query: Query, *, instance: str, deadline: float) -> Query:
+    """Return ``query`` as ``instance`` sends it on.
+
+    Its request id is changed, since another owner may send the same query to the
+    same backend server, and cancels name requests by id.
+    """
+    return replace(
+        query, request_id=f"{query.request_id}.{instance}", deadline=deadline
+    )
--- a/src/savorypond/linkwire.py
+++ b/src/savorypond/linkwire.py
@@ -50,14 +50,26 @@
     reason: MissingReason
 
 
+class WireHeld(Struct, frozen=True, array_like=True):
+    """A snapshot of which every service asked has a usable holder."""
+
+    snapshot: int
+    layout: int
+
+
 class ForwardAnswer(Struct, tag="answer", frozen=True, kw_only=True):
-    """An owner's merged partial answers, all of the pinned snapshot."""
+    """An owner's merged partial answers, all of the pinned snapshot.
+
+    :param held: the newest snapshots that the services asked can be answered
+        from, whatever the pinned one is.
+    """
 
     request_id: str
     snapshot: int
     layout: int
     partials: tuple[WirePartial, ...]
     missing: tuple[WireMissing, ...]
+    held: tuple[WireHeld, ...] = ()
 
 
 class ForwardCall(Struct, tag="call", frozen=True, kw_only=True):
--- /dev/null
+++ b/src/savorypond/peerapi.py
@@ -0,0 +1,106 @@
+"""Answers what peers forward to this instance."""
+
+from dataclasses import replace
+
+from savorypond.clock import Clock
+from savorypond.controllers.backend_servers import BackendServers
+from savorypond.exceptions import RequestRefused
+from savorypond.forwardrun import renamed
+from savorypond.linkwire import (
+    ForwardAnswer,
+    ForwardQuery,
+    LinkMessage,
+    WireHeld,
+    WireMissing,
+    WirePartial,
+)
+from savorypond.model import Answer, Pin, Query, Service
+from savorypond.protocols import ConfigView
+from savorypond.queryrun import QueryRun, QueryTools
+from savorypond.reasons import RefusalReason
+
+
+class PeerApi:
+    """Runs forwarded queries as their owner."""
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        config: ConfigView,
+        servers: BackendServers,
+        tools: QueryTools,
+        clock: Clock,
+    ) -> None:
+        self._instance = instance
+        self._config = config
+        self._servers = servers
+        self._tools = tools
+        self._clock = clock
+
+    async def handle(self, message: LinkMessage) -> LinkMessage:
+        """Return the reply to ``message``; raise RequestRefused."""
+        if isinstance(message, ForwardQuery):
+            return await self._query(message)
+        raise RequestRefused(
+            reason=RefusalReason.MALFORMED,
+            detail=f"{type(message).__name__} is no request",
+        )
+
+    async def _query(self, message: ForwardQuery) -> ForwardAnswer:
+        services = self._services(message)
+        pin = Pin(snapshot=message.snapshot, layout=message.layout)
+        run = QueryRun(
+            tools=self._tools,
+            query=self._to_query(message),
+            pin=pin,
+            services=services,
+        )
+        answer = replace(await run.run(), request_id=message.request_id)
+        return self._to_reply(answer, services)
+
+    def _services(self, message: ForwardQuery) -> list[Service]:
+        bundle = self._config.bundle
+        known = bundle.services if bundle is not None else {}
+        unknown = [name for name in message.services if name not in known]
+        if unknown:
+            raise RequestRefused(
+                reason=RefusalReason.UNKNOWN_SERVICE,
+                detail=f"{', '.join(unknown)} not in force at {self._instance}",
+            )
+        return [known[name] for name in message.services]
+
+    def _to_query(self, message: ForwardQuery) -> Query:
+        query = Query(
+            request_id=message.request_id,
+            index=message.index,
+            services=message.services,
+            body=message.body,
+            deadline=0.0,
+            prefer=message.prefer,
+            priority=message.priority,
+            least_coverage=0.0,
+        )
+        return renamed(
+            query,
+            instance=self._instance,
+            deadline=self._clock.now() + message.time_left,
+        )
+
+    def _to_reply(self, answer: Answer, services: list[Service]) -> ForwardAnswer:
+        return ForwardAnswer(
+            request_id=answer.request_id,
+            snapshot=answer.snapshot,
+            layout=answer.layout,
+            partials=tuple(WirePartial(p.shard, p.results) for p in answer.partials),
+            missing=tuple(
+                WireMissing(m.shard, m.reason) for m in answer.coverage.missing
+            ),
+            held=self._held(services),
+        )
+
+    def _held(self, services: list[Service]) -> tuple[WireHeld, ...]:
+        choice = self._servers.pin(tuple(services))
+        if choice is None or not choice.complete:
+            return ()
+        return (WireHeld(choice.pin.snapshot, choice.pin.layout),)
--- a/src/savorypond/platformclient.py
+++ b/src/savorypond/platformclient.py
@@ -9,7 +9,7 @@
 from savorypond.exceptions import BackendServerError, SavorypondError
 from savorypond.httpclient import HttpConnection
 from savorypond.httptypes import HttpRequest, HttpResponse
-from savorypond.model import Address
+from savorypond.model import Address, Instance, InstanceState
 
 _READ_TIME = 2.0  # seconds for one read
 _WATCH_GRACE = 2.0  # seconds beyond the wait of a watch
@@ -94,3 +94,51 @@
         raise PlatformError(service=service, problem="no answer") from error
     except BackendServerError as error:
         raise PlatformError(service=service, problem=error.problem) from error
+
+
+class _ListedInstance(Struct, frozen=True, kw_only=True):
+    name: str
+    data_centre: str
+    peer_address: str
+    operator_address: str = ""
+    state: str = "live"
+
+
+class _InstanceAnswer(Struct, frozen=True, kw_only=True):
+    instances: tuple[_ListedInstance, ...]
+
+
+class HttpInstanceList:
+    """Reads the platform's list of instances."""
+
+    def __init__(self, *, address: Address, source_host: str) -> None:
+        self._address = address
+        self._source_host = source_host
+        self._decoder = Decoder(_InstanceAnswer)
+
+    async def fetch(self) -> tuple[Instance, ...]:
+        """Return the listed instances; raise PlatformError."""
+        response = await _get(
+            self._address,
+            self._source_host,
+            "/v1/instances",
+            _READ_TIME,
+            "instance list",
+        )
+        try:
+            answer = self._decoder.decode(response.body)
+            return tuple(_to_instance(line) for line in answer.instances)
+        except (DecodeError, ValueError) as error:
+            raise PlatformError(service="instance list", problem=str(error)) from error
+
+
+def _to_instance(line: _ListedInstance) -> Instance:
+    host, _, port = line.peer_address.rpartition(":")
+    leaving = line.state == InstanceState.LEAVING
+    return Instance(
+        name=line.name,
+        data_centre=line.data_centre,
+        peer_address=Address(host=host, port=int(port)),
+        incarnation=0,
+        state=InstanceState.LEAVING if leaving else InstanceState.LIVE,
+    )
--- a/src/savorypond/queryrun.py
+++ b/src/savorypond/queryrun.py
@@ -44,7 +44,6 @@
     ) -> None:
         self._tools = tools
         self._query = query
-        self._services = tuple(services)
         self._events: Queue = Queue()
         self._calls: dict[int, RunningCall] = {}
         self._over = False
@@ -112,7 +111,9 @@
             elif isinstance(action, RejectAnswer):
                 self._reject(action)
             elif isinstance(action, Repin):
-                answer = await self._repin()
+                # Other parts of the query may run elsewhere: only the whole
+                # query may change its snapshot.
+                answer = await self._apply(self._fanout.restart(None, self._now()))
             elif isinstance(action, Finish):
                 answer = action.answer
         return answer
@@ -133,10 +134,5 @@
     def _reject(self, action: RejectAnswer) -> None:
         self._tools.servers.record_failure(server=action.attempt.server.name)
 
-    async def _repin(self) -> Answer | None:
-        choice = self._tools.servers.pin(self._services)
-        pin = choice.pin if choice is not None else None
-        return await self._apply(self._fanout.restart(pin, self._now()))
-
     def _now(self) -> float:
         return self._tools.clock.now()
--- a/src/savorypond/reasons.py
+++ b/src/savorypond/reasons.py
@@ -135,6 +135,8 @@
     NO_BETTER_PIN = "no-better-pin"
     NO_TIME = "no-time"
     FIRST_RUN_KEPT = "first-run-kept"
+
+
 class DatagramReason(StrEnum):
     """What became of a datagram between instances."""
 
--- a/src/savorypond/shardcalls.py
+++ b/src/savorypond/shardcalls.py
@@ -170,7 +170,8 @@
         stats.started()
         started = self._clock.now()
         try:
-            async with await connections.lease() as lease:
+            wait = deadline - started
+            async with await connections.lease(seconds=wait) as lease:
                 response = await self._exchange(call, query, deadline, events, lease)
         except BackendServerError as error:
             seconds = self._clock.now() - started
@@ -252,7 +253,7 @@
             return
         request = HttpRequest(method="DELETE", path=CANCEL_PATH + query.request_id)
         try:
-            async with await connections.lease() as lease:
+            async with await connections.lease(seconds=_CANCEL_TIME) as lease:
                 await lease.request(request, seconds=_CANCEL_TIME)
         except BackendServerError:
             self._counters.add("cancels_failed", "connection")
