Test pools, pauses and drains, and leave time for answers after a pause

Cause: an instance that was paused while it drained saw its bound exceeded at the first tick after the pause and cut requests whose answers lay in their sockets. Change: the plan listens to pauses and gives those requests a moment.

--- a/src/savorypond/drain.py
+++ b/src/savorypond/drain.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 
+from savorypond.pause import Paused
+
 NOTICE = 2.0  # seconds in which a balancer sees that an instance is not ready
 HAND_OVER_LIMIT = 1.0  # seconds
 DEADLINE_MARGIN = 0.5  # seconds that an answer may take to leave
@@ -122,6 +124,11 @@
         self._enter(DrainState.STOPPED, now)
         return (DrainAction.STOP,)
 
+    def woke(self, paused: Paused) -> None:
+        """Give requests in flight a moment for answers that came during a pause."""
+        if self._state is DrainState.REFUSING:
+            self._next_at = max(self._next_at, paused.now + DEADLINE_MARGIN)
+
     def tick(self, *, now: float) -> tuple[DrainAction, ...]:
         """Return the actions that are due; call at :attr:`next_at` or sooner."""
         actions: list[DrainAction] = []
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,92 @@
+from unittest import TestCase
+
+from hypothesis import given, strategies as st
+
+from savorypond.drain import DrainAction, DrainLimits, DrainPlan, DrainState
+from savorypond.pause import Paused
+
+LIMITS = DrainLimits(longest_deadline=3.0, notice=2.0, hand_over=1.0)
+
+
+class DrainPlanTests(TestCase):
+    def setUp(self):
+        self.plan = DrainPlan(limits=LIMITS)
+
+    def test_a_calm_stop_takes_each_step_in_order(self):
+        plan = self.plan
+        self.assertTrue(plan.ready and plan.accepts_new)
+        self.assertEqual(
+            plan.stop_requested(now=0.0),
+            (DrainAction.SET_NOT_READY, DrainAction.ANNOUNCE_LEAVE),
+        )
+        self.assertEqual((plan.ready, plan.accepts_new), (False, True))
+        self.assertTrue(plan.closes_connections)
+        self.assertEqual(plan.tick(now=1.9), ())
+        self.assertEqual(
+            plan.tick(now=plan.next_at),
+            (DrainAction.REFUSE_NEW, DrainAction.HAND_OVER),
+        )
+        self.assertFalse(plan.try_enter())
+        self.assertEqual(plan.handed_over(now=2.1), (DrainAction.STOP,))
+        self.assertEqual((plan.state, plan.cut), (DrainState.STOPPED, 0))
+
+    def test_faults_on_the_way(self):
+        plan = self.plan
+        stop = (plan.stop_requested, 1.0)
+        handed = (plan.handed_over, 1.0)
+        table = [
+            ("asked twice", [stop], DrainState.NOTICE),
+            ("hand-over out of turn", [handed], DrainState.NOTICE),
+            ("still in flight", [(plan.tick, 5.4)], DrainState.REFUSING),
+            ("never ends", [(plan.tick, 5.5)], DrainState.HANDING_OVER),
+            ("peers silent", [(plan.tick, 6.5)], DrainState.STOPPED),
+        ]
+        plan.try_enter()
+        plan.stop_requested(now=0.0)
+        for name, script, state in table:
+            with self.subTest(name):
+                for step, at in script:
+                    plan.tick(now=min(at, 2.0))
+                    step(now=at)
+                self.assertEqual(plan.state, state)
+        self.assertEqual(plan.cut, 1)
+
+    def test_a_pause_leaves_time_for_answers_that_came_meanwhile(self):
+        self.plan.try_enter()
+        self.plan.stop_requested(now=0.0)
+        self.plan.tick(now=2.0)
+        self.plan.woke(Paused(since=2.5, now=60.0))
+        self.assertEqual(self.plan.tick(now=60.0), ())
+        self.assertEqual(self.plan.left(now=60.4), (DrainAction.HAND_OVER,))
+        self.assertEqual(self.plan.cut, 0)
+
+    @given(
+        st.lists(
+            st.tuples(st.floats(0.0, 1.0), st.floats(0.0, LIMITS.longest_deadline)),
+            max_size=40,
+        ),
+        st.integers(0, 40),
+    )
+    def test_no_request_is_lost_and_the_stop_is_bounded(self, arrivals, stop_after):
+        plan = self.plan = DrainPlan(limits=LIMITS)
+        now, ends, refused = 0.0, [], 0
+        stopped_at = None
+        for turn, (wait, duration) in enumerate([*arrivals, *[(0.5, 0.0)] * 20]):
+            now += wait
+            for end in sorted(e for e in ends if e <= now):
+                ends.remove(end)
+                plan.left(now=end)
+            if turn == min(stop_after, len(arrivals)):
+                plan.stop_requested(now=now)
+                stopped_at = now
+            plan.tick(now=now)
+            if plan.try_enter():
+                ends.append(now + duration)
+            else:
+                refused += 1
+                self.assertGreaterEqual(now, stopped_at + LIMITS.notice)
+            self.assertEqual(plan.in_flight, len(ends))
+            if plan.state is DrainState.STOPPED:
+                self.assertEqual(ends, [])
+        self.assertEqual((plan.state, plan.cut), (DrainState.STOPPED, 0))
+        self.assertGreater(refused, 0)
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,163 @@
+from random import Random
+from unittest import TestCase
+
+from hypothesis import given, strategies as st
+
+from savorypond.pool import (
+    ConnectionPool,
+    Open,
+    PoolLimits,
+    ProbeFirst,
+    Refuse,
+    Release,
+    Use,
+    Wait,
+    connection_cap,
+)
+
+LIMITS = PoolLimits(cap=3, idle_limit=30.0, proven_for=1.0)
+
+
+def make_pool(*, idle=0, limits=LIMITS):
+    pool = ConnectionPool(limits=limits, random=Random(1))
+    opened = [pool.acquire(0.0).connection for _ in range(idle)]
+    for at, connection in enumerate(opened):
+        pool.opened(connection, 0.0)
+        pool.released(connection, at / 100, Release.ANSWERED)
+    return pool, opened
+
+
+class CapTests(TestCase):
+    @given(st.integers(0, 200), st.integers(1, 50))
+    def test_two_fleets_together_stay_within_the_limit(self, connections, holders):
+        cap = connection_cap(connections=connections, holders=holders)
+        self.assertLessEqual(2 * holders * cap, connections)
+        self.assertGreater(2 * holders * (cap + 1), connections)
+
+    def test_no_share_is_a_refusal(self):
+        pool, _ = make_pool(limits=PoolLimits(cap=0))
+        self.assertEqual(pool.acquire(0.0), Refuse(retry_after=None))
+
+    def test_a_lower_cap_closes_what_is_idle_and_then_what_returns(self):
+        pool, (first, second, third) = make_pool(idle=3)
+        self.assertEqual(pool.acquire(0.1), Use(connection=third))
+        self.assertEqual(pool.resize(0, 0.1), (first, second))
+        self.assertEqual(pool.released(third, 0.2, Release.ANSWERED), (third,))
+        self.assertEqual(pool.open, 0)
+
+
+class ChoiceTests(TestCase):
+    def test_newest_first_then_open_then_wait(self):
+        pool, (first, second) = make_pool(idle=2)
+        self.assertEqual(pool.acquire(0.1), Use(connection=second))
+        self.assertEqual(pool.acquire(0.1), Use(connection=first))
+        self.assertIsInstance(pool.acquire(0.1), Open)
+        self.assertEqual(pool.acquire(0.1), Wait())
+
+    def test_a_call_probes_what_was_not_proven_of_late(self):
+        for now, proven, expected in [
+            (1.0, True, Use),
+            (1.1, True, ProbeFirst),
+            (1.1, False, Use),
+        ]:
+            with self.subTest(now=now, proven=proven):
+                pool, _ = make_pool(idle=1)
+                self.assertIsInstance(pool.acquire(now, proven=proven), expected)
+
+    def test_connections_past_the_idle_limit_are_not_used_unprobed(self):
+        pool, _ = make_pool(idle=3)
+        self.assertIsInstance(pool.acquire(40.0), ProbeFirst)
+        self.assertEqual(len(pool.reap(40.0)), 2)
+        self.assertIsInstance(pool.acquire(40.0), Open)
+
+    def test_a_timeout_makes_the_siblings_suspect(self):
+        pool, (first, second) = make_pool(idle=2)
+        pool.acquire(0.1)
+        self.assertEqual(pool.released(second, 5.0, Release.TIMED_OUT), (second,))
+        self.assertEqual(pool.suspects, 1)
+        fresh = [pool.acquire(5.0), pool.acquire(5.0)]
+        self.assertTrue(all(isinstance(f, Open) for f in fresh))
+        self.assertEqual(pool.acquire(5.0), ProbeFirst(connection=first))
+        pool.probed(first, 5.1)
+        self.assertTrue(pool.is_proven(first, 5.1))
+        pool.released(first, 5.1, Release.UNUSED)
+        self.assertEqual(pool.acquire(5.2, proven=True), Use(connection=first))
+
+    def test_a_failed_probe_leaves_proven_siblings_trusted(self):
+        pool, (first, second, third) = make_pool(idle=3)
+        pool.distrust()
+        self.assertEqual(len(pool.doubtful()), 3)
+        pool.probed(first, 5.0)
+        pool.released(first, 5.0, Release.UNUSED)
+        pool.released(second, 5.5, Release.TIMED_OUT)
+        pool.released(third, 5.5, Release.CLOSED)
+        self.assertEqual(pool.acquire(5.5), Use(connection=first))
+
+    def test_connects_back_off_with_jitter_and_start_over(self):
+        pool, _ = make_pool()
+        waits = []
+        now = 0.0
+        for _ in range(12):
+            pool.failed(pool.acquire(now).connection, now)
+            waits.append(pool.acquire(now).retry_after)
+            now += waits[-1]
+        for turn, wait in enumerate(waits):
+            ceiling = min(LIMITS.backoff_cap, LIMITS.backoff_base * 2**turn)
+            self.assertTrue(ceiling / 2 <= wait <= ceiling)
+        opened = pool.acquire(now).connection
+        pool.opened(opened, now)
+        pool.released(opened, now, Release.CLOSED)
+        self.assertIsInstance(pool.acquire(now), Open)
+
+    def test_opening_ahead_stops_at_the_target_and_at_the_cap(self):
+        pool, _ = make_pool(idle=1)
+        self.assertEqual(len(pool.open_ahead(0.0, target=2)), 1)
+        self.assertEqual(len(pool.open_ahead(0.0, target=9)), 1)
+        self.assertEqual((pool.open, pool.opening), (1, 2))
+
+
+class PoolProperties(TestCase):
+    @given(st.data())
+    def test_cap_holds_and_a_timed_out_connection_never_returns(self, data):
+        pool, _ = make_pool()
+        opening, held, dead, handed = set(), set(), set(), set()
+        doubted = set()
+        now = 0.0
+        for _ in range(data.draw(st.integers(1, 40))):
+            now += data.draw(st.sampled_from([0.0, 0.5, 20.0]))
+            got = ()
+            match data.draw(st.integers(0, 7)):
+                case 0 | 1 | 2:
+                    got = (pool.acquire(now, proven=data.draw(st.booleans())),)
+                case 3:
+                    got = pool.open_ahead(now, target=data.draw(st.integers(0, 5)))
+                case 4 if opening:
+                    connection = opening.pop()
+                    if data.draw(st.booleans()):
+                        pool.opened(connection, now)
+                        held.add(connection)
+                    else:
+                        pool.failed(connection, now)
+                case 5 | 6 if held:
+                    connection = data.draw(st.sampled_from(sorted(held)))
+                    how = data.draw(st.sampled_from(Release))
+                    held.remove(connection)
+                    if how is Release.TIMED_OUT and connection not in doubted:
+                        doubted |= handed - held
+                    if how is Release.ANSWERED:
+                        doubted.discard(connection)
+                    dead.update(pool.released(connection, now, how))
+                case 7:
+                    dead.update(pool.reap(now))
+            for choice in got:
+                if isinstance(choice, Open):
+                    opening.add(choice.connection)
+                    handed.add(choice.connection)
+                elif isinstance(choice, Use | ProbeFirst):
+                    self.assertNotIn(choice.connection, dead)
+                    self.assertNotIn(choice.connection, held)
+                    if isinstance(choice, Use):
+                        self.assertNotIn(choice.connection, doubted)
+                    held.add(choice.connection)
+            self.assertLessEqual(pool.open + pool.opening, pool.cap)
+            self.assertEqual((pool.in_use, pool.opening), (len(held), len(opening)))
