--- /dev/null
+++ b/benchmarks/bench_tail.py
@@ -0,0 +1,133 @@
+"""Compare the tail latency of this design with that of plainer ways.
+
+Each scenario plays one recording of arrivals and service times to every way in
+turn, on a virtual clock. Run with ``python -m benchmarks.bench_tail``.
+"""
+
+from dataclasses import dataclass, replace
+from random import Random
+from time import perf_counter
+
+from benchmarks.tail_view import AllUsable, KnownServers, NoBudget, NoHedging
+from benchmarks.tail_world import Cancel, Faults, Figures, TailWorld, record
+from defopt import run
+
+from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
+from savorypond.model import Preference
+from savorypond.protocols import ExtraWorkBudget, HedgePolicy, ReplicaChooser
+
+Policies = tuple[ReplicaChooser, ExtraWorkBudget, HedgePolicy]
+
+SCENARIOS = {
+    "calm": Faults(),
+    "straggler": Faults(straggler="s03/0"),
+    "lost": Faults(lost="s07/1"),
+    "cold": Faults(cold="s11/0"),
+    "silent": Faults(silent="s15/1"),
+    "all three": Faults(straggler="s03/0", lost="s07/1", cold="s11/0"),
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Way:
+    """One way of sending queries."""
+
+    name: str
+    rule: ChoiceRule = ChoiceRule.LEAST_EXPECTED_FINISH
+    hedged: bool = True
+    budgeted: bool = True
+    gated: bool = True
+    ejecting: bool = True
+    cancel: Cancel = Cancel.STOP
+    learn_cancelled: bool = True
+
+    def policies(self, known: KnownServers) -> Policies:
+        chooser = known.chooser
+        if self.rule is not ChoiceRule.LEAST_EXPECTED_FINISH:
+            chooser = make_chooser(
+                rule=self.rule,
+                rng=Random(2),
+                links=LinkTimes(own="here"),
+                view=known if self.ejecting else AllUsable(),
+                board=ReplicaBoard(),
+            )
+        return (
+            chooser,
+            known.budget if self.budgeted else NoBudget(),
+            known.hedging if self.hedged else NoHedging(),
+        )
+
+
+BASELINE = Way(
+    name="baseline",
+    rule=ChoiceRule.RANDOM,
+    hedged=False,
+    budgeted=False,
+    gated=False,
+    ejecting=False,
+)
+DESIGN = Way(name="design")
+VARIANTS = (
+    replace(DESIGN, name="no hedge", hedged=False),
+    replace(DESIGN, name="let finish", cancel=Cancel.LET_FINISH),
+    replace(DESIGN, name="not learnt", learn_cancelled=False),
+)
+
+
+def main(
+    *,
+    seconds: float = 20.0,
+    rate: float = 200.0,
+    seed: int = 1,
+    time_limit: float = 1.0,
+    coverage_first: bool = False,
+    variants: bool = False,
+) -> None:
+    """Print the figures of every scenario and way.
+
+    :param seconds: length of the recorded arrivals
+    :param rate: queries a second
+    :param seed: seed of the recording
+    :param time_limit: seconds that each query has
+    :param coverage_first: whether queries put coverage first
+    :param variants: whether to run parts of the design left out, too
+    """
+    prefer = Preference.COVERAGE if coverage_first else Preference.LATENCY
+    recording = record(seconds=seconds, rate=rate, seed=seed)
+    print(f"{len(recording.arrivals)} queries, {rate:g}/s, seed {seed}, ms")
+    print(
+        f"{'scenario':13} {'way':11} {'p50':>7} {'p99':>7} {'p99.9':>7}"
+        f" {'mean cov':>8} {'least':>6} {'extra':>7} {'worst':>7} {'wall s':>6}"
+    )
+    for scenario, faults in SCENARIOS.items():
+        for way in (BASELINE, DESIGN, *(VARIANTS if variants else ())):
+            started = perf_counter()
+            world = TailWorld(
+                recording=recording,
+                faults=faults,
+                gated=way.gated,
+                cancel=way.cancel,
+                time_limit=time_limit,
+                prefer=prefer,
+                learn_cancelled=way.learn_cancelled,
+                policies=way.policies,
+            )
+            figures = world.run()
+            taken = perf_counter() - started
+            print_row(scenario, way.name, figures, taken)
+
+
+def print_row(scenario: str, way: str, figures: Figures, taken: float) -> None:
+    """Print the figures of one run."""
+    percentiles = [figures.percentile(each) for each in (50.0, 99.0, 99.9)]
+    print(
+        f"{scenario:13} {way:11} {percentiles[0]:7.1f} {percentiles[1]:7.1f}"
+        f" {percentiles[2]:7.1f} {figures.mean_coverage:8.4f}"
+        f" {figures.least_coverage:6.3f} {figures.extra_share:7.2%}"
+        f" {figures.worst_extra_share:7.2%} {taken:6.1f}",
+        flush=True,
+    )
+
+
+if __name__ == "__main__":
+    run(main)
--- /dev/null
+++ b/benchmarks/tail_view.py
@@ -0,0 +1,178 @@
+"""The decisions about backend servers that a benchmark's fan-outs share."""
+
+from collections.abc import Iterable
+from random import Random
+
+from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
+from savorypond.budget import RetryBudget
+from savorypond.clock import VirtualClock
+from savorypond.latency import LatencyTracker, PercentileHedge
+from savorypond.limiter import ServerGate
+from savorypond.model import Counters, Holding, Pin, Service
+from savorypond.outlier import OutlierDetector
+from savorypond.snapshots import PinChoice, SnapshotBook
+
+
+class KnownServers:
+    """Gates, statistics, ejections and snapshots of all backend servers."""
+
+    def __init__(
+        self,
+        *,
+        services: Iterable[Service],
+        clock: VirtualClock,
+        random: Random,
+        counters: Counters,
+    ) -> None:
+        self._clock = clock
+        self._counters = counters
+        self._services = tuple(services)
+        self._service_of = {
+            server.name: service
+            for service in self._services
+            for server in service.backend_servers
+        }
+        self._snapshots = SnapshotBook()
+        self._outliers = OutlierDetector()
+        self._latencies = LatencyTracker()
+        self.board = ReplicaBoard()
+        self.budget = RetryBudget()
+        self.hedging = PercentileHedge(tracker=self._latencies)
+        self.gates = {
+            name: ServerGate(
+                slots=service.limits.slots, connections=service.limits.connections
+            )
+            for name, service in self._service_of.items()
+        }
+        for service in self._services:
+            names = [server.name for server in service.backend_servers]
+            self._outliers.set_usable(
+                service=service.name, servers=names, now=clock.now()
+            )
+        self.chooser = make_chooser(
+            rule=ChoiceRule.LEAST_EXPECTED_FINISH,
+            rng=random,
+            links=LinkTimes(own="here"),
+            view=self,
+            board=self.board,
+        )
+
+    def pin(self) -> PinChoice | None:
+        """Choose a pin for a query to all services."""
+        return self._snapshots.pin(
+            services=self._services,
+            now=self._clock.now(),
+            usable=self._service_of.__contains__,
+        )
+
+    def mark_cold(self, *, server: str) -> None:
+        """Begin the slow start of ``server``."""
+        self._outliers.mark_cold(server=server, now=self._clock.now())
+
+    def record_report(self, *, server: str, held: Holding) -> None:
+        """Take a health report that lists one snapshot."""
+        self._snapshots.record_report(
+            index=self._service_of[server].index,
+            server=server,
+            held=(held,),
+            now=self._clock.now(),
+        )
+
+    def record_answer(self, *, server: str, pin: Pin, shards: Iterable[str]) -> None:
+        """Note which snapshot an answer came from."""
+        self._snapshots.record_answer(
+            index=self._service_of[server].index,
+            server=server,
+            pin=pin,
+            shards=shards,
+            now=self._clock.now(),
+        )
+
+    def record_success(self, *, server: str, seconds: float) -> None:
+        """Learn the latency of a usable answer."""
+        now = self._clock.now()
+        name = self._service_of[server].name
+        self._latencies.record(service=name, seconds=seconds, now=now)
+        self.record_time(server=server, seconds=seconds)
+
+    def record_time(self, *, server: str, seconds: float) -> None:
+        """Learn how long ``server`` took, but not for the delay of hedges."""
+        ejection = self._outliers.record_success(
+            server=server, latency=seconds, now=self._clock.now()
+        )
+        if ejection is not None:
+            self._counters.add("ejections", ejection.reason)
+
+    def record_failure(self, *, server: str) -> None:
+        """Learn that an attempt at ``server`` failed."""
+        ejection = self._outliers.record_failure(server=server, now=self._clock.now())
+        if ejection is not None:
+            self._counters.add("ejections", ejection.reason)
+
+    def leaving(self, *, server: str) -> bool:
+        """Return whether ``server`` must get no new work."""
+        return False
+
+    def ejected(self, *, server: str, now: float) -> bool:
+        """Return whether ``server`` is ejected as an outlier."""
+        return self._outliers.ejected(server=server, now=now)
+
+    def overloaded(self, *, server: str, now: float) -> bool:
+        """Return whether work for ``server`` would have to wait for a slot."""
+        return self.gates[server].overloaded(now=now)
+
+    def expected_wait(self, *, server: str, now: float) -> float:
+        """Return the seconds that new work would wait for a slot."""
+        return self.gates[server].expected_wait(now=now)
+
+    def weight(self, *, server: str, now: float) -> float:
+        """Return the share of its usual work that ``server`` should get."""
+        return self._outliers.weight(server=server, now=now)
+
+    def has(self, *, server: str, pin: Pin) -> bool | None:
+        """Return whether ``server`` holds ``pin``, or None where unknown."""
+        return self._snapshots.holds(
+            index=self._service_of[server].index,
+            server=server,
+            pin=pin,
+            now=self._clock.now(),
+        )
+
+
+class AllUsable:
+    """A view of backend servers that knows nothing against any of them."""
+
+    def leaving(self, *, server: str) -> bool:
+        return False
+
+    def ejected(self, *, server: str, now: float) -> bool:
+        return False
+
+    def overloaded(self, *, server: str, now: float) -> bool:
+        return False
+
+    def expected_wait(self, *, server: str, now: float) -> float:
+        return 0.0
+
+    def weight(self, *, server: str, now: float) -> float:
+        return 1.0
+
+    def has(self, *, server: str, pin: Pin) -> bool | None:
+        return None
+
+
+class NoBudget:
+    """Grants every extra attempt."""
+
+    def record_first(self, *, server: str, now: float) -> None:
+        pass
+
+    def try_spend(self, *, server: str, now: float) -> bool:
+        return True
+
+
+class NoHedging:
+    """Never hedges."""
+
+    def delay(self, *, service: str) -> float | None:
+        return None
--- /dev/null
+++ b/benchmarks/tail_world.py
@@ -0,0 +1,500 @@
+"""A virtual fleet of backend servers for benchmarks of one query's decisions."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from heapq import heappop, heappush
+from random import Random
+
+from benchmarks.tail_view import KnownServers
+from hdrh.histogram import HdrHistogram
+
+from savorypond.attempts import (
+    Action,
+    Attempt,
+    AttemptFailure,
+    CancelAttempt,
+    FailureKind,
+    Finish,
+    RejectAnswer,
+    Repin,
+    SendAttempt,
+)
+from savorypond.clock import VirtualClock
+from savorypond.fanout import Fanout
+from savorypond.fanoutpolicies import FanoutPolicies
+from savorypond.limiter import Granted, Outcome, Refused, ServerGate
+from savorypond.model import (
+    Address,
+    BackendServer,
+    Counters,
+    Holding,
+    Preference,
+    Priority,
+    Query,
+    ServerLimits,
+    Service,
+    ServiceKind,
+    ShardLayout,
+    ShardRange,
+)
+from savorypond.partials import ServerAnswer, ServerPartial
+from savorypond.protocols import ExtraWorkBudget, HedgePolicy, ReplicaChooser
+
+SERVICES = 20
+REPLICAS = 2
+SLOTS = 2
+LINK_TIME = 0.0005  # seconds one way between instance and backend server
+MEAN_TIME = 0.005  # seconds of work of a warm backend server
+SIGMA = 0.5  # of the logarithm of the service time
+ATTEMPT_DRAWS = 4  # recorded service times per query and service
+STRAGGLER_FACTOR = 10.0
+COLD_FACTOR = 5.0
+COLD_TIME = 5.0  # seconds that a cold replica takes to get warm
+
+
+class Cancel(StrEnum):
+    """What happens to a running attempt that is cancelled."""
+
+    STOP = "stop"
+    LET_FINISH = "let-finish"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Faults:
+    """The backend servers that misbehave, by name."""
+
+    straggler: str = ""
+    lost: str = ""
+    cold: str = ""
+    silent: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Recording:
+    """Arrivals and service times that every run of a pair repeats."""
+
+    arrivals: tuple[float, ...]
+    times: tuple[tuple[tuple[float, ...], ...], ...]
+
+
+@dataclass(slots=True, kw_only=True)
+class Figures:
+    """What one run showed."""
+
+    latency: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, 60_000_000, 3)
+    )
+    coverage_sum: float = 0.0
+    least_coverage: float = 1.0
+    queries: int = 0
+    firsts: dict[str, int] = field(default_factory=dict)
+    extras: dict[str, int] = field(default_factory=dict)
+
+    def percentile(self, percent: float) -> float:
+        """Return the milliseconds at ``percent``."""
+        return self.latency.get_value_at_percentile(percent) / 1000
+
+    @property
+    def mean_coverage(self) -> float:
+        return self.coverage_sum / self.queries
+
+    @property
+    def extra_share(self) -> float:
+        return sum(self.extras.values()) / sum(self.firsts.values())
+
+    @property
+    def worst_extra_share(self) -> float:
+        """The greatest share of extra requests that one backend server got."""
+        total = sum(self.firsts.values()) / (SERVICES * REPLICAS)
+        return max(self.extras.values(), default=0) / total
+
+
+def record(*, seconds: float, rate: float, seed: int) -> Recording:
+    """Draw Poisson arrivals and lognormal service times."""
+    random = Random(seed)
+    arrivals = []
+    now = random.expovariate(rate)
+    while now < seconds:
+        arrivals.append(now)
+        now += random.expovariate(rate)
+    times = tuple(
+        tuple(
+            tuple(_service_time(random) for _ in range(ATTEMPT_DRAWS))
+            for _ in range(SERVICES)
+        )
+        for _ in arrivals
+    )
+    return Recording(arrivals=tuple(arrivals), times=times)
+
+
+def _service_time(random: Random) -> float:
+    return MEAN_TIME * random.lognormvariate(-SIGMA * SIGMA / 2, SIGMA)
+
+
+def make_services() -> tuple[Service, ...]:
+    """Return the services, each with one shard and two replicas."""
+    return tuple(_make_service(number) for number in range(SERVICES))
+
+
+def _make_service(number: int) -> Service:
+    name = f"s{number:02}"
+    shard = ShardRange(shard=name, low=number, high=number + 1)
+    return Service(
+        name=name,
+        kind=ServiceKind.SEARCH,
+        index="boats",
+        layouts=(ShardLayout(number=1, shards=(shard,)),),
+        backend_servers=tuple(
+            BackendServer(
+                name=f"{name}/{replica}",
+                address=Address(host="127.0.0.1", port=1),
+                data_centre="here",
+            )
+            for replica in range(REPLICAS)
+        ),
+        limits=ServerLimits(slots=SLOTS, connections=25, connect_time=0.006),
+        priority=Priority.INTERACTIVE,
+        prefer=Preference.LATENCY,
+        time_limit=1.0,
+        least_coverage=0.0,
+    )
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Work:
+    """One attempt on its way through its gate, its server and back."""
+
+    fanout: Fanout
+    query: int
+    attempt: Attempt
+    seconds: float
+    dispatched_at: float | None = None
+    running: bool = False
+    cancelled: bool = False
+    done: bool = False
+
+
+class VirtualServer:
+    """A backend server that runs ``SLOTS`` requests and queues the others."""
+
+    def __init__(self, *, name: str, faults: Faults) -> None:
+        self._name = name
+        self._faults = faults
+        self.busy = 0
+        self.queue: deque[Work] = deque()
+
+    @property
+    def lost(self) -> bool:
+        return self._name == self._faults.lost
+
+    @property
+    def silent(self) -> bool:
+        return self._name == self._faults.silent
+
+    def factor(self, now: float) -> float:
+        """Return how many times longer than usual a request takes now."""
+        if self._name == self._faults.straggler:
+            return STRAGGLER_FACTOR
+        if self._name == self._faults.cold and now < COLD_TIME:
+            return COLD_FACTOR
+        return 1.0
+
+
+class TailWorld:
+    """Drives fan-outs over virtual backend servers through recorded arrivals.
+
+    :param gated: whether a gate keeps to each server's slots; otherwise all is
+        sent at once, and queues without bound at the server.
+    """
+
+    def __init__(
+        self,
+        *,
+        recording: Recording,
+        faults: Faults,
+        gated: bool,
+        cancel: Cancel,
+        time_limit: float,
+        prefer: Preference,
+        learn_cancelled: bool,
+        policies: Callable[
+            [KnownServers],
+            tuple[ReplicaChooser, ExtraWorkBudget, HedgePolicy],
+        ],
+    ) -> None:
+        self._recording = recording
+        self._gated = gated
+        self._cancel_mode = cancel
+        self._learn_cancelled = learn_cancelled
+        self._time_limit = time_limit
+        self._prefer = prefer
+        self._clock = VirtualClock()
+        self._random = Random(1)
+        self.counters = Counters()
+        self.figures = Figures()
+        self._services = make_services()
+        self._numbers = {s.name: n for n, s in enumerate(self._services)}
+        self._known = KnownServers(
+            services=self._services,
+            clock=self._clock,
+            random=self._random,
+            counters=self.counters,
+        )
+        chooser, budget, hedging = policies(self._known)
+        self._policies = FanoutPolicies(
+            chooser=chooser,
+            budget=budget,
+            hedging=hedging,
+            counters=self.counters,
+            random=self._random,
+        )
+        self._servers = {
+            server.name: VirtualServer(name=server.name, faults=faults)
+            for service in self._services
+            for server in service.backend_servers
+        }
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._timers: dict[int, float] = {}
+        self._works: dict[tuple[int, int], Work] = {}
+        self._received: dict[tuple[int, str], int] = {}
+        self._report_holdings()
+        if faults.cold:
+            self._known.mark_cold(server=faults.cold)
+
+    def run(self) -> Figures:
+        """Play the recording to its end."""
+        for number, at in enumerate(self._recording.arrivals):
+            self._at(at, lambda number=number: self._arrive(number))
+        while self._heap:
+            at, _, event = heappop(self._heap)
+            self._clock.advance(max(0.0, at - self._clock.now()))
+            event()
+        return self.figures
+
+    def _at(self, at: float, event: Callable[[], None]) -> None:
+        self._sequence += 1
+        heappush(self._heap, (at, self._sequence, event))
+
+    def _after(self, seconds: float, event: Callable[[], None]) -> None:
+        self._at(self._clock.now() + seconds, event)
+
+    def _report_holdings(self) -> None:
+        for service in self._services:
+            held = Holding(snapshot=1, layout=1, shards=frozenset({service.name}))
+            for server in service.backend_servers:
+                self._known.record_report(server=server.name, held=held)
+
+    def _arrive(self, number: int) -> None:
+        now = self._clock.now()
+        choice = self._known.pin()
+        assert choice is not None
+        query = Query(
+            request_id=str(number),
+            index="boats",
+            services=(),
+            body=None,
+            deadline=now + self._time_limit,
+            prefer=self._prefer,
+            priority=Priority.INTERACTIVE,
+            least_coverage=0.0,
+        )
+        fanout = Fanout(
+            query=query,
+            pin=choice.pin,
+            services=self._services,
+            policies=self._policies,
+        )
+        self._apply(fanout, number, fanout.start(now))
+
+    def _apply(self, fanout: Fanout, query: int, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SendAttempt):
+                self._send(fanout, query, action)
+            elif isinstance(action, CancelAttempt):
+                self._cancel(self._works[query, action.attempt.number])
+            elif isinstance(action, Finish):
+                self._finish(query, action)
+            elif isinstance(action, Repin | RejectAnswer):
+                raise AssertionError(f"unexpected {action}")
+        self._set_timer(fanout, query)
+
+    def _set_timer(self, fanout: Fanout, query: int) -> None:
+        at = fanout.next_timer()
+        if at is not None and self._timers.get(query) != at:
+            self._timers[query] = at
+            self._at(at, lambda: self._tick(fanout, query, at))
+
+    def _tick(self, fanout: Fanout, query: int, at: float) -> None:
+        if fanout.next_timer() == at:
+            self._apply(fanout, query, fanout.tick(self._clock.now()))
+
+    def _finish(self, query: int, action: Finish) -> None:
+        taken = self._clock.now() - self._recording.arrivals[query]
+        coverage = action.answer.coverage.share
+        figures = self.figures
+        figures.latency.record_value(max(1, round(taken * 1e6)))
+        figures.queries += 1
+        figures.coverage_sum += coverage
+        figures.least_coverage = min(figures.least_coverage, coverage)
+
+    def _gate(self, server: str) -> ServerGate:
+        return self._known.gates[server]
+
+    def _send(self, fanout: Fanout, query: int, action: SendAttempt) -> None:
+        attempt = action.attempt
+        times = self._recording.times[query][self._numbers[attempt.service.name]]
+        work = Work(
+            fanout=fanout,
+            query=query,
+            attempt=attempt,
+            seconds=times[(attempt.number - 1) // SERVICES % ATTEMPT_DRAWS],
+        )
+        self._works[query, attempt.number] = work
+        if not self._gated:
+            self._dispatch(work)
+            return
+        offer = self._gate(attempt.server.name).offer(
+            waiter=work,
+            priority=Priority.INTERACTIVE,
+            deadline=action.deadline,
+            now=self._clock.now(),
+        )
+        if isinstance(offer, Granted):
+            self._dispatch(work)
+        elif isinstance(offer, Refused):
+            kind, wait = FailureKind.OVERLOADED, offer.retry_after
+            self._after(0.0, lambda: self._fail(work, kind, wait))
+
+    def _dispatch(self, work: Work) -> None:
+        work.dispatched_at = self._clock.now()
+        name = work.attempt.server.name
+        self._known.board.get(server=name).started()
+        self._apply(
+            work.fanout,
+            work.query,
+            work.fanout.dispatched(work.attempt, work.dispatched_at),
+        )
+        if self._servers[name].lost:
+            kind = FailureKind.CONNECTION_FAILED
+            self._after(2 * LINK_TIME, lambda: self._fail(work, kind, None))
+        else:
+            self._after(LINK_TIME, lambda: self._receive(work))
+
+    def _receive(self, work: Work) -> None:
+        server = self._servers[work.attempt.server.name]
+        key = (work.query, work.attempt.service.name)
+        before = self._received.get(key, 0)
+        self._received[key] = before + 1
+        if server.silent:
+            return
+        counts = self.figures.extras if before else self.figures.firsts
+        name = work.attempt.server.name
+        counts[name] = counts.get(name, 0) + 1
+        if server.busy < SLOTS:
+            self._work(server, work)
+        else:
+            server.queue.append(work)
+
+    def _work(self, server: VirtualServer, work: Work) -> None:
+        server.busy += 1
+        work.running = True
+        seconds = work.seconds * server.factor(self._clock.now())
+        self._after(seconds, lambda: self._worked(server, work))
+
+    def _worked(self, server: VirtualServer, work: Work) -> None:
+        if work.done:
+            return
+        self._free(server, work)
+        self._after(LINK_TIME, lambda: self._answer(work))
+
+    def _free(self, server: VirtualServer, work: Work) -> None:
+        work.done = True
+        server.busy -= 1
+        while server.queue and server.busy < SLOTS:
+            following = server.queue.popleft()
+            if not following.done:
+                self._work(server, following)
+
+    def _release(self, work: Work, outcome: Outcome) -> float:
+        now = self._clock.now()
+        assert work.dispatched_at is not None
+        seconds = now - work.dispatched_at
+        if self._gated:
+            gate = self._gate(work.attempt.server.name)
+            change = gate.release(now=now, service_time=seconds, outcome=outcome)
+            for granted in change.granted:
+                self._dispatch(granted)
+            for expired in change.expired:
+                self._fail(expired, FailureKind.OVERLOADED, None)
+        return seconds
+
+    def _answer(self, work: Work) -> None:
+        name = work.attempt.server.name
+        outcome = Outcome.CANCELLED if work.cancelled else Outcome.SUCCESS
+        seconds = self._release(work, outcome)
+        self._known.record_success(server=name, seconds=seconds)
+        if work.cancelled:
+            return
+        now = self._clock.now()
+        self._known.board.get(server=name).finished(now=now, latency=seconds, ok=True)
+        partial = ServerPartial(shard=work.attempt.service.name, count=0, results=())
+        answer = ServerAnswer(
+            request_id=str(work.query),
+            snapshot=work.attempt.pin.snapshot,
+            layout=work.attempt.pin.layout,
+            partials=(partial,),
+        )
+        self._known.record_answer(
+            server=name,
+            pin=work.attempt.pin,
+            shards=work.attempt.shards,
+        )
+        fanout = work.fanout
+        self._apply(fanout, work.query, fanout.answered(work.attempt, answer, now))
+
+    def _fail(self, work: Work, kind: FailureKind, wait: float | None) -> None:
+        now = self._clock.now()
+        if kind is FailureKind.CONNECTION_FAILED:
+            name = work.attempt.server.name
+            seconds = self._release(work, Outcome.FAILED)
+            self._known.record_failure(server=name)
+            if not work.cancelled:
+                self._known.board.get(server=name).finished(
+                    now=now, latency=seconds, ok=False
+                )
+        if work.cancelled:
+            return
+        failure = AttemptFailure(kind=kind, not_run=True, retry_after=wait)
+        fanout = work.fanout
+        self._apply(fanout, work.query, fanout.failed(work.attempt, failure, now))
+
+    def _cancel(self, work: Work) -> None:
+        work.cancelled = True
+        name = work.attempt.server.name
+        if work.dispatched_at is None:
+            if self._gated:
+                self._gate(name).cancel(waiter=work)
+            return
+        self._known.board.get(server=name).cancelled()
+        if self._cancel_mode is Cancel.STOP:
+            self._after(LINK_TIME, lambda: self._stop(work))
+
+    def _stop(self, work: Work) -> None:
+        """Stop a cancelled attempt at its server, which then confirms it."""
+        server = self._servers[work.attempt.server.name]
+        if work.done or server.lost:
+            return
+        if server.silent:
+            self._known.record_failure(server=work.attempt.server.name)
+        if work.running:
+            self._free(server, work)
+        work.done = True
+        self._after(LINK_TIME, lambda: self._stopped(work))
+
+    def _stopped(self, work: Work) -> None:
+        seconds = self._release(work, Outcome.CANCELLED)
+        if self._learn_cancelled:
+            self._known.record_success(server=work.attempt.server.name, seconds=seconds)
--- a/src/savorypond/fanout.py
+++ b/src/savorypond/fanout.py
@@ -15,6 +15,8 @@
 from savorypond.partials import ServerAnswer
 from savorypond.reasons import CancelReason, MissingReason, RepinReason
 
+MOST_PIN_REQUESTS = 2  # for one query; a query restarts once at most
+
 
 class Fanout:
     """Runs one query: tells what to send, what to cancel and when to finish.
@@ -26,6 +28,7 @@
 
     :param pin: the snapshot and layout to begin with.
     :param services: the services asked, all of one index.
+    :param lacking: shards whose snapshot no usable replica is known to hold.
     """
 
     def __init__(
@@ -35,6 +38,7 @@
         pin: Pin,
         services: Sequence[Service],
         policies: FanoutPolicies,
+        lacking: frozenset[str] = frozenset(),
     ) -> None:
         self._query = query
         self._services = services
@@ -42,11 +46,11 @@
         self._counters = policies.counters
         self._settings = policies.settings
         self._finish_at = query.deadline - self._settings.finish_margin
-        self._run = self._new_run(pin, 1)
+        self._run = self._new_run(pin, 1, lacking)
         self._first_answer: Answer | None = None
         self._now = float("-inf")
         self._started_at = 0.0
-        self._asked_for_pin = False
+        self._pin_requests_left = MOST_PIN_REQUESTS
         self._awaits_pin = False
         self._finished = False
 
@@ -118,12 +122,14 @@
         self._awaits_pin = False
         if pin is None or pin == self._run.pin:
             self._counters.add("repins", RepinReason.NO_BETTER_PIN)
+            self._run.keep_pin()
             return self._close([])
         self._counters.add("repins", RepinReason.RESTARTED)
         actions = self._run.cancel_all(CancelReason.REPINNED)
         self._run.give_up(MissingReason.SNAPSHOT_NOT_HELD)
         self._first_answer = self._run.build_answer()
-        self._run = self._new_run(pin, self._run.next_number)
+        self._pin_requests_left = 0
+        self._run = self._new_run(pin, self._run.next_number, frozenset())
         return self._close(actions + self._run.start(self._now))
 
     def caller_gone(self, now: float) -> list[Action]:
@@ -136,7 +142,9 @@
         self._run.give_up(MissingReason.TIMED_OUT)
         return actions
 
-    def _new_run(self, pin: Pin, first_number: int) -> FanoutRun:
+    def _new_run(
+        self, pin: Pin, first_number: int, lacking: frozenset[str]
+    ) -> FanoutRun:
         return FanoutRun(
             query=self._query,
             pin=pin,
@@ -144,6 +152,7 @@
             policies=self._policies,
             finish_at=self._finish_at,
             first_number=first_number,
+            lacking=lacking,
         )
 
     def _advance(self, now: float) -> None:
@@ -155,19 +164,20 @@
             return actions
         if self._now >= self._finish_at:
             return actions + self._finish()
-        if self._run.wants_pin and not self._asked_for_pin:
+        if self._run.wants_pin and not self._awaits_pin and self._pin_requests_left:
             actions.extend(self._ask_for_pin())
         if self._run.is_settled and not self._awaits_pin:
             return actions + self._finish()
         return actions
 
     def _ask_for_pin(self) -> list[Action]:
-        """Ask once for another pin, if a whole second run may still end in time."""
-        self._asked_for_pin = True
+        """Ask for another pin, if a whole second run may still end in time."""
+        self._pin_requests_left -= 1
         elapsed = self._now - self._started_at
         least = max(elapsed, self._settings.least_repin_time)
         if self._now + least > self._finish_at:
             self._counters.add("repins", RepinReason.NO_TIME)
+            self._run.keep_pin()
             return []
         self._awaits_pin = True
         return [Repin(refused=self._run.pin)]
--- a/src/savorypond/fanoutrun.py
+++ b/src/savorypond/fanoutrun.py
@@ -50,6 +50,7 @@
     :param services: the services asked, all of one index.
     :param finish_at: monotonic seconds at which the run is over.
     :param first_number: the number of its first attempt.
+    :param lacking: shards whose snapshot no usable replica is known to hold.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         policies: FanoutPolicies,
         finish_at: float,
         first_number: int,
+        lacking: frozenset[str] = frozenset(),
     ) -> None:
         self._query = query
         self._pin = pin
@@ -74,6 +76,8 @@
             ServiceRun(service=service, uncovered=set(names))
             for service, names in shards.by_service
         ]
+        if lacking:
+            self._note_lacking(lacking)
         self._unsettled = len(self._runs)
         self._attempts = AttemptTable(
             pin=pin, counters=policies.counters, first_number=first_number
@@ -100,9 +104,13 @@
 
     @property
     def wants_pin(self) -> bool:
-        """Whether a service ran out of replicas that hold the snapshot."""
+        """Whether a service ran out of replicas that may hold the snapshot."""
         return self._wants_pin
 
+    def keep_pin(self) -> None:
+        """Go on with this pin, since there is none better."""
+        self._wants_pin = False
+
     @property
     def in_flight(self) -> int:
         """How many attempts are queued or running."""
@@ -259,7 +267,7 @@
         return [self._send(run, server, purpose, extra=run.charged)]
 
     def _without_replica(self, run: ServiceRun, retry_after: float) -> list[Action]:
-        if run.refused:
+        if run.attempts:
             self._wants_pin = True
         if run.all_refused or (self._latency_first and not run.attempts):
             return self._abandon(run, DenialReason.NO_REPLICA)
@@ -293,6 +301,11 @@
             run.waiting = False
             self._unsettled -= 1
 
+    def _note_lacking(self, lacking: frozenset[str]) -> None:
+        for run in self._runs:
+            if lacking.issuperset(run.uncovered):
+                run.reason = MissingReason.SNAPSHOT_NOT_HELD
+
     def _time_out(self) -> None:
         for run in self._runs:
             run.reason = MissingReason.TIMED_OUT
--- a/src/savorypond/partials.py
+++ b/src/savorypond/partials.py
@@ -149,9 +149,11 @@
     accepted: list[ShardPartial] = []
     drops: list[Drop] = []
     lacking = set(asked)
-    seen = Counter(partial.shard for partial in answer.partials)
+    names = [partial.shard for partial in answer.partials]
+    seen = set(names)
+    repeated = _repeated(names) if len(seen) < len(names) else frozenset()
     for partial in answer.partials:
-        fault = _partial_fault(partial, lacking, seen[partial.shard])
+        fault = _partial_fault(partial, lacking, repeated)
         if fault is not None:
             drops.append(Drop(reason=fault, shard=partial.shard))
             continue
@@ -177,12 +179,16 @@
     return None
 
 
+def _repeated(names: list[str]) -> frozenset[str]:
+    return frozenset(name for name, times in Counter(names).items() if times > 1)
+
+
 def _partial_fault(
-    partial: ServerPartial, asked: set[str], times: int
+    partial: ServerPartial, asked: set[str], repeated: frozenset[str]
 ) -> DropReason | None:
     if partial.shard not in asked:
         return DropReason.WRONG_SHARD
-    if times > 1:
+    if partial.shard in repeated:
         return DropReason.DUPLICATE
     if partial.count != len(partial.results):
         return DropReason.TRUNCATED
