--- /dev/null
+++ b/src/savorypond/callapi.py
@@ -0,0 +1,208 @@
+"""The HTTP interface for tickets and for non-idempotent calls."""
+
+from typing import Any, Protocol
+
+from msgspec import Raw
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from savorypond.clock import Clock
+from savorypond.controllers.calls import Calls
+from savorypond.exceptions import RequestRefused, TicketError
+from savorypond.httptypes import HttpRequest, HttpResponse, json_response
+from savorypond.linkwire import ForwardCall, ForwardRefusal, ForwardResult
+from savorypond.logs import log_event
+from savorypond.metrics import Metrics
+from savorypond.model import Instance, Service, ServiceKind
+from savorypond.peerlink import LinkLost, PeerLinks
+from savorypond.protocols import ConfigView
+from savorypond.reasons import Execution, RefusalReason
+from savorypond.tickets import Ticket, decode_ticket
+from savorypond.validation import body_refusal
+
+TICKETS_PATH = "/v1/tickets"
+SERVICES_PATH = "/v1/services/"
+CALLS_SUFFIX = "/calls"
+MOST_TICKETS = 1000  # of one request
+LONGEST_TIME_LIMIT = 60_000.0  # milliseconds
+_MILLISECONDS = 1000.0  # per second
+_FORWARD_MARGIN = 0.005  # seconds kept for the way back from another instance
+
+
+class TicketsBody(BaseModel):
+    """The JSON body of a request for tickets."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    count: int = Field(default=1, ge=1, le=MOST_TICKETS)
+
+
+class CallBody(BaseModel):
+    """The JSON body of a non-idempotent call.
+
+    :param time_limit_ms: milliseconds from arrival until the answer must leave.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    ticket: str = Field(min_length=1, max_length=256)
+    payload: Any
+    time_limit_ms: float | None = Field(default=None, ge=0.0, le=LONGEST_TIME_LIMIT)
+
+
+class PeerFinder(Protocol):
+    """Finds instances by name."""
+
+    def find(self, name: str) -> Instance | None:
+        """Return the instance called ``name``, or None where it is not known."""
+
+
+class CallApi:
+    """Issues tickets, and runs calls here or where their ticket was issued."""
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        calls: Calls,
+        config: ConfigView,
+        peers: PeerFinder,
+        links: PeerLinks,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._instance = instance
+        self._calls = calls
+        self._config = config
+        self._peers = peers
+        self._links = links
+        self._clock = clock
+        self._metrics = metrics
+
+    async def tickets(self, request: HttpRequest) -> HttpResponse:
+        """Return new tickets."""
+        try:
+            body = TicketsBody.model_validate_json(request.body or b"{}")
+        except ValidationError as error:
+            raise body_refusal(error) from error
+        issued = self._calls.issue(body.count)
+        return json_response(
+            {"tickets": issued.tickets, "lifetime_ms": issued.lifetime * _MILLISECONDS}
+        )
+
+    async def call(self, request: HttpRequest, service_name: str) -> HttpResponse:
+        """Run one call and return its result."""
+        arrived = self._clock.now()
+        try:
+            body = CallBody.model_validate_json(request.body)
+        except ValidationError as error:
+            raise body_refusal(error) from error
+        service = self._service(service_name)
+        limit = service.time_limit
+        if body.time_limit_ms is not None:
+            limit = body.time_limit_ms / _MILLISECONDS
+        try:
+            result = await self._run(body, service, arrived + limit)
+        except RequestRefused as refusal:
+            self._note_refusal(refusal, service_name)
+            raise
+        self._metrics.latency("call").record(self._clock.now() - arrived)
+        self._metrics.counters.add("answers", "call")
+        return json_response({"ticket": body.ticket, "result": Raw(result)})
+
+    async def run_forwarded(self, message: ForwardCall) -> ForwardResult:
+        """Run a call that a peer forwards, since its ticket was issued here."""
+        ticket = _read_ticket(message.ticket)
+        service = self._service(message.service)
+        deadline = self._clock.now() + message.time_left
+        result = await self._calls.run(
+            ticket, service=service, payload=message.payload, deadline=deadline
+        )
+        return ForwardResult(ticket=message.ticket, result=result)
+
+    async def _run(self, body: CallBody, service: Service, deadline: float) -> bytes:
+        ticket = _read_ticket(body.ticket)
+        if ticket.instance == self._instance:
+            return await self._calls.run(
+                ticket, service=service, payload=body.payload, deadline=deadline
+            )
+        issuer = self._peers.find(ticket.instance)
+        if issuer is None:
+            raise _issuer_gone(ticket, "is not known here")
+        return await self._forward(issuer, ticket, body, service, deadline)
+
+    async def _forward(
+        self,
+        issuer: Instance,
+        ticket: Ticket,
+        body: CallBody,
+        service: Service,
+        deadline: float,
+    ) -> bytes:
+        left = deadline - self._clock.now()
+        message = ForwardCall(
+            ticket=body.ticket,
+            service=service.name,
+            payload=body.payload,
+            time_left=left - _FORWARD_MARGIN,
+        )
+        self._metrics.counters.add("tickets", "forwarded")
+        try:
+            reply = await self._links.ask(issuer.peer_address, message, seconds=left)
+        except LinkLost as error:
+            raise _issuer_gone(ticket, str(error)) from error
+        if isinstance(reply, ForwardResult):
+            return reply.result
+        if isinstance(reply, ForwardRefusal):
+            raise RequestRefused(
+                reason=reply.reason,
+                detail=reply.detail,
+                execution=reply.execution,
+                retry_after=reply.retry_after,
+            )
+        raise _issuer_gone(ticket, f"answered with {type(reply).__name__}")
+
+    def _service(self, name: str) -> Service:
+        bundle = self._config.bundle
+        if bundle is None:
+            raise RequestRefused(
+                reason=RefusalReason.NOT_READY,
+                detail="no configuration is in force yet",
+                retry_after=1.0,
+            )
+        service = bundle.services.get(name)
+        if service is None or service.kind is not ServiceKind.CALLS:
+            raise RequestRefused(
+                reason=RefusalReason.UNKNOWN_SERVICE,
+                detail=f"no call service {name!r} is in force",
+            )
+        return service
+
+    def _note_refusal(self, refusal: RequestRefused, service: str) -> None:
+        self._metrics.counters.add("refusals", refusal.reason)
+        log_event(
+            "call-refused",
+            service=service,
+            reason=refusal.reason,
+            execution=refusal.execution,
+            detail=refusal.detail,
+        )
+
+
+def _read_ticket(text: str) -> Ticket:
+    try:
+        return decode_ticket(text)
+    except TicketError as error:
+        raise RequestRefused(
+            reason=RefusalReason.TICKET_UNKNOWN, detail=str(error)
+        ) from error
+
+
+def _issuer_gone(ticket: Ticket, why: str) -> RequestRefused:
+    # The call may have run there before: whoever asks again must not take this
+    # for "not run".
+    return RequestRefused(
+        reason=RefusalReason.INSTANCE_GONE,
+        detail=f"instance {ticket.instance!r}, which issued the ticket, {why}",
+        execution=Execution.UNKNOWN,
+        retry_after=1.0,
+    )
--- /dev/null
+++ b/src/savorypond/callconnection.py
@@ -0,0 +1,184 @@
+"""Gets slots and connections for one non-idempotent call, and writes it."""
+
+from dataclasses import dataclass
+
+from msgspec import DecodeError, Raw, Struct
+from msgspec.json import Decoder, encode
+
+from savorypond.callsteps import (
+    Acquired,
+    ConnectionLost,
+    Event,
+    NotAcquired,
+    Probed,
+    Result,
+    SaidNotRun,
+    Tick,
+)
+from savorypond.clock import Clock
+from savorypond.controllers.backend_servers import BackendServers
+from savorypond.controllers.connections import ConnectionLease
+from savorypond.controllers.slots import Slot, SlotRefused
+from savorypond.exceptions import BackendServerError
+from savorypond.httptypes import Header, HttpRequest, HttpResponse
+from savorypond.limiter import Outcome
+from savorypond.model import Pin, Service
+from savorypond.partials import is_shed
+from savorypond.pool import Release
+from savorypond.protocols import Purpose
+from savorypond.shardcalls import REQUEST_ID, TIME_LEFT, ConnectionSource
+
+CALLS_PATH = "/v1/calls"
+_NO_PIN = Pin(snapshot=0, layout=0)
+_JSON = Header(name="content-type", value="application/json")
+_MILLISECONDS = 1000.0  # per second
+_OUTCOMES = {
+    Release.ANSWERED: Outcome.SUCCESS,
+    Release.UNUSED: Outcome.CANCELLED,
+    Release.CLOSED: Outcome.FAILED,
+    Release.TIMED_OUT: Outcome.FAILED,
+}
+
+
+class CallAnswer(Struct, frozen=True, kw_only=True):
+    """The body of a backend server's answer to a call."""
+
+    request_id: str
+    result: Raw
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallRequest:
+    """One call as it is written to a backend server."""
+
+    request_id: str
+    service: Service
+    payload: object
+    deadline: float
+
+
+_decoder = Decoder(CallAnswer)
+
+
+class CallConnection:
+    """The slot and the connection that one call holds, if any."""
+
+    def __init__(
+        self,
+        *,
+        request: CallRequest,
+        servers: BackendServers,
+        connections: ConnectionSource,
+        clock: Clock,
+    ) -> None:
+        self._request = request
+        self._servers = servers
+        self._connections = connections
+        self._clock = clock
+        self._server = ""
+        self._slot: Slot | None = None
+        self._lease: ConnectionLease | None = None
+        self._started = 0.0
+
+    async def acquire(self, tried: frozenset[str]) -> Event:
+        """Take a slot and a connection that answered a moment ago."""
+        request = self._request
+        server = self._servers.chooser.choose(
+            service=request.service,
+            pin=_NO_PIN,
+            tried=tried,
+            now=self._clock.now(),
+            purpose=Purpose.RETRY if tried else Purpose.FIRST,
+        )
+        if server is None:
+            return NotAcquired(server="")
+        known = self._servers.known.get(server.name)
+        connections = self._connections.connections(server.name)
+        if known is None or connections is None:
+            return NotAcquired(server=server.name)
+        self._server = server.name
+        try:
+            self._slot = await known.gate.take(
+                priority=request.service.priority, deadline=request.deadline
+            )
+            self._lease = await connections.lease(seconds=self._left(), proven=True)
+        except SlotRefused as refused:
+            return NotAcquired(server=server.name, retry_after=refused.retry_after)
+        except BackendServerError:
+            await self._release_slot(Outcome.FAILED)
+            self._servers.record_failure(server=server.name)
+            return NotAcquired(server=server.name)
+        return Acquired(server=server.name, proven=self._lease.proven)
+
+    async def probe(self) -> Event:
+        """Ask something harmless on the connection in hand."""
+        assert self._lease is not None
+        return Probed(alive=await self._lease.probe())
+
+    async def write(self, time_left: float) -> Event:
+        """Send the call and wait for its answer, until the deadline."""
+        assert self._lease is not None
+        self._started = self._clock.now()
+        stats = self._servers.stats(self._server)
+        stats.started()
+        try:
+            response = await self._lease.request(
+                self._to_http(time_left), seconds=time_left
+            )
+        except BackendServerError:
+            seconds = self._clock.now() - self._started
+            stats.finished(now=self._clock.now(), latency=seconds, ok=False)
+            self._servers.record_failure(server=self._server)
+            return Tick() if self._left() <= 0.0 else ConnectionLost()
+        seconds = self._clock.now() - self._started
+        ok = response.status == 200
+        stats.finished(now=self._clock.now(), latency=seconds, ok=ok)
+        return self._read(response, seconds)
+
+    async def hand_back(self, how: Release) -> None:
+        """Give the connection and the slot back."""
+        lease, self._lease = self._lease, None
+        if lease is not None:
+            await lease.give_back(how)
+        await self._release_slot(_OUTCOMES[how])
+
+    def _read(self, response: HttpResponse, seconds: float) -> Event:
+        if response.status == 503 and is_shed(response.body):
+            return SaidNotRun()
+        if response.status != 200:
+            self._servers.record_failure(server=self._server)
+            return ConnectionLost()
+        try:
+            answer = _decoder.decode(response.body)
+        except DecodeError:
+            return ConnectionLost()
+        if answer.request_id != self._request.request_id:
+            return ConnectionLost()
+        self._servers.record_success(server=self._server, seconds=seconds)
+        return Result(result=bytes(answer.result))
+
+    def _to_http(self, time_left: float) -> HttpRequest:
+        request = self._request
+        milliseconds = round(time_left * _MILLISECONDS, 3)
+        body = encode(
+            {
+                "request_id": request.request_id,
+                "payload": request.payload,
+                "time_left_ms": milliseconds,
+            }
+        )
+        headers = (
+            _JSON,
+            Header(name=REQUEST_ID, value=request.request_id),
+            Header(name=TIME_LEFT, value=str(milliseconds)),
+        )
+        return HttpRequest(method="POST", path=CALLS_PATH, headers=headers, body=body)
+
+    async def _release_slot(self, outcome: Outcome) -> None:
+        slot, self._slot = self._slot, None
+        if slot is not None:
+            slot.ended(outcome)
+            await slot.release()
+
+    def _left(self) -> float:
+        return max(self._request.deadline - self._clock.now(), 0.0)
--- a/src/savorypond/callerapi.py
+++ b/src/savorypond/callerapi.py
@@ -1,10 +1,11 @@
-"""The HTTP interface for callers: reads requests, writes answers."""
+"""The HTTP interface for callers: routes requests, reads queries."""
 
 from itertools import count
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from savorypond.callapi import CALLS_SUFFIX, SERVICES_PATH, TICKETS_PATH, CallApi
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused
 from savorypond.filters.chain import Chain, Exchange
@@ -17,6 +18,7 @@
 from savorypond.model import Answer, Bundle, Preference, Priority, Query, Service
 from savorypond.protocols import ConfigView
 from savorypond.reasons import RefusalReason
+from savorypond.validation import body_refusal
 
 QUERY_PATH = "/v1/query"
 LONGEST_TIME_LIMIT = 60_000.0  # milliseconds
@@ -47,10 +49,19 @@
     """Answers callers."""
 
     def __init__(
-        self, *, instance: str, chain: Chain, config: ConfigView, clock: Clock
+        self,
+        *,
+        instance: str,
+        incarnation: int,
+        chain: Chain,
+        calls: CallApi,
+        config: ConfigView,
+        clock: Clock,
     ) -> None:
         self._instance = instance
+        self._incarnation = incarnation
         self._chain = chain
+        self._calls = calls
         self._config = config
         self._clock = clock
         self._numbers = count(1)
@@ -58,20 +69,24 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to ``request``."""
         path = request.path.partition("?")[0]
-        if path != QUERY_PATH:
-            raise RequestRefused(
-                reason=RefusalReason.NOT_FOUND, detail=f"no resource at {path}"
-            )
-        if request.method != "POST":
-            raise RequestRefused(
-                reason=RefusalReason.METHOD_NOT_ALLOWED,
-                detail=f"{path} takes POST, not {request.method}",
-            )
-        return await self._query(request)
+        if path == QUERY_PATH:
+            _need_post(request)
+            return await self._query(request)
+        if path == TICKETS_PATH:
+            _need_post(request)
+            return await self._calls.tickets(request)
+        if path.startswith(SERVICES_PATH) and path.endswith(CALLS_SUFFIX):
+            _need_post(request)
+            name = path[len(SERVICES_PATH) : -len(CALLS_SUFFIX)]
+            return await self._calls.call(request, name)
+        raise RequestRefused(
+            reason=RefusalReason.NOT_FOUND, detail=f"no resource at {path}"
+        )
 
     async def _query(self, request: HttpRequest) -> HttpResponse:
         arrived = self._clock.now()
-        request_id = f"{self._instance}-{next(self._numbers):x}"
+        number = next(self._numbers)
+        request_id = f"{self._instance}-{self._incarnation:x}-{number:x}"
         try:
             query = self._read_query(request, request_id, arrived)
             answer = await self._chain.run(Exchange(query=query, arrived=arrived))
@@ -85,7 +100,7 @@
         try:
             body = QueryBody.model_validate_json(request.body)
         except ValidationError as error:
-            raise _invalid_body(error) from error
+            raise body_refusal(error) from error
         if not body.index and not body.services:
             raise RequestRefused(
                 reason=RefusalReason.MALFORMED,
@@ -105,6 +120,14 @@
         )
 
 
+def _need_post(request: HttpRequest) -> None:
+    if request.method != "POST":
+        raise RequestRefused(
+            reason=RefusalReason.METHOD_NOT_ALLOWED,
+            detail=f"{request.path} takes POST, not {request.method}",
+        )
+
+
 def _asked_services(bundle: Bundle | None, body: QueryBody) -> tuple[Service, ...]:
     if bundle is None:
         return ()
@@ -131,14 +154,6 @@
     return max((s.least_coverage for s in asked), default=0.0)
 
 
-def _invalid_body(error: ValidationError) -> RequestRefused:
-    problems = [
-        f"{'.'.join(str(part) for part in one['loc']) or 'body'}: {one['msg']}"
-        for one in error.errors()
-    ]
-    return RequestRefused(reason=RefusalReason.MALFORMED, detail="; ".join(problems))
-
-
 def _answer_response(answer: Answer) -> HttpResponse:
     coverage = answer.coverage
     content = {
--- /dev/null
+++ b/src/savorypond/controllers/calls.py
@@ -0,0 +1,210 @@
+"""Runs non-idempotent calls, each at most once, under the tickets issued here."""
+
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from savorypond.callconnection import CallConnection, CallRequest
+from savorypond.callrun import CallRun, LeavingServers
+from savorypond.callsteps import (
+    Acquire,
+    Action,
+    Answered,
+    Event,
+    Finish,
+    HandBack,
+    Probe,
+    Write,
+)
+from savorypond.clock import Clock
+from savorypond.controllers.backend_servers import BackendServers
+from savorypond.exceptions import RequestRefused
+from savorypond.issuer import TicketIssuer, new_incarnation
+from savorypond.ledger import InProgress, Replay, Run, TicketLedger
+from savorypond.model import Counters, Service
+from savorypond.pause import Paused, PauseDetector
+from savorypond.reasons import Execution, RefusalReason
+from savorypond.shardcalls import ConnectionSource
+from savorypond.tickets import (
+    Refuse,
+    Ticket,
+    TicketLimits,
+    TicketSeal,
+    encode_ticket,
+)
+
+_KEY_BYTES = 32
+_BUSY_RETRY_AFTER = 0.1  # seconds
+
+
+class WallClock(Protocol):
+    """Tells the time of day."""
+
+    def __call__(self) -> float:
+        """Return seconds since the epoch."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class IssuedTickets:
+    """New tickets in text form.
+
+    :param lifetime: seconds until they can no longer run.
+    """
+
+    tickets: tuple[str, ...]
+    lifetime: float
+
+
+class Calls:
+    """Issues tickets and runs the calls that carry them."""
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        fleet: str,
+        servers: BackendServers,
+        leaving: LeavingServers,
+        connections: ConnectionSource,
+        clock: Clock,
+        wall: WallClock,
+        rng: Random,
+        counters: Counters,
+    ) -> None:
+        self._servers = servers
+        self._leaving = leaving
+        self._connections = connections
+        self._clock = clock
+        self._wall = wall
+        self._rng = rng
+        self._counters = counters
+        self._limits = TicketLimits()
+        seal = TicketSeal(key=rng.randbytes(_KEY_BYTES))
+        incarnation = new_incarnation(wall=wall(), random=rng)
+        self._issuer = TicketIssuer(
+            instance=instance,
+            incarnation=incarnation,
+            fleet=fleet,
+            seal=seal,
+            limits=self._limits,
+        )
+        self._ledger = TicketLedger(
+            incarnation=incarnation, seal=seal, limits=self._limits
+        )
+        self._pause = PauseDetector(now=clock.now(), listeners=(self,))
+
+    @property
+    def pause(self) -> PauseDetector:
+        """Notices pauses of this process; observe it again and again."""
+        return self._pause
+
+    @property
+    def ledger(self) -> TicketLedger:
+        """What became of the tickets."""
+        return self._ledger
+
+    def woke(self, paused: Paused) -> None:
+        """Void what was claimed before the pause and not sent."""
+        incarnation = new_incarnation(
+            wall=self._wall(), random=self._rng, above=self._issuer.incarnation
+        )
+        self._issuer.raise_incarnation(incarnation)
+        voided = self._ledger.raise_incarnation(incarnation)
+        self._counters.add("tickets_voided", "pause", voided)
+
+    def issue(self, count: int) -> IssuedTickets:
+        """Return ``count`` new tickets; raise RequestRefused where too many."""
+        issued = self._issuer.issue(now=self._clock.now(), count=count)
+        self._counters.add("tickets", "issued", count)
+        return IssuedTickets(
+            tickets=tuple(encode_ticket(ticket) for ticket in issued),
+            lifetime=self._limits.lifetime,
+        )
+
+    async def run(
+        self, ticket: Ticket, *, service: Service, payload: object, deadline: float
+    ) -> bytes:
+        """Run one call under ``ticket`` and return its result, encoded as JSON.
+
+        Raises RequestRefused. The result of a call that ran before is returned
+        again while it is kept.
+        """
+        claim = self._ledger.claim(ticket, now=self._clock.now())
+        if isinstance(claim, Replay):
+            self._counters.add("tickets", "replayed")
+            return claim.result
+        if isinstance(claim, InProgress):
+            raise _in_progress()
+        if isinstance(claim, Refuse):
+            raise _refused(claim)
+        assert isinstance(claim, Run)
+        return await self._run(ticket, service, payload, deadline)
+
+    async def _run(
+        self, ticket: Ticket, service: Service, payload: object, deadline: float
+    ) -> bytes:
+        run = CallRun(
+            ticket=ticket,
+            deadline=deadline,
+            ledger=self._ledger,
+            pause=self._pause,
+            servers=self._leaving,
+        )
+        connection = CallConnection(
+            request=CallRequest(
+                request_id=f"call-{ticket.instance}-{ticket.incarnation:x}-{ticket.number:x}",
+                service=service,
+                payload=payload,
+                deadline=deadline,
+            ),
+            servers=self._servers,
+            connections=self._connections,
+            clock=self._clock,
+        )
+        outcome = await self._drive(run, connection)
+        if isinstance(outcome, Answered):
+            self._counters.add("tickets", "ran")
+            return outcome.result
+        raise _refused(outcome)
+
+    async def _drive(
+        self, run: CallRun, connection: CallConnection
+    ) -> Answered | Refuse:
+        actions = run.start(now=self._clock.now())
+        while True:
+            event = None
+            for action in actions:
+                if isinstance(action, Finish):
+                    return action.outcome
+                event = await self._act(action, connection)
+            assert event is not None
+            actions = run.on(event, now=self._clock.now())
+
+    async def _act(self, action: Action, connection: CallConnection) -> Event | None:
+        if isinstance(action, Acquire):
+            return await connection.acquire(action.tried)
+        if isinstance(action, Probe):
+            return await connection.probe()
+        if isinstance(action, Write):
+            return await connection.write(action.time_left)
+        assert isinstance(action, HandBack)
+        await connection.hand_back(action.how)
+        return None
+
+
+def _refused(refusal: Refuse) -> RequestRefused:
+    return RequestRefused(
+        reason=refusal.reason,
+        detail=refusal.detail,
+        execution=refusal.execution,
+        retry_after=refusal.retry_after,
+    )
+
+
+def _in_progress() -> RequestRefused:
+    return RequestRefused(
+        reason=RefusalReason.TICKET_IN_PROGRESS,
+        detail="another request with this ticket is running",
+        execution=Execution.UNKNOWN,
+        retry_after=_BUSY_RETRY_AFTER,
+    )
--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -49,6 +49,11 @@
         self._open: dict[int, HttpConnection] = {}
         self._released = Event()
 
+    @property
+    def name(self) -> str:
+        """Name of the backend server."""
+        return self._name
+
     @property
     def pool(self) -> ConnectionPool:
         """The pool that decides."""
@@ -142,16 +147,26 @@
     def _lease(self, number: int) -> "ConnectionLease":
         return ConnectionLease(owner=self, number=number, connection=self._open[number])
 
-    async def _probe(self, number: int) -> bool:
+    async def probe(self, connection: HttpConnection) -> bool:
+        """Ask something harmless on ``connection``; tell whether it answered."""
         try:
             async with timeout_after(PROBE_TIME):
-                await self._open[number].request(_PROBE)
+                await connection.request(_PROBE)
         except (BackendServerError, TaskTimeout):
             self._counters.add("probes", "failed")
+            return False
+        self._counters.add("probes", "answered")
+        return True
+
+    def is_proven(self, number: int) -> bool:
+        """Tell whether connection ``number`` answered a moment ago."""
+        return self._pool.is_proven(number, self._clock.now())
+
+    async def _probe(self, number: int) -> bool:
+        if not await self.probe(self._open[number]):
             closing = self._pool.released(number, self._clock.now(), Release.TIMED_OUT)
             await self._close_all(closing, abort=True)
             return False
-        self._counters.add("probes", "answered")
         self._pool.probed(number, self._clock.now())
         return True
 
@@ -194,14 +209,29 @@
         return self
 
     async def __aexit__(self, *reason: object) -> None:
-        outcome = Release.CLOSED
+        await self.give_back(self._outcome())
+
+    @property
+    def proven(self) -> bool:
+        """Whether the connection answered a moment ago."""
+        return self._owner.is_proven(self._number)
+
+    async def probe(self) -> bool:
+        """Ask something harmless and tell whether it was answered."""
+        return await self._owner.probe(self._connection)
+
+    async def give_back(self, how: Release) -> None:
+        """Give the connection back after its request."""
+        if how is Release.ANSWERED and not self._connection.reusable:
+            how = Release.CLOSED
+        await self._owner.give_back(self._number, how)
+
+    def _outcome(self) -> Release:
         if not self._used:
-            outcome = Release.UNUSED
-        elif self._timed_out:
-            outcome = Release.TIMED_OUT
-        elif self._connection.reusable:
-            outcome = Release.ANSWERED
-        await self._owner.give_back(self._number, outcome)
+            return Release.UNUSED
+        if self._timed_out:
+            return Release.TIMED_OUT
+        return Release.ANSWERED if self._connection.reusable else Release.CLOSED
 
     async def request(self, request: HttpRequest, *, seconds: float) -> HttpResponse:
         """Send ``request`` and return its response.
@@ -215,5 +245,5 @@
         except TaskTimeout as error:
             self._timed_out = True
             raise BackendServerError(
-                server=self._owner._name, problem="timed out", sent=True
+                server=self._owner.name, problem="timed out", sent=True
             ) from error
--- a/src/savorypond/controllers/slots.py
+++ b/src/savorypond/controllers/slots.py
@@ -81,7 +81,7 @@
             await self._wait(waiter, deadline)
         else:
             assert isinstance(offer, Granted)
-        return Slot(gate=self, taken=self._clock.now())
+        return Slot(gate=self, clock=self._clock)
 
     async def give_back(self, *, seconds: float, outcome: Outcome) -> None:
         """Release one slot that was held for ``seconds``."""
@@ -131,9 +131,10 @@
 class Slot:
     """A slot in use; leaving the context gives it back."""
 
-    def __init__(self, *, gate: SlotGate, taken: float) -> None:
+    def __init__(self, *, gate: SlotGate, clock: Clock) -> None:
         self._gate = gate
-        self._taken = taken
+        self._clock = clock
+        self._taken = clock.now()
         self._outcome = Outcome.FAILED
 
     async def __aenter__(self) -> Self:
@@ -145,7 +146,11 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        seconds = self._gate._clock.now() - self._taken
+        await self.release()
+
+    async def release(self) -> None:
+        """Give the slot back."""
+        seconds = self._clock.now() - self._taken
         await self._gate.give_back(seconds=seconds, outcome=self._outcome)
 
     def ended(self, outcome: Outcome) -> None:
--- a/src/savorypond/linkwire.py
+++ b/src/savorypond/linkwire.py
@@ -82,10 +82,10 @@
 
 
 class ForwardResult(Struct, tag="result", frozen=True, kw_only=True):
-    """The result of a forwarded call."""
+    """The result of a forwarded call, encoded as JSON."""
 
     ticket: str
-    result: object
+    result: bytes
 
 
 class ForwardRefusal(Struct, tag="refusal", frozen=True, kw_only=True):
--- a/src/savorypond/operatorapi.py
+++ b/src/savorypond/operatorapi.py
@@ -57,7 +57,6 @@
     ready: bool
     draining: bool
     revision: int
-    digest: str
     peers: tuple[PeerStatus, ...]
     servers: tuple[ServerStatus, ...]
 
--- a/src/savorypond/peerapi.py
+++ b/src/savorypond/peerapi.py
@@ -2,12 +2,14 @@
 
 from dataclasses import replace
 
+from savorypond.callapi import CallApi
 from savorypond.clock import Clock
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.exceptions import RequestRefused
 from savorypond.forwardrun import renamed
 from savorypond.linkwire import (
     ForwardAnswer,
+    ForwardCall,
     ForwardQuery,
     LinkMessage,
     WireHeld,
@@ -21,18 +23,20 @@
 
 
 class PeerApi:
-    """Runs forwarded queries as their owner."""
+    """Runs forwarded queries as their owner, and calls as the issuer."""
 
     def __init__(
         self,
         *,
         instance: str,
+        calls: CallApi,
         config: ConfigView,
         servers: BackendServers,
         tools: QueryTools,
         clock: Clock,
     ) -> None:
         self._instance = instance
+        self._calls = calls
         self._config = config
         self._servers = servers
         self._tools = tools
@@ -42,6 +46,8 @@
         """Return the reply to ``message``; raise RequestRefused."""
         if isinstance(message, ForwardQuery):
             return await self._query(message)
+        if isinstance(message, ForwardCall):
+            return await self._calls.run_forwarded(message)
         raise RequestRefused(
             reason=RefusalReason.MALFORMED,
             detail=f"{type(message).__name__} is no request",
--- /dev/null
+++ b/src/savorypond/statuspage.py
@@ -0,0 +1,91 @@
+"""Builds the status page: what this instance believes."""
+
+from savorypond.clock import Clock
+from savorypond.controllers.backend_servers import BackendServers, KnownServer
+from savorypond.controllers.drain import DrainController
+from savorypond.controllers.membership import MembershipController
+from savorypond.controllers.pools import ConnectionPools
+from savorypond.operatorapi import PeerStatus, ServerStatus, Status
+from savorypond.protocols import ConfigView, Placement
+from savorypond.settings import Settings
+
+
+class StatusPage:
+    """Reads the controllers for operators."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        config: ConfigView,
+        membership: MembershipController,
+        placement: Placement,
+        servers: BackendServers,
+        pools: ConnectionPools,
+        drain: DrainController,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._config = config
+        self._membership = membership
+        self._placement = placement
+        self._servers = servers
+        self._pools = pools
+        self._drain = drain
+        self._clock = clock
+
+    def not_ready(self) -> str:
+        """Return why the instance must get no new requests, or ""."""
+        if self._drain.draining:
+            return "draining"
+        if self._config.bundle is None:
+            return "no configuration is in force yet"
+        if not self._membership.status.may_own:
+            return "no peer has answered yet"
+        return ""
+
+    def status(self) -> Status:
+        """Return what this instance believes now."""
+        settings = self._settings
+        membership = self._membership.status
+        bundle = self._config.bundle
+        return Status(
+            name=settings.name,
+            fleet=settings.fleet,
+            data_centre=settings.data_centre,
+            incarnation=membership.myself.incarnation,
+            ready=not self.not_ready(),
+            draining=self._drain.draining,
+            revision=bundle.revision if bundle is not None else 0,
+            peers=tuple(
+                PeerStatus(
+                    name=member.name,
+                    data_centre=member.data_centre,
+                    state=member.state.value,
+                    incarnation=member.incarnation,
+                )
+                for member in membership.members
+            ),
+            servers=tuple(
+                self._server_status(name, known)
+                for name, known in sorted(self._servers.known.items())
+            ),
+        )
+
+    def _server_status(self, name: str, known: KnownServer) -> ServerStatus:
+        now = self._clock.now()
+        route = self._placement.routes(services=[known.service], now=now)[0]
+        owner = route.owner.name if route.owner is not None else self._settings.name
+        connections = self._pools.connections(name)
+        gate = known.gate.decision
+        return ServerStatus(
+            name=name,
+            service=known.service.name,
+            owner=owner,
+            leaving=self._servers.leaving(server=name),
+            ejected=self._servers.ejected(server=name, now=now),
+            in_flight=gate.in_flight,
+            waiting=gate.waiting,
+            connections=connections.pool.open if connections is not None else 0,
+            expected_wait=round(gate.expected_wait(now=now), 6),
+        )
