Emulate links between data centres, and leave owners' answers time for the way back

Cause: an owner's whole batch was lost when one of its shards ran to the limit, since its answer arrived exactly at the moment the entry gave up. Change: two milliseconds more for the way back; link delays are emulated at the links between instances as they are at the stand-ins. Conclusion: an owner's answer must be composed before its asker stops waiting.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 install: $(STAMP)
 
 demo: $(STAMP)
-	$(VENV)/bin/python -m savorypond.demo
+	scripts/demo.sh
 
 test: $(STAMP)
 	$(VENV)/bin/python -m nose2
--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -32,6 +32,7 @@
 from savorypond.forwardrun import ForwardTools
 from savorypond.httpserver import HttpLimits, HttpServer
 from savorypond.leaving import ServerDrain
+from savorypond.linkdelay import link_delay
 from savorypond.logs import log_event
 from savorypond.metrics import Metrics
 from savorypond.model import Bundle, Instance
@@ -275,6 +276,7 @@
                 address=settings.peer_address,
                 fleet=settings.fleet,
                 handler=peer_api.handle,
+                delay=self._link_delay,
             )
         )
         await self._enter(
@@ -347,6 +349,10 @@
                 self._metrics.counters.add("pauses", "noticed")
                 self._pools.distrust()
 
+    def _link_delay(self, peer: str) -> float:
+        between = self._settings.emulated_link_delay
+        return link_delay(self._source_host, peer, between=between) if between else 0.0
+
     async def _hand_over(self) -> None:
         async with ignore_after(_HAND_OVER_TIME):
             await self._caller.drain()
--- a/src/savorypond/forwardrun.py
+++ b/src/savorypond/forwardrun.py
@@ -35,6 +35,7 @@
 from savorypond.queryrun import QueryRun, QueryTools
 from savorypond.reasons import DropReason
 
+WAY_BACK_TIME = 0.002  # seconds that an owner's answer needs besides the link
 LOCAL_HEAD_START = 0.001  # seconds by which own parts end before the whole
 
 _Event = Callable[[Forwarding, float], list[ForwardAction]]
@@ -170,7 +171,9 @@
     async def _ask_owner(self, ask: Ask, owner: Instance, deadline: float) -> Answer:
         started = self._now()
         link_time = self._link_time(owner)
+        # The owner ends its margin before its deadline, as this instance does.
         time_left = deadline - started - 2.0 * link_time + self._tools.margin
+        time_left -= WAY_BACK_TIME
         message = self._message(ask, time_left)
         try:
             reply = await self._tools.links.ask(
--- a/src/savorypond/settings.py
+++ b/src/savorypond/settings.py
@@ -56,6 +56,8 @@
     :param deadline_margin: seconds before the deadline at which an answer is
         composed from what has arrived.
     :param drain_time: seconds that a planned stop waits for requests in flight.
+    :param emulated_link_delay: one-way seconds added between loopback addresses
+        of different data centres, for tests.
     """
 
     name: str
@@ -72,6 +74,7 @@
     log_format: LogFormat = LogFormat.JSON
     deadline_margin: float = 0.003
     drain_time: float = 10.0
+    emulated_link_delay: float = 0.0
 
 
 def _remote(address: Address) -> Address:
@@ -110,6 +113,7 @@
     log_format: Literal["json", "text"] = "json"
     deadline_margin: Annotated[Duration, Field(le=1.0)] = 0.003
     drain_time: Annotated[Duration, Field(ge=0.1, le=600)] = 10.0
+    emulated_link_delay: Annotated[Duration, Field(le=1.0)] = 0.0
 
     def to_settings(self) -> Settings:
         values = {name: getattr(self, name) for name in type(self).model_fields}
--- a/src/savorypond/standin_site.py
+++ b/src/savorypond/standin_site.py
@@ -14,12 +14,12 @@
 from pydantic import BaseModel, ConfigDict
 from yaml import safe_dump, safe_load
 
+from savorypond.linkdelay import FIRST_OCTET, link_delay as delay_of_link
 from savorypond.model import Address
 from savorypond.servicefile import load_service_files
 
 SITE_FILE = "site.yaml"
 SERVICES_DIRECTORY = "services"
-_FIRST_OCTET = 11  # second octet of the first data centre
 _PLATFORM_OCTET = 10
 _SERVER_NUMBER = 1  # last octet of the stand-ins of a data centre
 _FIRST_INSTANCE_NUMBER = 10  # last octet of the first instance
@@ -91,14 +91,7 @@
 
     def delay_between(self, one: str, other: str) -> float:
         """Return the one-way seconds between two IP numbers of the site."""
-        return link_delay(one, other, between=self.link_delay)
-
-
-def link_delay(one: str, other: str, *, between: float) -> float:
-    """Return ``between`` where two IP numbers lie in different data centres."""
-    first, second = _octet(one), _octet(other)
-    outside = min(first, second) < _FIRST_OCTET
-    return 0.0 if outside or first == second else between
+        return delay_of_link(one, other, between=self.link_delay)
 
 
 def plan_site(
@@ -122,7 +115,7 @@
     centres = sorted(
         {s.data_centre for one in loaded.values() for s in one.backend_servers}
     )
-    octets = {name: _FIRST_OCTET + i for i, name in enumerate(centres)}
+    octets = {name: FIRST_OCTET + i for i, name in enumerate(centres)}
     third = _free_octet(octets, Random())
     site = Site(
         fleet=services.resolve().name,
@@ -190,6 +183,7 @@
             "operator_address": str(instance.operator_address),
             "config_service": str(site.config_service),
             "instance_list": str(site.instance_list),
+            "emulated_link_delay": f"{site.link_delay * 1000:g}ms",
             **extra_settings,
         }
         path = settings_path(directory, instance.name)
@@ -215,7 +209,3 @@
             except OSError:
                 return False
     return True
-
-
-def _octet(host: str) -> int:
-    return int(host.split(".")[1])
