Compare ways to run calls at most once, and ways to end tickets

Cause: the choice between hashed idempotency keys and tickets, and three details of the tickets, were open: whether a pause voids them, whether one refused as not run may be claimed again, and how ended ones are pruned.

--- /dev/null
+++ b/benchmarks/calls_model.py
@@ -0,0 +1,471 @@
+"""A model of callers, a balancer and instances that drives the call decisions."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from heapq import heappop, heappush
+from random import Random
+
+from xxhash import xxh64_intdigest
+
+from savorypond.callrun import CallRun
+from savorypond.callsteps import (
+    Acquire,
+    Acquired,
+    Answered,
+    ConnectionLost,
+    Finish,
+    NotAcquired,
+    Probe,
+    Probed,
+    Result,
+    Tick,
+    Write,
+)
+from savorypond.claims import InProgress, Replay, Run
+from savorypond.issuer import TicketIssuer, new_incarnation
+from savorypond.leaving import ServerDrain
+from savorypond.model import Address, Instance
+from savorypond.pause import PauseDetector
+from savorypond.reasons import Execution, RefusalReason
+from savorypond.ticketroute import Forward, route_ticket, unreachable_issuer
+from savorypond.tickets import Refuse, TicketLimits, TicketSeal
+
+INSTANCES = 200
+CALLS = 3000
+DURATION = 60.0  # seconds over which calls arrive
+HOP = 0.003  # seconds
+CONNECT = 0.006  # seconds
+SERVICE_TIME = 0.020  # seconds
+TIME_LIMIT = 2.0  # seconds that one request may take
+BALANCER_PATIENCE = 1.0  # seconds until the balancer sends a copy elsewhere
+FORWARD_PATIENCE = 0.9  # seconds
+LOST_ANSWERS = 0.01  # share of writes whose connection breaks before the answer
+NO_SERVER = 0.05  # share of attempts to get a connection that fail
+MAX_ATTEMPTS = 4
+STOCK_AGE = 30.0  # seconds for which callers hold a ticket, at most
+LOOK_AFTER = 5.0  # seconds until a hasty caller looks whether its work ran
+DETECTION = (1.0, 5.0)  # seconds until an instance believes that a peer is gone
+
+
+class KeyLedger:
+    """Remembers idempotency keys at the instance that a hash names.
+
+    It stands where the ticket ledger does, but it has to accept every key that it
+    never saw.
+    """
+
+    def __init__(self, **_: object) -> None:
+        self._running: dict[int, bool] = {}
+        self._results: dict[int, bytes] = {}
+        self.incarnation = 0
+
+    def raise_incarnation(self, incarnation: int) -> int:
+        return 0
+
+    def claim(self, key, *, now):
+        if key.number in self._results:
+            return Replay(result=self._results[key.number])
+        if key.number in self._running:
+            return InProgress(dispatched=self._running[key.number])
+        self._running[key.number] = False
+        return Run(ticket=key)
+
+    def right(self, key, *, now):
+        return None
+
+    def dispatched(self, key, *, now):
+        self._running[key.number] = True
+
+    def refused(self, key, refusal):
+        self.abandoned_before_send(key)
+        return refusal
+
+    def abandoned_before_send(self, key):
+        if not self._running.get(key.number, True):
+            del self._running[key.number]
+
+    def finished(self, key, result):
+        self._results[key.number] = result
+
+    def lost(self, key):
+        """Keep the key as running: its outcome is not known."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Key:
+    """The caller's idempotency key, in place of a ticket."""
+
+    number: int
+
+
+@dataclass(kw_only=True)
+class Call:
+    """One piece of work of one caller."""
+
+    number: int
+    attempts: int = 0
+    serial: int = 0
+    ended: bool = False
+    ticket: object = None
+    looked: bool = False
+
+
+@dataclass(kw_only=True)
+class Scheme:
+    """One way to run a call at most once."""
+
+    name: str
+    ledger_type: type
+    by_key: bool = False
+    hasty: bool = False
+
+
+@dataclass(kw_only=True)
+class Tally:
+    """What happened in one run of the model."""
+
+    runs: Counter = field(default_factory=Counter)
+    counts: Counter = field(default_factory=Counter)
+
+    def summary(self) -> dict[str, int]:
+        return {
+            "twice": sum(n > 1 for n in self.runs.values()),
+            "untrue": self.counts["untrue"],
+            "not-run": self.counts["not-run"],
+            "unknown": self.counts["unknown"],
+            "replayed": self.counts["replayed"],
+            "revoked": self.counts["revoked"],
+            "unsure": self.counts["unsure"],
+        }
+
+
+class Member:
+    """One instance: its process, its beliefs and what befalls it."""
+
+    def __init__(self, *, name: str, wall: float, random: Random, scheme: Scheme):
+        self.name = name
+        self.suspected: set[str] = set()
+        self.side = 0
+        self.paused = False
+        self.waiting: list[Callable[[], None]] = []
+        self.start(wall=wall, random=random, scheme=scheme)
+
+    def start(self, *, wall: float, random: Random, scheme: Scheme) -> None:
+        shared = {
+            "incarnation": new_incarnation(wall=wall, random=random),
+            "seal": TicketSeal(key=random.randbytes(32)),
+            "limits": TicketLimits(),
+        }
+        self.process = object()
+        self.alive = True
+        self.issuer = TicketIssuer(instance=self.name, fleet="bench", **shared)
+        self.ledger = scheme.ledger_type(**shared)
+        self.pause = PauseDetector(now=wall, listeners=[self])
+        self._beat_at = wall
+
+    def beat(self, now: float) -> None:
+        """Make up for the heartbeats since the last one."""
+        while self._beat_at < now:
+            self._beat_at = min(now, self._beat_at + 1.0)
+            self.pause.observe(self._beat_at)
+
+    def wake(self, now: float) -> None:
+        """Go on after a pause without a heartbeat."""
+        self._beat_at = now
+        self.pause.observe(now)
+
+    def woke(self, paused) -> None:
+        incarnation = self.issuer.incarnation + 1
+        self.issuer.raise_incarnation(incarnation)
+        self.ledger.raise_incarnation(incarnation)
+
+
+class Model:
+    """Runs one scheme through one set of faults on a virtual clock."""
+
+    def __init__(self, *, scheme: Scheme, seed: int) -> None:
+        self.scheme = scheme
+        self.random = Random(seed)
+        self.now = 0.0
+        self.tally = Tally()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._serial = 0
+        self.members = {
+            f"entry-{n}": Member(
+                name=f"entry-{n}", wall=0.0, random=self.random, scheme=scheme
+            )
+            for n in range(INSTANCES)
+        }
+
+    def at(self, when: float, event: Callable[[], None]) -> None:
+        self._serial += 1
+        heappush(self._events, (when, self._serial, event))
+
+    def after(self, seconds: float, event: Callable[[], None]) -> None:
+        self.at(self.now + seconds, event)
+
+    def run(self) -> Tally:
+        calls = [Call(number=n) for n in range(CALLS)]
+        for call in calls:
+            begin = self.random.uniform(STOCK_AGE, STOCK_AGE + DURATION)
+            taken = begin - self.random.uniform(0, STOCK_AGE)
+            self.at(taken, partial(self.get_ticket, call))
+            self.at(begin, partial(self.attempt, call))
+        while self._events:
+            self.now, _, event = heappop(self._events)
+            event()
+        return self.tally
+
+    # Faults
+
+    def kill(self, name: str) -> None:
+        member = self.members[name]
+        member.alive = False
+        self.tell_peers(name, gone=True)
+        self.after(10.0, partial(self.restart, name))
+
+    def restart(self, name: str) -> None:
+        member = self.members[name]
+        member.start(wall=self.now, random=self.random, scheme=self.scheme)
+        self.tell_peers(name, gone=False)
+
+    def freeze(self, name: str) -> None:
+        self.members[name].beat(self.now)
+        self.members[name].paused = True
+        self.tell_peers(name, gone=True)
+        self.after(30.0, partial(self.thaw, name))
+
+    def thaw(self, name: str) -> None:
+        member = self.members[name]
+        member.paused = False
+        member.wake(self.now)
+        waiting, member.waiting = member.waiting, []
+        for event in waiting:
+            event()
+        self.tell_peers(name, gone=False)
+
+    def split(self, *, heal: bool) -> None:
+        for n, member in enumerate(self.members.values()):
+            member.side = 0 if heal else n % 2
+        for n, member in enumerate(self.members.values()):
+            others = {f"entry-{m}" for m in range(INSTANCES) if m % 2 != n % 2}
+            change = partial(self.believe, member, others, not heal)
+            self.after(self.random.uniform(*DETECTION), change)
+
+    def tell_peers(self, name: str, *, gone: bool) -> None:
+        for member in self.members.values():
+            if member.name != name:
+                change = partial(self.believe, member, {name}, gone)
+                self.after(self.random.uniform(*DETECTION), change)
+
+    def believe(self, member: Member, names: set[str], gone: bool) -> None:
+        member.suspected = (
+            member.suspected | names if gone else member.suspected - names
+        )
+
+    # Caller and balancer
+
+    def attempt(self, call: Call) -> None:
+        if call.ended:
+            return
+        call.attempts += 1
+        call.serial += 1
+        if call.ticket is None:
+            self.get_ticket(call)
+        self.send(call, call.serial)
+        self.after(BALANCER_PATIENCE, partial(self.send_elsewhere, call, call.serial))
+        give_up = partial(self.answered, call, call.serial, None)
+        self.after(TIME_LIMIT + 2 * HOP, give_up)
+
+    def get_ticket(self, call: Call) -> None:
+        if self.scheme.by_key:
+            call.ticket = Key(number=call.number)
+            return
+        member = self.pick(lambda m: m.alive and not m.paused)
+        (call.ticket,) = member.issuer.issue(now=self.now)
+
+    def pick(self, usable: Callable[[Member], bool]) -> Member:
+        return self.random.choice([m for m in self.members.values() if usable(m)])
+
+    def send(self, call: Call, serial: int) -> None:
+        member = self.pick(lambda m: m.alive)
+        self.after(HOP, partial(self.arrive, member, call, serial, call.ticket))
+
+    def send_elsewhere(self, call: Call, serial: int) -> None:
+        """Send a copy to another instance: the balancer heard nothing."""
+        if call.serial == serial and not call.ended:
+            self.tally.counts["resent"] += 1
+            self.send(call, serial)
+
+    def answered(self, call: Call, serial: int, outcome) -> None:
+        if call.ended or call.serial != serial:
+            return
+        call.serial += 1
+        if isinstance(outcome, Answered | Replay):
+            call.ended = True
+            self.tally.counts["replayed"] += isinstance(outcome, Replay)
+            return
+        self.refused(call, outcome)
+
+    def refused(self, call: Call, refusal: Refuse | None) -> None:
+        if refusal is not None and refusal.execution is Execution.NOT_RUN:
+            self.tally.counts["not-run"] += 1
+            self.tally.counts["untrue"] += self.tally.runs[call.number] > 0
+            call.ticket = None
+        else:
+            self.tally.counts["unknown"] += 1
+        if call.attempts < MAX_ATTEMPTS:
+            self.after(0.5, partial(self.attempt, call))
+        elif not call.looked:
+            call.looked = True
+            self.make_sure(call)
+        else:
+            call.ended = True
+
+    def make_sure(self, call: Call) -> None:
+        """Find out whether the work ran, and if not do it anew."""
+        if self.scheme.hasty or self.scheme.by_key or call.ticket is None:
+            self.after(LOOK_AFTER, partial(self.look, call))
+        elif self.revoke(call):
+            self.tally.counts["revoked"] += 1
+            self.look(call)
+        else:
+            self.tally.counts["unsure"] += 1
+            self.at(max(self.now, call.ticket.expires_at), partial(self.look, call))
+
+    def look(self, call: Call) -> None:
+        """Look at the backend server whether the work ran; else do it anew."""
+        if self.tally.runs[call.number]:
+            call.ended = True
+            return
+        call.ticket = None
+        call.attempts = 0
+        self.attempt(call)
+
+    def revoke(self, call: Call) -> bool:
+        """Ask the issuer, through any instance, to close the ticket."""
+        entry = self.pick(lambda m: m.alive and not m.paused)
+        issuer = self.answering(entry, call.ticket)
+        if issuer is None or not issuer.alive or issuer.paused:
+            return False
+        if issuer.side != entry.side:
+            return False
+        issuer.beat(self.now)
+        told = issuer.ledger.revoke(call.ticket, now=self.now)
+        return isinstance(told, Refuse) and told.execution is Execution.NOT_RUN
+
+    # Instances
+
+    def arrive(self, member: Member, call: Call, serial: int, ticket) -> None:
+        if not member.alive:
+            if call.serial == serial and not call.ended:
+                self.send(call, serial)
+            return
+        if member.paused:
+            late = partial(self.arrive, member, call, serial, ticket)
+            member.waiting.append(late)
+            return
+        target = self.answering(member, ticket)
+        if target is member:
+            self.claim(member, call, serial, ticket)
+        elif target is None or not target.alive or target.side != member.side:
+            self.reply(call, serial, _gone(ticket))
+        else:
+            self.after(HOP, partial(self.forwarded, target, call, serial, ticket))
+            silent = partial(self.reply, call, serial, _gone(ticket))
+            self.after(FORWARD_PATIENCE, silent)
+
+    def forwarded(self, member: Member, call: Call, serial: int, ticket) -> None:
+        if member.paused:
+            late = partial(self.forwarded, member, call, serial, ticket)
+            member.waiting.append(late)
+        elif member.alive:
+            self.claim(member, call, serial, ticket)
+
+    def answering(self, member: Member, ticket) -> Member | None:
+        if self.scheme.by_key:
+            names = [n for n in self.members if n not in member.suspected]
+            return self.members[max(names, key=lambda n: _score(n, ticket.number))]
+        route = route_ticket(
+            ticket=ticket, fleet="bench", myself=member.name, peers=_View(member)
+        )
+        if isinstance(route, Forward):
+            return self.members[route.instance.name]
+        return None if isinstance(route, Refuse) else member
+
+    def claim(self, member: Member, call: Call, serial: int, ticket) -> None:
+        member.beat(self.now)
+        claim = member.ledger.claim(ticket, now=self.now)
+        if isinstance(claim, InProgress):
+            return
+        if not isinstance(claim, Run):
+            self.reply(call, serial, claim)
+            return
+        run = CallRun(
+            ticket=ticket,
+            deadline=self.now + TIME_LIMIT,
+            ledger=member.ledger,
+            pause=member.pause,
+            servers=ServerDrain(),
+        )
+        step = partial(self.step, member, member.process, run, call, serial)
+        self.after(TIME_LIMIT, partial(step, Tick()))
+        self.act(step, run.start(now=self.now), call, serial)
+
+    def step(self, member: Member, process, run, call, serial, event) -> None:
+        if member.process is not process or not member.alive:
+            return
+        step = partial(self.step, member, process, run, call, serial)
+        if member.paused:
+            member.waiting.append(partial(step, event))
+            return
+        member.beat(self.now)
+        self.act(step, run.on(event, now=self.now), call, serial)
+
+    def act(self, step, actions, call: Call, serial: int) -> None:
+        for action in actions:
+            match action:
+                case Acquire():
+                    event = Acquired(server="s1", proven=self.random.random() < 0.9)
+                    if self.random.random() < NO_SERVER:
+                        event = NotAcquired(server="")
+                    self.after(CONNECT, partial(step, event))
+                case Probe():
+                    self.after(HOP, partial(step, Probed(alive=True)))
+                case Write():
+                    self.tally.runs[call.number] += 1
+                    lost = self.random.random() < LOST_ANSWERS
+                    event = ConnectionLost() if lost else Result(result=b"stamped")
+                    self.after(SERVICE_TIME, partial(step, event))
+                case Finish(outcome=outcome):
+                    self.reply(call, serial, outcome)
+
+    def reply(self, call: Call, serial: int, outcome) -> None:
+        self.after(HOP, partial(self.answered, call, serial, outcome))
+
+
+class _View:
+    def __init__(self, member: Member) -> None:
+        self._member = member
+
+    def find(self, name: str) -> Instance | None:
+        if name in self._member.suspected:
+            return None
+        address = Address(host="127.0.0.1", port=1)
+        return Instance(name=name, data_centre="a", peer_address=address, incarnation=0)
+
+
+def _gone(ticket) -> Refuse:
+    if isinstance(ticket, Key):
+        return Refuse(
+            reason=RefusalReason.INSTANCE_GONE,
+            execution=Execution.UNKNOWN,
+            detail="the instance of the key does not answer",
+        )
+    return unreachable_issuer(ticket)
+
+
+def _score(name: str, number: int) -> int:
+    return xxh64_intdigest(f"{name}/{number}".encode())
--- /dev/null
+++ b/src/savorypond/claims.py
@@ -0,0 +1,92 @@
+"""What a claim on a ticket can come to."""
+
+from dataclasses import dataclass
+
+from savorypond.reasons import Execution, RefusalReason
+from savorypond.tickets import Refuse, Ticket
+
+BUSY_RETRY_AFTER = 1.0  # seconds
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """The call may go on to its dispatch; nobody else holds the ticket."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Replay:
+    """The call ran before and this was its result."""
+
+    result: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InProgress:
+    """Another request holds the ticket now.
+
+    :param dispatched: whether a byte of it may have left for a backend server.
+    """
+
+    dispatched: bool
+
+
+UNRESOLVED = Refuse(
+    reason=RefusalReason.TICKET_UNRESOLVED,
+    execution=Execution.UNKNOWN,
+    detail="the call was sent before and its outcome is not known",
+)
+RESULT_DROPPED = Refuse(
+    reason=RefusalReason.TICKET_SPENT,
+    execution=Execution.UNKNOWN,
+    detail="the call already ran; its result is no longer kept",
+)
+REFUSED_BEFORE = Refuse(
+    reason=RefusalReason.TICKET_VOID,
+    execution=Execution.NOT_RUN,
+    detail="the ticket was refused before, as not run",
+)
+FULL = Refuse(
+    reason=RefusalReason.OVERLOADED,
+    execution=Execution.NOT_RUN,
+    detail="too many calls are in progress",
+    retry_after=BUSY_RETRY_AFTER,
+)
+GIVEN_UP = Refuse(
+    reason=RefusalReason.TICKET_VOID,
+    execution=Execution.NOT_RUN,
+    detail="the claim on the ticket was given up before it was used",
+)
+
+
+REVOKED = Refuse(
+    reason=RefusalReason.TICKET_VOID,
+    execution=Execution.NOT_RUN,
+    detail="the caller revoked the ticket before it was used",
+)
+PAUSED = Refuse(
+    reason=RefusalReason.TICKET_VOID,
+    execution=Execution.NOT_RUN,
+    detail="the instance was paused before the ticket was used",
+)
+EXPIRED = Refuse(
+    reason=RefusalReason.TICKET_EXPIRED,
+    execution=Execution.NOT_RUN,
+    detail="the ticket expired before it was used",
+)
+FORGOTTEN = Refuse(
+    reason=RefusalReason.TICKET_EXPIRED,
+    execution=Execution.UNKNOWN,
+    detail="the ticket expired too long ago to know whether it ran",
+)
+EARLIER_START = Refuse(
+    reason=RefusalReason.INSTANCE_GONE,
+    execution=Execution.UNKNOWN,
+    detail="the ticket was issued by an earlier start of this instance",
+)
+NOT_ISSUED = Refuse(
+    reason=RefusalReason.TICKET_UNKNOWN,
+    execution=Execution.UNKNOWN,
+    detail="this instance issued no such ticket",
+)
--- a/src/savorypond/issuer.py
+++ b/src/savorypond/issuer.py
@@ -75,9 +75,13 @@
         """Name ``incarnation`` in new tickets; numbers go on rising."""
         self._incarnation = max(self._incarnation, incarnation)
 
-    def issue(self, *, now: float, count: int = 1) -> tuple[Ticket, ...]:
+    def issue(
+        self, *, now: float, count: int = 1, lifetime: float | None = None
+    ) -> tuple[Ticket, ...]:
         """Return ``count`` new tickets.
 
+        :param lifetime: seconds, where the caller wants less than the usual ones;
+            the sooner a ticket ends, the sooner it is sure that it will not run.
         :raises RequestRefused: where they would be more than may be outstanding.
         """
         self._forget(now)
@@ -88,7 +92,8 @@
                 retry_after=self._retry_after(now),
             )
         self._count(now, count)
-        expires_ms = int((now + self._limits.lifetime) * MILLISECONDS)
+        lasts = min(lifetime or self._limits.lifetime, self._limits.lifetime)
+        expires_ms = int((now + lasts) * MILLISECONDS)
         return tuple(self._issue_one(expires_ms) for _ in range(count))
 
     def _issue_one(self, expires_ms: int) -> Ticket:
--- a/src/savorypond/ledger.py
+++ b/src/savorypond/ledger.py
@@ -4,36 +4,28 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from savorypond.reasons import Execution, RefusalReason
+from savorypond.claims import (
+    EARLIER_START,
+    EXPIRED,
+    FORGOTTEN,
+    FULL,
+    GIVEN_UP,
+    NOT_ISSUED,
+    PAUSED,
+    REFUSED_BEFORE,
+    RESULT_DROPPED,
+    REVOKED,
+    UNRESOLVED,
+    InProgress,
+    Replay,
+    Run,
+)
+from savorypond.expiry import ExpiryBuckets
+from savorypond.reasons import Execution
 from savorypond.spent import Mark, SpentNumbers
 from savorypond.tickets import Refuse, Ticket, TicketLimits, TicketSeal
 
-SWEEP_INTERVAL = 1.0  # seconds
-BUSY_RETRY_AFTER = 1.0  # seconds
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Run:
-    """The call may go on to its dispatch; nobody else holds the ticket."""
-
-    ticket: Ticket
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Replay:
-    """The call ran before and this was its result."""
-
-    result: bytes
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class InProgress:
-    """Another request holds the ticket now.
-
-    :param dispatched: whether a byte of it may have left for a backend server.
-    """
-
-    dispatched: bool
+FORGET_INTERVAL = 1.0  # seconds
 
 
 class _State(Enum):
@@ -44,40 +36,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Entry:
-    ticket: Ticket
     forget_at: float
     state: _State = _State.CLAIMED
     result: bytes = b""
 
 
-_UNRESOLVED = Refuse(
-    reason=RefusalReason.TICKET_UNRESOLVED,
-    execution=Execution.UNKNOWN,
-    detail="the call was sent before and its outcome is not known",
-)
-_RESULT_DROPPED = Refuse(
-    reason=RefusalReason.TICKET_SPENT,
-    execution=Execution.UNKNOWN,
-    detail="the call already ran; its result is no longer kept",
-)
-_REFUSED_BEFORE = Refuse(
-    reason=RefusalReason.TICKET_VOID,
-    execution=Execution.NOT_RUN,
-    detail="the ticket was refused before, as not run",
-)
-_FULL = Refuse(
-    reason=RefusalReason.OVERLOADED,
-    execution=Execution.NOT_RUN,
-    detail="too many calls are in progress",
-    retry_after=BUSY_RETRY_AFTER,
-)
-_GIVEN_UP = Refuse(
-    reason=RefusalReason.TICKET_VOID,
-    execution=Execution.NOT_RUN,
-    detail="the claim on the ticket was given up before it was used",
-)
-
-
 class TicketLedger:
     """Lets each ticket of this process be dispatched at most once.
 
@@ -95,20 +58,17 @@
     """
 
     def __init__(
-        self,
-        *,
-        incarnation: int,
-        seal: TicketSeal,
-        limits: TicketLimits,
+        self, *, incarnation: int, seal: TicketSeal, limits: TicketLimits
     ) -> None:
         self._incarnation = incarnation
         self._seal = seal
         self._limits = limits
-        self._active: dict[int, _Entry] = {}
-        self._results: OrderedDict[int, _Entry] = OrderedDict()
+        self._entries: dict[int, _Entry] = {}
+        self._ran: OrderedDict[int, None] = OrderedDict()
         self._result_bytes = 0
         self._spent = SpentNumbers()
-        self._swept_at = 0.0
+        self._ends = ExpiryBuckets()
+        self._forgot_at = float("-inf")
 
     @property
     def incarnation(self) -> int:
@@ -118,7 +78,12 @@
     @property
     def entries(self) -> int:
         """Calls in progress and kept results, together."""
-        return len(self._active) + len(self._results)
+        return len(self._entries)
+
+    @property
+    def in_progress(self) -> int:
+        """Claimed and dispatched calls that have not ended."""
+        return len(self._entries) - len(self._ran)
 
     @property
     def result_bytes(self) -> int:
@@ -140,51 +105,59 @@
         self._incarnation = incarnation
         claimed = [
             number
-            for number, entry in self._active.items()
+            for number, entry in self._entries.items()
             if entry.state is _State.CLAIMED
         ]
         for number in claimed:
-            del self._active[number]
+            self._remove(number)
         return len(claimed)
 
-    def right(self, ticket: Ticket, *, now: float) -> Refuse | None:
-        """Return why a claimed ticket may no longer run, or None."""
-        return self._refuse_right(ticket, now)
-
     def claim(
         self, ticket: Ticket, *, now: float
     ) -> Run | Replay | InProgress | Refuse:
         """Take the right to run ``ticket``, or tell what became of it."""
-        self._sweep(now)
-        stranger = self._refuse_stranger(ticket)
-        if stranger is not None:
-            return stranger
-        known = self._recall(ticket)
-        if known is not None:
-            return known
-        refusal = self._refuse_right(ticket, now)
+        self._forget(now)
+        known = self._refuse_stranger(ticket) or self._recall(ticket)
+        refusal = known or self.right(ticket, now=now)
         if refusal is not None:
             return refusal
-        if len(self._active) >= self._limits.max_entries:
-            return self.refused(ticket, _FULL)
+        if self.in_progress >= self._limits.max_entries:
+            return self.refused(ticket, FULL)
         self._drop_results(room=1)
-        self._active[ticket.number] = _Entry(
-            ticket=ticket, forget_at=ticket.expires_at + self._limits.grace
-        )
+        entry = _Entry(forget_at=self._forget_at(ticket))
+        self._entries[ticket.number] = entry
+        self._ends.add(ticket.number, ends_at=entry.forget_at)
         return Run(ticket=ticket)
 
+    def revoke(self, ticket: Ticket, *, now: float) -> Replay | InProgress | Refuse:
+        """Close ``ticket`` if it was not used, so that it never runs.
+
+        A caller whose request ended as unknown learns from this what became of it,
+        or that it may do the work anew.
+        """
+        claim = self.claim(ticket, now=now)
+        return self.refused(ticket, REVOKED) if isinstance(claim, Run) else claim
+
+    def right(self, ticket: Ticket, *, now: float) -> Refuse | None:
+        """Return why a ticket that was not used may no longer run, or None."""
+        if now >= self._forget_at(ticket):
+            return FORGOTTEN
+        if now >= ticket.expires_at:
+            return EXPIRED
+        return PAUSED if ticket.incarnation < self._incarnation else None
+
     def dispatched(self, ticket: Ticket, *, now: float) -> Refuse | None:
         """Check the right to run and spend it; call right before the first byte.
 
         :returns: None where the write may start, else why it must not.
         """
-        entry = self._active.get(ticket.number)
-        if entry is None or entry.state is not _State.CLAIMED:
+        entry = self._in_state(ticket, _State.CLAIMED)
+        if entry is None:
             marked = self._refuse_marked(ticket)
-            return marked or self._refuse_right(ticket, now) or _GIVEN_UP
-        refusal = self._refuse_right(ticket, now)
+            return marked or self.right(ticket, now=now) or GIVEN_UP
+        refusal = self.right(ticket, now=now)
         if refusal is not None:
-            del self._active[ticket.number]
+            self._remove(ticket.number)
             return refusal
         entry.state = _State.DISPATCHED
         self._mark(ticket, Mark.DISPATCHED)
@@ -195,9 +168,8 @@
 
         No byte left, so that the ticket can be claimed again.
         """
-        entry = self._active.get(ticket.number)
-        if entry is not None and entry.state is _State.CLAIMED:
-            del self._active[ticket.number]
+        if self._in_state(ticket, _State.CLAIMED) is not None:
+            self._remove(ticket.number)
 
     def refused(self, ticket: Ticket, refusal: Refuse) -> Refuse:
         """Give a claim back, and return what its caller may be told.
@@ -206,118 +178,94 @@
         while an older copy of this request may still be on its way. The ticket is
         therefore closed: it never runs after it was refused as not run.
         """
-        entry = self._active.get(ticket.number)
-        if entry is not None and entry.state is _State.DISPATCHED:
-            return _UNRESOLVED
-        self._active.pop(ticket.number, None)
+        self.abandoned_before_send(ticket)
         marked = self._refuse_marked(ticket)
-        if marked is None and refusal.execution is Execution.NOT_RUN:
+        if marked is not None or ticket.number in self._entries:
+            return marked or UNRESOLVED
+        if refusal.execution is Execution.NOT_RUN:
             self._mark(ticket, Mark.REFUSED)
-        return marked or refusal
+        return refusal
 
     def said_not_run(self, ticket: Ticket) -> None:
         """Turn a dispatch back into a claim: the backend server refused the work."""
-        entry = self._active.get(ticket.number)
-        if entry is None or entry.state is not _State.DISPATCHED:
+        entry = self._in_state(ticket, _State.DISPATCHED)
+        if entry is None:
             return
         self._mark(ticket, Mark.UNUSED)
         entry.state = _State.CLAIMED
         if ticket.incarnation < self._incarnation:
-            del self._active[ticket.number]
+            self._remove(ticket.number)
 
     def finished(self, ticket: Ticket, result: bytes) -> None:
         """Keep the result of a dispatched call for callers who ask again."""
-        entry = self._active.get(ticket.number)
-        if entry is None or entry.state is not _State.DISPATCHED:
+        entry = self._in_state(ticket, _State.DISPATCHED)
+        if entry is None:
             return
-        del self._active[ticket.number]
         self._mark(ticket, Mark.RAN)
         entry.state = _State.RAN
-        if len(result) <= self._limits.max_result_bytes:
-            entry.result = result
-            self._results[ticket.number] = entry
-            self._result_bytes += len(result)
+        entry.result = result
+        self._ran[ticket.number] = None
+        self._result_bytes += len(result)
         self._drop_results()
 
     def lost(self, ticket: Ticket) -> None:
         """End a dispatched call whose outcome will not be known."""
-        entry = self._active.get(ticket.number)
-        if entry is not None and entry.state is _State.DISPATCHED:
-            del self._active[ticket.number]
+        if self._in_state(ticket, _State.DISPATCHED) is not None:
+            self._remove(ticket.number)
+
+    def _in_state(self, ticket: Ticket, state: _State) -> _Entry | None:
+        entry = self._entries.get(ticket.number)
+        return entry if entry is not None and entry.state is state else None
 
     def _refuse_stranger(self, ticket: Ticket) -> Refuse | None:
         if self._seal.verify(ticket):
             return None
-        if ticket.incarnation != self._incarnation:
-            return Refuse(
-                reason=RefusalReason.INSTANCE_GONE,
-                execution=Execution.UNKNOWN,
-                detail="the ticket was issued by an earlier start of this instance",
-            )
-        return Refuse(
-            reason=RefusalReason.TICKET_UNKNOWN,
-            execution=Execution.UNKNOWN,
-            detail="this instance issued no such ticket",
-        )
+        same_start = ticket.incarnation == self._incarnation
+        return NOT_ISSUED if same_start else EARLIER_START
 
     def _recall(self, ticket: Ticket) -> Replay | InProgress | Refuse | None:
-        kept = self._results.get(ticket.number)
-        if kept is not None:
-            return Replay(result=kept.result)
-        active = self._active.get(ticket.number)
-        if active is not None:
-            return InProgress(dispatched=active.state is _State.DISPATCHED)
-        return self._refuse_marked(ticket)
+        entry = self._entries.get(ticket.number)
+        if entry is None:
+            return self._refuse_marked(ticket)
+        if entry.state is _State.RAN:
+            return Replay(result=entry.result)
+        return InProgress(dispatched=entry.state is _State.DISPATCHED)
 
     def _refuse_marked(self, ticket: Ticket) -> Refuse | None:
         match self._spent.read(ticket.number):
             case Mark.RAN:
-                return _RESULT_DROPPED
+                return RESULT_DROPPED
             case Mark.DISPATCHED:
-                return _UNRESOLVED
+                return UNRESOLVED
             case Mark.REFUSED:
-                return _REFUSED_BEFORE
+                return REFUSED_BEFORE
         return None
 
     def _mark(self, ticket: Ticket, mark: Mark) -> None:
-        forget_at = ticket.expires_at + self._limits.grace
-        self._spent.mark(ticket.number, mark, forget_at=forget_at)
-
-    def _refuse_right(self, ticket: Ticket, now: float) -> Refuse | None:
-        if now >= ticket.expires_at + self._limits.grace:
-            return Refuse(
-                reason=RefusalReason.TICKET_EXPIRED,
-                execution=Execution.UNKNOWN,
-                detail="the ticket expired too long ago to know whether it ran",
-            )
-        if now >= ticket.expires_at:
-            return Refuse(
-                reason=RefusalReason.TICKET_EXPIRED,
-                execution=Execution.NOT_RUN,
-                detail="the ticket expired before it was used",
-            )
-        if ticket.incarnation < self._incarnation:
-            return Refuse(
-                reason=RefusalReason.TICKET_VOID,
-                execution=Execution.NOT_RUN,
-                detail="the instance was paused before the ticket was used",
-            )
-        return None
+        self._spent.mark(ticket.number, mark, forget_at=self._forget_at(ticket))
+
+    def _forget_at(self, ticket: Ticket) -> float:
+        return ticket.expires_at + self._limits.grace
+
+    def _remove(self, number: int) -> None:
+        entry = self._entries.pop(number, None)
+        if entry is None:
+            return
+        self._ends.discard(number, ends_at=entry.forget_at)
+        self._ran.pop(number, None)
+        self._result_bytes -= len(entry.result)
 
     def _drop_results(self, *, room: int = 0) -> None:
-        while self._results and (
+        while self._ran and (
             self.entries + room > self._limits.max_entries
             or self._result_bytes > self._limits.max_result_bytes
         ):
-            _, oldest = self._results.popitem(last=False)
-            self._result_bytes -= len(oldest.result)
+            self._remove(next(iter(self._ran)))
 
-    def _sweep(self, now: float) -> None:
-        if now < self._swept_at + SWEEP_INTERVAL:
+    def _forget(self, now: float) -> None:
+        if now < self._forgot_at + FORGET_INTERVAL:
             return
-        self._swept_at = now
+        self._forgot_at = now
         self._spent.forget(now)
-        for number in [n for n, e in self._active.items() if e.forget_at <= now]:
-            del self._active[number]
-        for number in [n for n, e in self._results.items() if e.forget_at <= now]:
-            self._result_bytes -= len(self._results.pop(number).result)
+        for number in self._ends.take_ended(now):
+            self._remove(number)
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -99,6 +99,12 @@
         wait = caught.exception.retry_after
         self.assertEqual(len(issuer.issue(now=14.9 + wait)), 1)
 
+    def test_a_caller_may_ask_for_a_shorter_lifetime_only(self):
+        for asked, expires_at in [(None, 11.0), (3.0, 4.0), (99.0, 11.0)]:
+            with self.subTest(asked=asked):
+                (ticket,) = make_issuer().issue(now=1.0, lifetime=asked)
+                self.assertEqual(ticket.expires_at, expires_at)
+
     def test_incarnations_rise_and_differ(self):
         random = Random(3)
         starts = [new_incarnation(wall=1e9 + s, random=random) for s in range(100)]
