--- a/src/savorypond/exceptions.py
+++ b/src/savorypond/exceptions.py
@@ -1,6 +1,6 @@
 """Every error that savorypond raises, each naming its culprit."""
 
-from savorypond.reasons import Execution, RefusalReason
+from savorypond.reasons import DatagramReason, Execution, RefusalReason
 
 
 class SavorypondError(Exception):
@@ -86,9 +86,34 @@
         self.sent = sent
 
 
+class MixedAnswersError(SavorypondError):
+    """Answers of different requests, snapshots or layouts were to be merged."""
+
+    def __init__(self, *, field: str, expected: object, found: object) -> None:
+        super().__init__(f"{field} {found} cannot be merged with {expected}")
+        self.field = field
+        self.expected = expected
+        self.found = found
+
+
 class TicketError(SavorypondError):
     """The text of a ticket cannot be read."""
 
     def __init__(self, *, problem: str) -> None:
         super().__init__(f"ticket: {problem}")
+
+
+class DatagramError(WireError):
+    """A datagram from another instance cannot be used."""
+
+    def __init__(self, *, sender: str, reason: DatagramReason, problem: str) -> None:
+        super().__init__(sender=sender, problem=problem)
+        self.reason = reason
+
+
+class InstanceListError(SavorypondError):
+    """The platform's list of instances cannot be read."""
+
+    def __init__(self, *, problem: str) -> None:
+        super().__init__(f"instance list: {problem}")
         self.problem = problem
