Test membership under faults, and spread urgent updates first

Cause: with 100 instances started together, news of a death waited behind a hundred joins; it took 13 to 15 s until all views agreed after a kill.

Change: updates are sent in the order of their sendings so far, and those that take an instance out of use go first; own vain probes shorten a suspicion; back-off of revival probes has jitter; peers are hinted to look at a data centre just lost or regained, and one that regained it asks for what it missed.

--- a/src/savorypond/beliefs.py
+++ b/src/savorypond/beliefs.py
@@ -7,7 +7,7 @@
 
 from savorypond.dissemination import Dissemination
 from savorypond.membersettings import MembershipSettings
-from savorypond.membertable import MemberTable
+from savorypond.membertable import Member, MemberTable
 from savorypond.memberwire import MemberUpdate
 from savorypond.model import Instance, InstanceState
 from savorypond.ownrecord import OwnRecord
@@ -65,7 +65,7 @@
         if was_gone and member.usable:
             self._targets.hurry_revival(now)
         if update.state is InstanceState.SUSPECT:
-            member.suspect_until = now + self._suspicion_time()
+            self._start_suspicion(member, now)
         self._dissemination.add(update)
         return True
 
@@ -83,6 +83,16 @@
         if member is not None and member.update.state is InstanceState.LIVE:
             self.merge(replace(member.update, state=InstanceState.SUSPECT), now)
 
+    def confirm(self, member: Member, now: float) -> None:
+        """Count a vain probe of a suspect; end the suspicion after enough.
+
+        An instance that lags itself needs more of them.
+        """
+        member.vain_probes += 1
+        enough = self._settings.confirming_probes * (1 + self._probes.slowness)
+        if member.vain_probes >= enough:
+            member.suspect_until = now
+
     def end_suspicions(self, now: float) -> None:
         """Take those for dead that have not denied a suspicion in time."""
         for member in self._table.suspects:
@@ -92,7 +102,7 @@
     def restart_suspicions(self, now: float) -> None:
         """Give all suspects their full time again."""
         for member in self._table.suspects:
-            member.suspect_until = now + self._suspicion_time()
+            self._start_suspicion(member, now)
 
     def forget_old(self, now: float) -> None:
         """Drop those long gone that the platform does not list any more."""
@@ -117,6 +127,10 @@
         leaving = instance.state is InstanceState.LEAVING
         self._table.mark_listed(member, leaving=leaving)
 
+    def _start_suspicion(self, member: Member, now: float) -> None:
+        member.vain_probes = 0
+        member.suspect_until = now + self._suspicion_time()
+
     def _suspicion_time(self) -> float:
         scale = max(1.0, log10(len(self._table) + 1))
         rounds = self._settings.suspicion_rounds * (1 + self._probes.slowness)
--- a/src/savorypond/datacentres.py
+++ b/src/savorypond/datacentres.py
@@ -6,8 +6,10 @@
 """
 
 from dataclasses import dataclass, field
+from random import Random
 
-from savorypond.memberwire import MAX_UNREACHABLE
+from savorypond.memberwire import MAX_LOOK_AT
+from savorypond.probetargets import with_jitter
 
 UNANSWERED_LIMIT = 3  # distinct members in a row that did not answer
 
@@ -15,6 +17,7 @@
 @dataclass(slots=True, kw_only=True)
 class _DataCentre:
     heard_at: float = float("-inf")
+    changed_at: float = float("-inf")
     unanswered: set[str] = field(default_factory=set)
     hinted: bool = False
     lost_at: float | None = None
@@ -27,17 +30,25 @@
 
     :param retry_delay: seconds to the first probe of an unreachable one.
     :param retry_delay_max: seconds between such probes in the end.
-    :param hint_time: seconds that peers are told about a new loss.
+    :param hint_time: seconds that peers are told about a loss or return.
     """
 
     def __init__(
-        self, *, retry_delay: float, retry_delay_max: float, hint_time: float
+        self,
+        *,
+        rng: Random,
+        retry_delay: float,
+        retry_delay_max: float,
+        hint_time: float,
     ) -> None:
+        self._rng = rng
         self._retry_delay = retry_delay
         self._retry_delay_max = retry_delay_max
         self._hint_time = hint_time
         self._data_centres: dict[str, _DataCentre] = {}
         self._unreachable: frozenset[str] = frozenset()
+        self._changed_at = float("-inf")
+        self._regained_at = float("-inf")
         self._version = 0
 
     @property
@@ -59,13 +70,19 @@
         data_centre.heard_at = now
         data_centre.hinted = False
         unanswered = data_centre.unanswered
-        if data_centre.lost_at is not None:
-            data_centre.lost_at = None
-            self._update()
-            unanswered = set()
-        if data_centre.unanswered:
-            data_centre.unanswered = set()
-        return unanswered
+        if not unanswered:
+            return unanswered
+        data_centre.unanswered = set()
+        if data_centre.lost_at is None:
+            return unanswered
+        data_centre.lost_at = None
+        self._regained_at = now
+        self._note_change(data_centre, now)
+        return set()
+
+    def regained(self, now: float) -> bool:
+        """Tell whether one has come back so lately that updates were missed."""
+        return now - self._regained_at < self._hint_time
 
     def unanswered(self, name: str, member: str, *, sent_at: float, now: float) -> bool:
         """Note a vain probe; tell whether the member is to be judged by itself."""
@@ -80,27 +97,26 @@
             data_centre.hinted = False
             data_centre.retry_delay = self._retry_delay
             data_centre.retry_at = now + self._retry_delay
-            self._update()
+            self._note_change(data_centre, now)
         return False
 
     def hint(self, name: str, now: float) -> None:
-        """Take a peer's word that ``name`` is lost as a reason to look."""
+        """Take a peer's word that ``name`` is lost or back as a reason to look."""
         data_centre = self._get(name)
         recent = now - data_centre.heard_at < self._hint_time
-        if data_centre.lost_at is None and not recent:
+        if data_centre.lost_at is not None or not recent:
             data_centre.hinted = True
 
     def hints(self, now: float) -> tuple[str, ...]:
-        """Return the data centres lost lately, for peers to look at."""
-        if not self._unreachable:
+        """Return the data centres lost or regained lately, for peers to look at."""
+        if now - self._changed_at >= self._hint_time:
             return ()
         found = [
             name
             for name, data_centre in self._data_centres.items()
-            if data_centre.lost_at is not None
-            and now - data_centre.lost_at < self._hint_time
+            if now - data_centre.changed_at < self._hint_time
         ]
-        return tuple(found[:MAX_UNREACHABLE])
+        return tuple(found[:MAX_LOOK_AT])
 
     def to_probe(self, now: float) -> list[str]:
         """Return the data centres of which one more member is to be probed."""
@@ -109,11 +125,14 @@
     def _is_due(self, data_centre: _DataCentre, now: float) -> bool:
         if data_centre.lost_at is None:
             return data_centre.hinted or bool(data_centre.unanswered)
+        if data_centre.hinted:
+            data_centre.hinted = False
+            return True
         if now < data_centre.retry_at:
             return False
         doubled = 2 * data_centre.retry_delay
         data_centre.retry_delay = min(doubled, self._retry_delay_max)
-        data_centre.retry_at = now + data_centre.retry_delay
+        data_centre.retry_at = now + with_jitter(data_centre.retry_delay, self._rng)
         return True
 
     def _get(self, name: str) -> _DataCentre:
@@ -121,7 +140,9 @@
             self._data_centres[name] = _DataCentre()
         return self._data_centres[name]
 
-    def _update(self) -> None:
+    def _note_change(self, data_centre: _DataCentre, now: float) -> None:
+        data_centre.changed_at = now
+        self._changed_at = now
         self._version += 1
         self._unreachable = frozenset(
             name for name, d in self._data_centres.items() if d.lost_at is not None
--- a/src/savorypond/dissemination.py
+++ b/src/savorypond/dissemination.py
@@ -4,6 +4,7 @@
 from math import ceil, log2
 
 from savorypond.memberwire import MemberUpdate, update_size
+from savorypond.model import InstanceState
 
 SENDS_PER_LOG = 2  # sends of one update per doubling of the fleet
 
@@ -17,20 +18,26 @@
 
 
 class Dissemination:
-    """Updates waiting to be spread; new ones go first, each a few times."""
+    """Updates waiting to be spread, each a few times, new ones first.
+
+    Those that take an instance out of use, or deny that, go before all others,
+    so that a fleet that starts at once does not hide a loss.
+    """
 
     def __init__(self) -> None:
-        self._queue: deque[str] = deque()
-        self._pending: dict[str, tuple[MemberUpdate, int]] = {}
+        self._urgent = _SendQueue()
+        self._ordinary = _SendQueue()
 
     def __len__(self) -> int:
-        return len(self._pending)
+        return len(self._urgent) + len(self._ordinary)
 
     def add(self, update: MemberUpdate) -> None:
         """Spread ``update`` in place of an older one about the same member."""
-        if update.name not in self._pending:
-            self._queue.appendleft(update.name)
-        self._pending[update.name] = (update, 0)
+        self._urgent.discard(update.name)
+        self._ordinary.discard(update.name)
+        denial = update.refutation > 0
+        urgent = denial or update.state is not InstanceState.LIVE
+        (self._urgent if urgent else self._ordinary).add(update)
 
     def take(
         self, *, first: tuple[MemberUpdate, ...], room: int, fleet_size: int
@@ -38,25 +45,57 @@
         """Return ``first`` and waiting updates, as many as fit into ``room`` bytes."""
         taken: dict[str, MemberUpdate] = {}
         for update in first:
-            room -= update_size(update)
-            if room < 0:
-                return tuple(taken.values())
-            taken[update.name] = update
+            size = update_size(update)
+            if size <= room:
+                taken[update.name] = update
+                room -= size
         limit = send_limit(fleet_size)
-        for _ in range(len(self._queue)):
-            update, sent = self._pending[self._queue[0]]
-            if update.name not in taken:
-                room -= update_size(update)
-            if room < 0:
-                break
-            taken[update.name] = update
-            self._count(update, sent + 1, limit)
+        room = self._urgent.take(taken, room, limit)
+        self._ordinary.take(taken, room, limit)
         return tuple(taken.values())
 
-    def _count(self, update: MemberUpdate, sent: int, limit: int) -> None:
-        self._queue.popleft()
-        if sent >= limit:
+
+class _SendQueue:
+    """Updates in the order of their sendings so far, the latest first among equals."""
+
+    def __init__(self) -> None:
+        self._pending: dict[str, MemberUpdate] = {}
+        self._by_sendings: list[deque[MemberUpdate]] = [deque()]
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def add(self, update: MemberUpdate) -> None:
+        self._pending[update.name] = update
+        self._by_sendings[0].appendleft(update)
+
+    def discard(self, name: str) -> None:
+        """Forget what waits about ``name``; its place is cleared when reached."""
+        self._pending.pop(name, None)
+
+    def take(self, taken: dict[str, MemberUpdate], room: int, limit: int) -> int:
+        """Move what fits into ``taken``; return the bytes of ``room`` left."""
+        sent: list[tuple[MemberUpdate, int]] = []
+        for sendings, updates in enumerate(self._by_sendings):
+            while updates:
+                update = updates[0]
+                if self._pending.get(update.name) is not update:
+                    updates.popleft()
+                    continue
+                size = 0 if update.name in taken else update_size(update)
+                if size > room:
+                    break
+                room -= size
+                taken[update.name] = update
+                sent.append((updates.popleft(), sendings + 1))
+        for update, sendings in sent:
+            self._put_back(update, sendings, limit)
+        return room
+
+    def _put_back(self, update: MemberUpdate, sendings: int, limit: int) -> None:
+        if sendings >= limit:
             del self._pending[update.name]
             return
-        self._pending[update.name] = (update, sent)
-        self._queue.append(update.name)
+        while len(self._by_sendings) <= sendings:
+            self._by_sendings.append(deque())
+        self._by_sendings[sendings].append(update)
--- a/src/savorypond/membermessages.py
+++ b/src/savorypond/membermessages.py
@@ -38,17 +38,22 @@
         self._config_digest = digest
 
     def ping(
-        self, member: Member, *, number: int, unreachable: tuple[str, ...]
+        self,
+        member: Member,
+        *,
+        number: int,
+        catching_up: bool = False,
+        look_at: tuple[str, ...] = (),
     ) -> Send:
         """Ask ``member`` for an answer under ``number``."""
         message = Ping(
             number=number,
             target=member.name,
-            joining=not self._own.joined,
+            catching_up=catching_up,
             config_revision=self._config_revision,
             config_digest=self._config_digest,
             updates=self._updates(_doubts(member)),
-            unreachable=unreachable,
+            look_at=look_at,
         )
         return self._send(member.address, message)
 
@@ -63,7 +68,7 @@
         sender = self._table.get(origin.name)
         doubts = _doubts(sender) if sender is not None else ()
         updates = self._updates(doubts + corrections)
-        if ping.joining:
+        if ping.catching_up:
             updates = self._fill_up(updates)
         ack = self._ack(ping.number, self._own.update.name, updates)
         return self._send(origin.address, ack)
@@ -104,7 +109,7 @@
         )
 
     def _fill_up(self, updates: tuple[MemberUpdate, ...]) -> tuple[MemberUpdate, ...]:
-        """Add the latest changes, as many as fit, for one that knows little."""
+        """Add the latest changes, as many as fit, for one that missed some."""
         chosen = {update.name: update for update in updates}
         room = self._room - sum(update_size(update) for update in updates)
         for member in sorted(self._table, key=_changed_at, reverse=True):
--- a/src/savorypond/membersettings.py
+++ b/src/savorypond/membersettings.py
@@ -15,6 +15,8 @@
     :param indirect_probes: members asked to probe in this one's place.
     :param suspicion_rounds: probe intervals, times log10 of the fleet's size,
         that a suspect has to deny a suspicion.
+    :param confirming_probes: vain probes of a suspect, each with its indirect
+        ones, that end a suspicion earlier.
     :param revive_interval: from one probe of a dead member to the next, at first.
     :param revive_interval_max: the same after many vain probes.
     :param forget_after: from a death or leave until the member is forgotten;
@@ -32,8 +34,9 @@
     probe_timeout: float = 0.15
     indirect_probes: int = 3
     suspicion_rounds: float = 3.0
+    confirming_probes: int = 2
     revive_interval: float = 1.0
-    revive_interval_max: float = 15.0
+    revive_interval_max: float = 8.0
     forget_after: float = 900.0
     join_fanout: int = 3
     own_after: float = 5.0
--- a/src/savorypond/membership.py
+++ b/src/savorypond/membership.py
@@ -16,7 +16,7 @@
 from savorypond.membersettings import MemberAction, MembershipSettings
 from savorypond.membertable import Member, MemberTable
 from savorypond.memberwire import Ack, Leave, MemberUpdate, Packet, Ping, PingReq
-from savorypond.model import Address, Instance
+from savorypond.model import Address, Instance, InstanceState
 from savorypond.ownrecord import OwnRecord
 from savorypond.probes import Probe, Probes, Relays
 from savorypond.probetargets import ProbeTargets
@@ -65,6 +65,7 @@
             probes=self._probes, timeout=RELAY_ROUNDS * settings.probe_interval
         )
         self._data_centres = DataCentres(
+            rng=rng,
             retry_delay=settings.revive_interval,
             retry_delay_max=settings.revive_interval_max,
             hint_time=HINT_ROUNDS * settings.probe_interval,
@@ -150,9 +151,9 @@
             self._probes.slow_down()
         self._last_tick = now
         self._join_if_waited(now)
-        self._beliefs.end_suspicions(now)
         for probe in self._probes.failed(now):
             self._judge(probe, now)
+        self._beliefs.end_suspicions(now)
         actions = self._ask_others(now)
         if now >= self._next_probe:
             actions += self._start_round(now)
@@ -236,6 +237,10 @@
         member = self._table.get(probe.target)
         if member is None or not member.usable or member.heard_at >= probe.sent_at:
             return
+        if member.state is InstanceState.SUSPECT:
+            if probe.sent_at >= member.changed_at:
+                self._beliefs.confirm(member, now)
+            return
         if self._is_far_and_large(member):
             by_itself = self._data_centres.unanswered(
                 member.data_centre, member.name, sent_at=probe.sent_at, now=now
@@ -256,12 +261,14 @@
             self._next_probe = now + self._settings.probe_interval
         self._beliefs.forget_old(now)
         hints = self._data_centres.hints(now)
+        catching_up = not self._own.joined or self._data_centres.regained(now)
         actions: list[MemberAction] = []
         for member in self._to_probe(now):
             number = self._probes.start(member.name, now).number
-            actions.append(
-                self._messages.ping(member, number=number, unreachable=hints)
+            ping = self._messages.ping(
+                member, number=number, catching_up=catching_up, look_at=hints
             )
+            actions.append(ping)
         return actions
 
     def _to_probe(self, now: float) -> list[Member]:
@@ -295,7 +302,7 @@
         if ping.target != self._own.update.name:
             return []
         if origin.data_centre == self._own.update.data_centre:
-            for data_centre in ping.unreachable:
+            for data_centre in ping.look_at:
                 self._data_centres.hint(data_centre, now)
         answer = self._messages.answer(ping, origin, corrections)
         return [answer, *self._messages.config_of(ping, origin)]
@@ -309,7 +316,7 @@
         number = self._relays.start(requester=origin.address, request=request, now=now)
         if number is None:
             return []
-        return [self._messages.ping(target, number=number, unreachable=())]
+        return [self._messages.ping(target, number=number)]
 
     def _acknowledged(self, ack: Ack, origin: MemberUpdate) -> list[MemberAction]:
         if self._probes.succeed(ack.number, ack.subject) is not None:
--- a/src/savorypond/membertable.py
+++ b/src/savorypond/membertable.py
@@ -16,6 +16,7 @@
     :param changed_at: when its state last changed.
     :param heard_at: when a datagram of its own last arrived.
     :param suspect_until: when a suspicion becomes death.
+    :param vain_probes: of this instance's own, since the suspicion began.
     :param listed: whether the platform's list names it at present.
     :param listed_leaving: whether that list calls it leaving at present.
     :param left: incarnation that the platform's list has called leaving, or -1.
@@ -26,6 +27,7 @@
     changed_at: float
     heard_at: float = float("-inf")
     suspect_until: float = 0.0
+    vain_probes: int = 0
     listed: bool = False
     listed_leaving: bool = False
     left: int = -1
--- a/src/savorypond/memberwire.py
+++ b/src/savorypond/memberwire.py
@@ -12,7 +12,7 @@
 WIRE_VERSION = 1
 MAX_DATAGRAM = 1200  # bytes; stays under the usual path MTU with all headers
 MAX_NAME = 48  # bytes of an instance, data centre, host or fleet name
-MAX_UNREACHABLE = 3  # data centres named in one ping
+MAX_LOOK_AT = 3  # data centres named in one ping
 UPDATE_OVERHEAD = 40  # bytes of one encoded update besides its three texts
 HEADER_ROOM = 120  # bytes of a datagram besides its sender, names and updates
 
@@ -78,17 +78,18 @@
     """Ask one member to answer.
 
     :param target: name of the member asked; another one does not answer.
-    :param joining: the sender knows little and wants as many updates as fit.
-    :param unreachable: data centres that the sender has just lost sight of.
+    :param catching_up: the sender has missed updates and wants as many as fit.
+    :param look_at: data centres that the sender has just lost or regained
+        sight of.
     """
 
     number: Counter
     target: Name
-    joining: bool
+    catching_up: bool
     config_revision: Counter
     config_digest: Digest
     updates: tuple[MemberUpdate, ...] = ()
-    unreachable: tuple[Name, ...] = ()
+    look_at: tuple[Name, ...] = ()
 
 
 class PingReq(Struct, frozen=True, array_like=True, kw_only=True, tag=2):
@@ -147,7 +148,7 @@
 
 def update_room(sender: MemberUpdate) -> int:
     """Return the bytes left for updates in a datagram of ``sender``."""
-    names = MAX_NAME * (2 + MAX_UNREACHABLE)
+    names = MAX_NAME * (2 + MAX_LOOK_AT)
     return MAX_DATAGRAM - HEADER_ROOM - names - update_size(sender)
 
 
--- a/src/savorypond/probetargets.py
+++ b/src/savorypond/probetargets.py
@@ -10,6 +10,11 @@
 SKIPS = 64  # unusable peers passed over before a probe is left out
 
 
+def with_jitter(delay: float, rng: Random) -> float:
+    """Return a time between half of ``delay`` and all of it."""
+    return delay * rng.uniform(0.5, 1.0)
+
+
 class ProbeTargets:
     """Shuffled rounds over the usable peers (Das et al., 2002, section 4.3).
 
@@ -75,7 +80,7 @@
         dead = [member for member in self._table.gone if _may_revive(member)]
         if not dead:
             return []
-        self._revive_at = now + self._revive_delay
+        self._revive_at = now + with_jitter(self._revive_delay, self._rng)
         self._revive_delay = min(2 * self._revive_delay, self._revive_delay_max)
         return [self._rng.choice(dead)]
 
--- a/tests/memberfleet.py
+++ b/tests/memberfleet.py
@@ -101,13 +101,13 @@
 
     def agree(self) -> bool:
         """Tell whether each running instance sees just the running ones."""
-        running = [node for node in self.nodes.values() if self._runs(node)]
+        running = [node for node in self.nodes.values() if self.runs(node)]
         names = frozenset(
             node.instance.name for node in running if not node.membership.leaving
         )
         return all(self.knows(node) == names for node in running)
 
-    def _runs(self, node: Node) -> bool:
+    def runs(self, node: Node) -> bool:
         current = self.nodes[node.instance.name] is node
         return node.alive and not node.paused and current
 
@@ -148,7 +148,7 @@
         delay = (NEAR if near else FAR) * self._rng.uniform(1.0, 2.0)
 
         def arrive() -> None:
-            if self._runs(target):
+            if self.runs(target):
                 received = target.membership.received
                 source = node.instance.peer_address
                 self._do(target, received(action.packet, source, self.now))
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,419 @@
+from collections import Counter
+from random import Random
+from unittest import TestCase
+
+from hypothesis import given, settings, strategies as st
+
+from savorypond.membersettings import MembershipSettings
+from savorypond.membership import Membership
+from savorypond.membertable import MemberTable
+from savorypond.memberwire import Leave, MemberUpdate, Packet, Ping
+from savorypond.model import Address, Instance, InstanceState
+from savorypond.placement import OwnerPlacement
+from tests.memberfleet import MemberFleet
+from tests.test_placement import SERVICES
+
+AGREE = 30.0  # seconds until views must agree again; the list lags by minutes
+CONTROL_BYTES = 13_000  # bytes per second and instance for all control
+SETTINGS = MembershipSettings()
+
+
+def across(name):
+    """Cut the links between the data centre ``name`` and all others."""
+
+    def cut(sender, target):
+        places = (sender.instance.data_centre, target.instance.data_centre)
+        return places[0] != places[1] and name in places
+
+    return cut
+
+
+def heal(fleet):
+    fleet.cut = lambda sender, target: False
+
+
+def kill(fleet):
+    fleet.node(1).alive = False
+
+
+def kill_two(fleet):
+    kill(fleet)
+    fleet.run(1.0)
+    fleet.node(0).alive = False
+
+
+def pause(fleet):
+    fleet.node(1).paused = True
+    fleet.run(30.0)
+    fleet.node(1).paused = False
+
+
+def pause_briefly(fleet):
+    fleet.node(1).paused = True
+    fleet.run(1.5)
+    fleet.node(1).paused = False
+
+
+def split(fleet):
+    fleet.cut = across("dc0")
+    fleet.run(60.0)
+    heal(fleet)
+
+
+def leave(fleet):
+    fleet.leave(fleet.node(1))
+
+
+def leave_while_split(fleet):
+    fleet.cut = across("dc0")
+    fleet.run(10.0)
+    leave(fleet)
+    fleet.run(10.0)
+    kill(fleet)
+    heal(fleet)
+
+
+def kill_while_split(fleet):
+    fleet.cut = across("dc0")
+    fleet.run(10.0)
+    kill(fleet)
+    fleet.run(10.0)
+    heal(fleet)
+
+
+def restart_all(fleet):
+    for name, node in list(fleet.nodes.items()):
+        fleet.start(int(name[1:]), node.instance.data_centre)
+    fleet.list_to(*fleet.nodes.values())
+
+
+def restart_with_earlier_clock(fleet):
+    fleet.start(1, "dc1", incarnation=1)
+    fleet.list_to(fleet.node(1))
+
+
+def join_unlisted(fleet):
+    """Only the new instance reads a list that names it."""
+    fleet.list_to(fleet.start(len(fleet.nodes), "dc0"))
+
+
+def join_with_dead_listed(fleet):
+    kill(fleet)
+    join_unlisted(fleet)
+
+
+def list_dead_again(fleet):
+    kill(fleet)
+    fleet.run(AGREE)
+    for _ in range(10):
+        fleet.list_to(*fleet.nodes.values())
+        fleet.run(30.0)
+
+
+def pause_and_lose_messages(fleet):
+    fleet.loss = 0.1
+    pause(fleet)
+
+
+def pause_one_and_kill_another(fleet):
+    fleet.node(1).paused = True
+    fleet.run(1.0)
+    fleet.node(0).alive = False
+    fleet.run(10.0)
+    fleet.node(1).paused = False
+
+
+FAULTS = (
+    kill,
+    kill_two,
+    pause,
+    pause_briefly,
+    split,
+    leave,
+    leave_while_split,
+    kill_while_split,
+    restart_all,
+    restart_with_earlier_clock,
+    join_unlisted,
+    join_with_dead_listed,
+    list_dead_again,
+    pause_and_lose_messages,
+    pause_one_and_kill_another,
+)
+
+
+def settled(size, **options):
+    fleet = MemberFleet(size=size, **options)
+    fleet.run_until(fleet.agree, AGREE)
+    fleet.run(5.0)
+    return fleet
+
+
+def running(fleet):
+    return [node for node in fleet.nodes.values() if fleet.runs(node)]
+
+
+class FaultTests(TestCase):
+    def check_one_owner(self, fleet):
+        senders = Counter()
+        for node in running(fleet):
+            placement = OwnerPlacement(view=node.membership)
+            routes = placement.routes(services=SERVICES, now=fleet.now)
+            senders.update(r.service.name for r in routes if r.owner is None)
+        self.assertEqual(set(senders.values()), {1})
+        self.assertEqual(len(senders), len(SERVICES))
+
+    def test_views_agree_and_owners_are_unique_after_each_fault(self):
+        cases = [(fault, size) for fault in FAULTS for size in (3, 7, 30)]
+        cases += [(fault, 100) for fault in (kill, split, restart_all)]
+        for fault, size in cases:
+            with self.subTest(fault=fault.__name__, size=size):
+                fleet = settled(size)
+                fault(fleet)
+                self.assertLess(fleet.run_until(fleet.agree, AGREE), AGREE)
+                self.check_one_owner(fleet)
+
+    def test_no_running_instance_is_removed(self):
+        def half_open(sender, target):
+            return (sender.instance.name, target.instance.name) == ("i0000", "i0001")
+
+        def pair(sender, target):
+            return {sender.instance.name, target.instance.name} == {"i0000", "i0001"}
+
+        def none(sender, target):
+            return False
+
+        cases = {
+            "half-open link": (half_open, 0.0, 3),
+            "broken link of one pair": (pair, 0.0, 3),
+            "a tenth of all messages lost": (none, 0.1, 7),
+            "both": (half_open, 0.1, 7),
+            "a large fleet": (pair, 0.1, 30),
+        }
+        for name, (cut, loss, size) in cases.items():
+            with self.subTest(name):
+                fleet = settled(size)
+                fleet.cut, fleet.loss = cut, loss
+                for _ in range(600):
+                    fleet.run(0.2)
+                    self.assertTrue(fleet.agree())
+
+    def test_each_side_of_a_split_goes_on_with_itself(self):
+        for size in (3, 7, 30):
+            with self.subTest(size):
+                fleet = settled(size)
+                fleet.cut = across("dc0")
+                fleet.run(AGREE)
+                for node in running(fleet):
+                    side = node.instance.data_centre == "dc0"
+                    expected = {
+                        peer.instance.name
+                        for peer in running(fleet)
+                        if (peer.instance.data_centre == "dc0") == side
+                    }
+                    self.assertEqual(fleet.knows(node), expected)
+                    self.assertTrue(node.membership.may_own(fleet.now))
+
+    def test_traffic_stays_within_the_budget_whatever_happens(self):
+        for fault in (restart_all, split, kill_two):
+            with self.subTest(fault.__name__):
+                fleet = settled(60)
+                started, before = fleet.now, fleet.sent_bytes
+                fault(fleet)
+                fleet.run(20.0)
+                rate = (fleet.sent_bytes - before) / (fleet.now - started) / 60
+                self.assertLess(rate, CONTROL_BYTES)
+
+    @settings(max_examples=25)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(("kill", "pause", "cut", "restart", "relist", "leave")),
+                st.integers(min_value=0, max_value=4),
+                st.floats(min_value=0.1, max_value=20.0),
+            ),
+            min_size=1,
+            max_size=6,
+        )
+    )
+    def test_any_faults_together_end_in_agreement(self, steps):
+        fleet = settled(5, loss=0.05)
+        for step, number, seconds in steps:
+            node = fleet.node(number)
+            match step:
+                case "kill":
+                    node.alive = False
+                case "pause":
+                    node.paused = True
+                case "cut":
+                    fleet.cut = across(f"dc{number % 3}")
+                case "restart":
+                    node = fleet.start(number, f"dc{number % 3}")
+                    fleet.list_to(node)
+                case "relist":
+                    fleet.list_to(*running(fleet), leaving=())
+                case "leave" if fleet.runs(node):
+                    fleet.leave(node)
+            fleet.run(seconds)
+        heal(fleet)
+        for node in fleet.nodes.values():
+            node.paused = False
+        fleet.run_until(fleet.agree, AGREE)
+        self.assertTrue(fleet.agree())
+
+
+class OwnRightTests(TestCase):
+    def test_owns_nothing_until_heard_after_a_pause(self):
+        fleet = settled(3)
+        node = fleet.node(1)
+        before = node.membership.myself.incarnation
+        node.paused = True
+        fleet.run(30.0)
+        self.assertFalse(node.membership.may_own(fleet.now))
+        fleet.cut = lambda sender, target: (
+            "i0001"
+            in (
+                sender.instance.name,
+                target.instance.name,
+            )
+        )
+        node.paused = False
+        fleet.run(1.0)
+        self.assertGreater(node.membership.myself.incarnation, before)
+        self.assertFalse(node.membership.may_own(fleet.now))
+        self.assertNotIn("i0001", fleet.knows(node))
+        fleet.run(SETTINGS.own_after)
+        self.assertTrue(node.membership.may_own(fleet.now))
+
+    def test_owns_at_the_start_once_sure(self):
+        others_silent = (("alone", 1, 1.0, True), ("peers silent", 2, 1.0, False))
+        waited = SETTINGS.own_after + 1.0
+        for name, size, seconds, expected in (
+            *others_silent,
+            ("peers silent for long", 2, waited, True),
+        ):
+            with self.subTest(name):
+                fleet = MemberFleet(size=size, loss=1.0)
+                fleet.run(seconds)
+                self.assertEqual(fleet.node(0).membership.may_own(fleet.now), expected)
+
+    def test_a_leaving_instance_owns_nothing_but_answers(self):
+        fleet = settled(3)
+        leave(fleet)
+        self.assertFalse(fleet.node(1).membership.may_own(fleet.now))
+        fleet.run(60.0)
+        member = fleet.node(0).membership.members[0]
+        self.assertEqual(member.state, InstanceState.LEAVING)
+
+
+class BeliefTests(TestCase):
+    def setUp(self):
+        self.membership = Membership(
+            myself=self.instance("me", 10), now=0.0, rng=Random(1)
+        )
+
+    def instance(self, name, incarnation, state=InstanceState.LIVE):
+        return Instance(
+            name=name,
+            data_centre="dc0",
+            peer_address=Address(host="127.0.0.1", port=7),
+            incarnation=incarnation,
+            state=state,
+        )
+
+    def hear(self, sender, *updates, state=InstanceState.LIVE, incarnation=5):
+        origin = self.update(sender, state=state, incarnation=incarnation)
+        packet = Packet(sender=origin, message=Leave(updates=updates))
+        return self.membership.received(packet, origin.address, 0.0)
+
+    def update(self, name, *, state=InstanceState.LIVE, incarnation=5, refutation=0):
+        return MemberUpdate(
+            name=name,
+            data_centre="dc0",
+            host="127.0.0.1",
+            port=7,
+            incarnation=incarnation,
+            refutation=refutation,
+            state=state,
+        )
+
+    def peers(self):
+        return {i.name: i.incarnation for i in self.membership.live()}
+
+    def test_denying_a_suspicion_keeps_the_incarnation(self):
+        accusation = self.update("me", state=InstanceState.SUSPECT, incarnation=10)
+        self.hear("a", accusation)
+        ping = Ping(
+            number=1,
+            target="me",
+            catching_up=False,
+            config_revision=0,
+            config_digest=0,
+        )
+        packet = Packet(sender=self.update("a"), message=ping)
+        (answer,) = self.membership.received(packet, Address(host="x", port=1), 0.0)
+        denial = answer.packet.sender
+        self.assertGreater(denial.precedence, accusation.precedence)
+        self.assertEqual(denial.incarnation, 10)
+        self.assertEqual(self.membership.myself.incarnation, 10)
+
+    def test_the_list_marks_leaving_once_per_incarnation(self):
+        leaving = self.instance("a", 0, InstanceState.LEAVING)
+        live = self.instance("a", 0)
+        steps = (
+            ("listed live", lambda: self.membership.listed([live], 0.0), {"a": 0}),
+            ("heard", lambda: self.hear("a"), {"a": 5}),
+            ("listed leaving", lambda: self.membership.listed([leaving], 0.0), {}),
+            ("list goes back", lambda: self.membership.listed([live], 0.0), {}),
+            ("leaving again", lambda: self.membership.listed([leaving], 0.0), {}),
+            ("restarted", lambda: self.hear("a", incarnation=6), {"a": 6}),
+            ("list lags", lambda: self.membership.listed([leaving], 0.0), {"a": 6}),
+            ("unlisted", lambda: self.membership.listed([], 0.0), {"a": 6}),
+        )
+        for name, step, expected in steps:
+            with self.subTest(name):
+                version, before = self.membership.version, self.peers()
+                step()
+                self.assertEqual(self.peers(), expected)
+                if before != expected:
+                    self.assertGreater(self.membership.version, version)
+
+    def test_an_unlisted_instance_that_left_is_forgotten(self):
+        self.hear("a", state=InstanceState.LEAVING)
+        self.assertEqual(len(self.membership.members), 1)
+        later = SETTINGS.forget_after + 1.0
+        self.membership.woke(later, later)
+        self.assertEqual(self.membership.members, ())
+
+    def test_a_namesake_is_not_taken_for_a_peer(self):
+        self.assertEqual(self.hear("me", incarnation=99), [])
+        self.assertEqual(self.membership.members, ())
+
+
+updates = st.builds(
+    MemberUpdate,
+    name=st.just("a"),
+    data_centre=st.sampled_from(["dc0", "dc1"]),
+    host=st.just("127.0.0.1"),
+    port=st.just(1),
+    incarnation=st.integers(min_value=0, max_value=2),
+    refutation=st.integers(min_value=0, max_value=2),
+    state=st.sampled_from(InstanceState),
+)
+
+
+class MergeTests(TestCase):
+    @given(st.lists(updates, min_size=1, max_size=8), st.randoms())
+    def test_the_order_of_updates_does_not_matter(self, heard, rng):
+        shuffled = [*heard, *heard]
+        rng.shuffle(shuffled)
+        precedences = []
+        for order in (heard, shuffled):
+            table = MemberTable()
+            for update in order:
+                table.merge(update, now=0.0)
+            member = table.get("a")
+            self.assertEqual(list(table.in_data_centre(member.data_centre)), [member])
+            precedences.append(member.update.precedence)
+        self.assertEqual(precedences[0], precedences[1])
+        self.assertEqual(precedences[0], max(u.precedence for u in heard))
--- a/tests/test_memberwire.py
+++ b/tests/test_memberwire.py
@@ -37,7 +37,7 @@
 )
 config = {"config_revision": numbers, "config_digest": numbers}
 messages = st.one_of(
-    st.builds(Ping, number=numbers, target=names, joining=st.booleans(), **config),
+    st.builds(Ping, number=numbers, target=names, catching_up=st.booleans(), **config),
     st.builds(PingReq, number=numbers, target=names),
     st.builds(Ack, number=numbers, subject=names, **config),
     st.builds(Leave, updates=st.lists(updates, max_size=2).map(tuple)),
@@ -74,11 +74,11 @@
         ping = Ping(
             number=2**63 - 1,
             target=name,
-            joining=True,
+            catching_up=True,
             config_revision=2**63 - 1,
             config_digest=2**64 - 1,
             updates=tuple(taken),
-            unreachable=(name, name, name),
+            look_at=(name, name, name),
         )
         data = encode(Packet(sender=sender, message=ping), fleet="f" * MAX_NAME)
         self.assertLessEqual(len(data), MAX_DATAGRAM)
