--- a/src/savorypond/bundle.py
+++ b/src/savorypond/bundle.py
@@ -40,7 +40,7 @@
     servers = [server for s in services for server in s.backend_servers]
     problems += _twice("backend server", (server.name for server in servers))
     problems += _twice("address", (str(server.address) for server in servers))
-    return problems + list(_tiling_problems(services))
+    return problems + list(tiling_problems(services))
 
 
 def _twice(what: str, names: Iterable[str]) -> list[str]:
@@ -59,7 +59,8 @@
     number: int
 
 
-def _tiling_problems(services: Iterable[Service]) -> Iterator[str]:
+def tiling_problems(services: Iterable[Service]) -> Iterator[str]:
+    """Yield where the shards of an index's layout do not tile its key space."""
     layouts: dict[_LayoutKey, list[ShardRange]] = {}
     for service in services:
         for layout in service.layouts:
