Drive the limits by overload and choice benchmarks, and simplify them

Cause: the time a request needs was taken as mean plus two mean deviations, and admission reserved a fifth for urgent work; neither had been measured.

The age of the oldest attempt in flight counts as latency; only attempts beyond the free slots count as crowding.

--- /dev/null
+++ b/benchmarks/gateview.py
@@ -0,0 +1,73 @@
+"""Stand-in facts about backend servers for the benchmarks."""
+
+from savorypond.limiter import ServerGate
+from savorypond.model import (
+    Address,
+    BackendServer,
+    Pin,
+    Preference,
+    Priority,
+    ServerLimits,
+    Service,
+    ServiceKind,
+)
+
+CONNECTIONS = 25
+
+
+class GateView:
+    """Healthy backend servers as their gates see them."""
+
+    def __init__(self, *, gates: dict[str, ServerGate]) -> None:
+        self._gates = gates
+
+    def leaving(self, *, server: str) -> bool:
+        return False
+
+    def ejected(self, *, server: str, now: float) -> bool:
+        return False
+
+    def weight(self, *, server: str, now: float) -> float:
+        return 1.0
+
+    def has(self, *, server: str, pin: Pin) -> bool | None:
+        return True
+
+    def overloaded(self, *, server: str, now: float) -> bool:
+        return self._gates[server].overloaded(now=now)
+
+    def expected_wait(self, *, server: str, now: float) -> float:
+        return self._gates[server].expected_wait(now=now)
+
+
+def make_service(name: str, *, replicas: int, slots: int) -> Service:
+    """Return a service whose replicas are in the own data centre."""
+    servers = tuple(
+        BackendServer(
+            name=f"{name}-{replica}",
+            address=Address(host="127.0.0.1", port=1),
+            data_centre="split",
+        )
+        for replica in range(replicas)
+    )
+    return Service(
+        name=name,
+        kind=ServiceKind.SEARCH,
+        index="boats",
+        layouts=(),
+        backend_servers=servers,
+        limits=ServerLimits(slots=slots, connections=CONNECTIONS, connect_time=0.006),
+        priority=Priority.INTERACTIVE,
+        prefer=Preference.LATENCY,
+        time_limit=0.2,
+        least_coverage=0.0,
+    )
+
+
+def make_gates(service: Service) -> dict[str, ServerGate]:
+    """Return one gate for each backend server of ``service``."""
+    limits = service.limits
+    return {
+        server.name: ServerGate(slots=limits.slots, connections=limits.connections)
+        for server in service.backend_servers
+    }
--- a/src/savorypond/admission.py
+++ b/src/savorypond/admission.py
@@ -41,9 +41,9 @@
     initial: int = 64
     least: int = 4
     most: int = 1024
-    reserved: tuple[float, float, float] = (0.2, 0.2, 0.05)
+    reserved: tuple[float, float, float] = (0.3, 0.1, 0.05)
     decrease: float = 0.9
-    increase: float = 1.0
+    increase: float = 2.0
 
 
 ADMITTED = Admitted()
--- a/src/savorypond/balancer.py
+++ b/src/savorypond/balancer.py
@@ -1,6 +1,6 @@
 """Choose the replica that an attempt goes to."""
 
-from collections.abc import Sequence
+from collections.abc import Hashable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from math import exp
@@ -37,48 +37,68 @@
         """Return whether ``server`` holds ``pin``, or None where unknown."""
 
 
-@dataclass(slots=True, kw_only=True)
 class ReplicaStats:
-    """What attempts at one backend server have shown.
+    """What attempts at one backend server have shown."""
 
-    :param latency: mean seconds from dispatch to answer; 0.0 when unknown.
-    :param failure_share: share of recent attempts that failed.
-    """
-
-    latency: float = 0.0
-    failure_share: float = 0.0
-    in_flight: int = 0
-    updated: float = 0.0
+    __slots__ = ("_failure_share", "_latency", "_started", "_updated")
 
-    def started(self) -> None:
+    def __init__(self) -> None:
+        self._latency = 0.0
+        self._failure_share = 0.0
+        self._updated = 0.0
+        self._started: dict[Hashable, float] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts that were started and have not ended."""
+        return len(self._started)
+
+    @property
+    def failure_share(self) -> float:
+        """Share of recent attempts that failed."""
+        return self._failure_share
+
+    def started(self, *, attempt: Hashable, now: float) -> None:
         """Count one attempt that was dispatched."""
-        self.in_flight += 1
-
-    def finished(self, *, now: float, latency: float, ok: bool) -> None:
-        """Count one attempt that ended.
-
-        :param latency: seconds since its dispatch.
-        """
-        self.in_flight = max(0, self.in_flight - 1)
-        self.failure_share += FAILURE_GAIN * ((not ok) - self.failure_share)
-        if ok or latency > self.latency:
+        self._started[attempt] = now
+
+    def finished(self, *, attempt: Hashable, now: float, ok: bool) -> None:
+        """Count one attempt that was answered or failed."""
+        latency = self._end(attempt, now)
+        self._failure_share += FAILURE_GAIN * ((not ok) - self._failure_share)
+        # A quick failure says nothing about how long an answer takes.
+        if ok or latency > self._latency:
             self._learn(now, latency)
 
-    def cancelled(self) -> None:
+    def cancelled(self, *, attempt: Hashable, now: float) -> None:
         """Count one attempt that was ended before its answer."""
-        self.in_flight = max(0, self.in_flight - 1)
+        age = self._end(attempt, now)
+        if age > self._latency:
+            self._learn(now, age)
+
+    def expected_latency(self, *, now: float) -> float:
+        """Return the seconds that an answer is expected to take; 0.0 if unknown.
+
+        That is the mean, faded so that an idle server is tried again, or the age
+        of the oldest attempt in flight where that is more: the sign of a stall.
+        """
+        idle = max(0.0, now - self._updated)
+        latency = self._latency * exp(-idle / LATENCY_MEMORY)
+        if not self._started:
+            return latency
+        oldest = next(iter(self._started.values()))
+        return max(latency, now - oldest)
 
-    def faded_latency(self, *, now: float) -> float:
-        """Return the mean latency, faded so that an idle server is tried again."""
-        idle = max(0.0, now - self.updated)
-        return self.latency * exp(-idle / LATENCY_MEMORY)
+    def _end(self, attempt: Hashable, now: float) -> float:
+        started = self._started.pop(attempt, now)
+        return now - started
 
     def _learn(self, now: float, latency: float) -> None:
-        self.updated = now
-        if self.latency <= 0.0:
-            self.latency = latency
+        self._updated = now
+        if self._latency <= 0.0:
+            self._latency = latency
             return
-        self.latency += LATENCY_GAIN * (latency - self.latency)
+        self._latency += LATENCY_GAIN * (latency - self._latency)
 
 
 class ReplicaBoard:
@@ -166,9 +186,11 @@
         usable = self._without_cold(usable, now)
         if len(usable) < 2:
             return usable[0] if usable else None
-        return self._pick(usable, now)
+        return self._pick(usable, service.limits.slots, now)
 
-    def _pick(self, usable: list[BackendServer], now: float) -> BackendServer:
+    def _pick(
+        self, usable: list[BackendServer], slots: int, now: float
+    ) -> BackendServer:
         raise NotImplementedError
 
     def _without_ejected(
@@ -212,17 +234,20 @@
                 warm.append(server)
         return warm or usable
 
-    def _expected_finish(self, server: BackendServer, now: float) -> float:
+    def _expected_finish(self, server: BackendServer, slots: int, now: float) -> float:
         """Return the seconds until an answer, counting the link and failures."""
         stats = self._board.get(server=server.name)
-        latency = stats.faded_latency(now=now)
         wait = self._view.expected_wait(server=server.name, now=now)
         link = self._links.to(server.data_centre)
+        crowding = max(0, stats.in_flight + 1 - slots) / slots
         answered = max(1.0 - stats.failure_share, FAILURE_GAIN)
-        return link + wait + latency * (1 + stats.in_flight) / answered
+        latency = stats.expected_latency(now=now) * (1.0 + crowding) / answered
+        return link + wait + latency
 
-    def _best(self, usable: Sequence[BackendServer], now: float) -> BackendServer:
-        costs = [self._expected_finish(server, now) for server in usable]
+    def _best(
+        self, usable: Sequence[BackendServer], slots: int, now: float
+    ) -> BackendServer:
+        costs = [self._expected_finish(server, slots, now) for server in usable]
         least = min(costs)
         best = [s for s, cost in zip(usable, costs, strict=True) if cost == least]
         return best[0] if len(best) == 1 else self._rng.choice(best)
@@ -231,21 +256,27 @@
 class LeastExpectedFinish(_Chooser):
     """Take the replica that is expected to answer first."""
 
-    def _pick(self, usable: list[BackendServer], now: float) -> BackendServer:
-        return self._best(usable, now)
+    def _pick(
+        self, usable: list[BackendServer], slots: int, now: float
+    ) -> BackendServer:
+        return self._best(usable, slots, now)
 
 
 class PowerOfTwo(_Chooser):
     """Take the better of two random replicas (Mitzenmacher, 2001)."""
 
-    def _pick(self, usable: list[BackendServer], now: float) -> BackendServer:
-        return self._best(self._rng.sample(usable, 2), now)
+    def _pick(
+        self, usable: list[BackendServer], slots: int, now: float
+    ) -> BackendServer:
+        return self._best(self._rng.sample(usable, 2), slots, now)
 
 
 class RandomChoice(_Chooser):
     """Take any usable replica."""
 
-    def _pick(self, usable: list[BackendServer], now: float) -> BackendServer:
+    def _pick(
+        self, usable: list[BackendServer], slots: int, now: float
+    ) -> BackendServer:
         return self._rng.choice(usable)
 
 
--- a/src/savorypond/limiter.py
+++ b/src/savorypond/limiter.py
@@ -1,7 +1,5 @@
 """Keep one backend server within its slots, its connections and its time."""
 
-from bisect import bisect_left, insort
-from collections.abc import Hashable
 from dataclasses import dataclass
 from enum import StrEnum
 from math import floor
@@ -9,8 +7,7 @@
 from savorypond.model import Priority
 from savorypond.reasons import RefusalReason
 from savorypond.servicetime import ServiceTime
-
-WaiterId = Hashable
+from savorypond.waitqueue import WaiterId, WaitQueue
 
 MIN_HOLD = 0.001  # seconds without a grant after a shed in the smallest window
 MAX_HOLD_DOUBLINGS = 16
@@ -87,19 +84,6 @@
 NO_CHANGE = GateChange()
 DEFAULT_GATE = GateConfig()
 
-_Key = tuple[float, int, WaiterId]
-
-
-class _ClassQueue:
-    """The waiters of one priority class, earliest deadline first."""
-
-    __slots__ = ("keys", "passed_over", "skipped")
-
-    def __init__(self, *, passed_over: int) -> None:
-        self.keys: list[_Key] = []
-        self.passed_over = passed_over
-        self.skipped = 0
-
 
 class ServerGate:
     """Hand out the slots and connections of one backend server.
@@ -112,15 +96,13 @@
     """
 
     __slots__ = (
-        "_class_of",
-        "_classes",
         "_config",
         "_connection_limit",
         "_connections",
         "_decreased_at",
         "_hold_until",
         "_in_flight",
-        "_sequence",
+        "_queue",
         "_sheds_in_row",
         "_slot_limit",
         "_times",
@@ -141,9 +123,7 @@
         self._window = float(self._slot_limit)
         self._in_flight = 0
         self._connections = 0
-        self._classes = [_ClassQueue(passed_over=n) for n in config.passed_over]
-        self._class_of: dict[WaiterId, tuple[Priority, _Key]] = {}
-        self._sequence = 0
+        self._queue = WaitQueue(passed_over=config.passed_over)
         self._times = ServiceTime()
         self._decreased_at = float("-inf")
         self._hold_until = float("-inf")
@@ -157,7 +137,7 @@
     @property
     def waiting(self) -> int:
         """Requests in the queue."""
-        return len(self._class_of)
+        return len(self._queue)
 
     @property
     def connections(self) -> int:
@@ -175,15 +155,14 @@
         return self._times.mean
 
     def expected_wait(self, *, now: float) -> float:
-        """Return the seconds an interactive request would wait for a slot."""
-        if self._has_room(now):
+        """Return the seconds that work would wait behind all that waits."""
+        if not self._queue and self._has_room(now):
             return 0.0
-        ahead = len(self._classes[0].keys) + len(self._classes[1].keys)
-        return self._wait_behind(ahead, now)
+        return self._wait_behind(len(self._queue), now)
 
     def overloaded(self, *, now: float) -> bool:
         """Return whether a request would have to wait for a slot."""
-        return bool(self._class_of) or not self._has_room(now)
+        return bool(self._queue) or not self._has_room(now)
 
     def set_limits(
         self, *, slots: int, connections: int, now: float, share: float = 1.0
@@ -225,11 +204,15 @@
         left = deadline - now
         if left <= 0.0:
             return Refused(reason=RefusalReason.TIME_TOO_SHORT, retry_after=None)
-        if self._has_room(now) and not self._class_of:
+        if not self._queue and self._has_room(now):
             return self._grant_at_once(left)
-        if waiter in self._class_of:
-            raise ValueError(f"waiter {waiter!r} is in the queue already")
-        return self._enqueue(waiter, priority, deadline, now)
+        wait = self._wait_behind(
+            self._queue.turns_before(priority=priority, deadline=deadline), now
+        )
+        if wait + self._times.mean > left or self._is_full(priority):
+            return self._refuse(wait)
+        self._queue.add(name=waiter, priority=priority, deadline=deadline)
+        return Queued(wait=wait)
 
     def release(
         self, *, now: float, service_time: float, outcome: Outcome
@@ -245,8 +228,6 @@
             self._back_off(now, service_time)
         else:
             self._learn(service_time, outcome)
-        if not self._class_of:
-            return NO_CHANGE
         return self.advance(now=now)
 
     def cancel(self, *, waiter: WaiterId) -> bool:
@@ -255,29 +236,19 @@
         Return False where it does not wait: it then holds a slot, which must be
         released, or has ended.
         """
-        found = self._class_of.pop(waiter, None)
-        if found is None:
-            return False
-        priority, key = found
-        queue = self._classes[priority]
-        del queue.keys[bisect_left(queue.keys, key)]
-        if not queue.keys:
-            queue.skipped = 0
-        return True
+        return self._queue.remove(waiter)
 
     def advance(self, *, now: float) -> GateChange:
         """Grant free slots and drop the waiters whose time no longer suffices."""
-        if not self._class_of:
+        if not self._queue:
             return NO_CHANGE
-        expired: list[WaiterId] = []
-        for queue in self._classes:
-            self._expire_heads(queue, now, expired)
+        expired = self._queue.pop_expired(now=now, needed=self._least_time)
         granted: list[WaiterId] = []
-        while self._class_of and self._has_room(now):
-            granted.append(self._grant_next())
-            # The rest may be out of time only now that a request is in flight.
-            for queue in self._classes:
-                self._expire_heads(queue, now, expired)
+        while self._queue and self._has_room(now):
+            granted.append(self._queue.pop())
+            self._in_flight += 1
+            # Now that one is in flight, more time must be left to the others.
+            expired += self._queue.pop_expired(now=now, needed=self._least_time)
         if not granted and not expired:
             return NO_CHANGE
         return GateChange(granted=tuple(granted), expired=tuple(expired))
@@ -287,87 +258,43 @@
 
         It is None while the queue is empty.
         """
-        heads = [queue.keys[0][0] for queue in self._classes if queue.keys]
-        if not heads:
+        earliest = self._queue.earliest_deadline()
+        if earliest is None:
             return None
-        due = min(heads) - (self._times.typical if self._in_flight else 0.0)
+        due = earliest - self._least_time
         if self._in_flight < self.window:
             due = min(due, self._hold_until)
         return due
 
+    @property
+    def _least_time(self) -> float:
+        """Seconds that must be left to a request before it is sent.
+
+        An idle server is always tried: otherwise nothing would ever correct a
+        mean that has come to exceed every time limit.
+        """
+        return self._times.mean if self._in_flight else 0.0
+
     def _has_room(self, now: float) -> bool:
         return self._in_flight < self.window and now >= self._hold_until
 
+    def _is_full(self, priority: Priority) -> bool:
+        return self._queue.class_size(priority) >= self._config.queue_limit
+
     def _grant_at_once(self, left: float) -> Granted | Refused:
-        # An idle server is always tried: otherwise nothing would ever correct a
-        # typical time that has come to exceed every time limit.
-        if self._in_flight and left < self._times.typical:
+        if left < self._least_time:
             return Refused(reason=RefusalReason.TIME_TOO_SHORT, retry_after=None)
         self._in_flight += 1
         return GRANTED
 
-    def _enqueue(
-        self, waiter: WaiterId, priority: Priority, deadline: float, now: float
-    ) -> Queued | Refused:
-        queue = self._classes[priority]
-        self._sequence += 1
-        key = (deadline, self._sequence, waiter)
-        wait = self._wait_behind(self._ahead(queue, priority, key), now)
-        if wait + self._times.typical > deadline - now:
-            return self._refuse(wait)
-        if len(queue.keys) >= self._config.queue_limit:
-            return self._refuse(wait)
-        insort(queue.keys, key)
-        self._class_of[waiter] = (priority, key)
-        return Queued(wait=wait)
-
     def _refuse(self, wait: float) -> Refused:
         retry_after = max(wait, self._times.mean, MIN_HOLD)
         return Refused(reason=RefusalReason.OVERLOADED, retry_after=retry_after)
 
-    def _ahead(self, queue: _ClassQueue, priority: Priority, key: _Key) -> int:
-        """Return how many grants go to others before ``key`` has its turn."""
-        rank = bisect_left(queue.keys, key)
-        higher = sum(len(other.keys) for other in self._classes[:priority])
-        return rank + min(higher, (rank + 1) * queue.passed_over)
-
     def _wait_behind(self, ahead: int, now: float) -> float:
         wait = (ahead + 1) * self._times.mean / self.window
         return max(wait, self._hold_until - now)
 
-    def _grant_next(self) -> WaiterId:
-        queue = self._next_class()
-        _, _, waiter = queue.keys.pop(0)
-        del self._class_of[waiter]
-        for other in self._classes:
-            other.skipped = other.skipped + 1 if other.keys else 0
-        queue.skipped = 0
-        self._in_flight += 1
-        return waiter
-
-    def _next_class(self) -> _ClassQueue:
-        """Return the lowest class that is due its turn, else the highest."""
-        highest = None
-        for queue in reversed(self._classes):
-            if not queue.keys:
-                continue
-            if queue.skipped >= queue.passed_over:
-                return queue
-            highest = queue
-        assert highest is not None
-        return highest
-
-    def _expire_heads(
-        self, queue: _ClassQueue, now: float, expired: list[WaiterId]
-    ) -> None:
-        needed = self._times.typical if self._in_flight else 0.0
-        while queue.keys and queue.keys[0][0] - needed <= now:
-            _, _, waiter = queue.keys.pop(0)
-            del self._class_of[waiter]
-            expired.append(waiter)
-        if not queue.keys:
-            queue.skipped = 0
-
     def _learn(self, service_time: float, outcome: Outcome) -> None:
         self._times.record(service_time)
         if outcome is not Outcome.SUCCESS:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -96,8 +96,8 @@
     def answer(self, server, *, latency, now=0.0):
         for _ in range(30):
             stats = self.board.get(server=server)
-            stats.started()
-            stats.finished(now=now, latency=latency, ok=True)
+            stats.started(attempt=1, now=now - latency)
+            stats.finished(attempt=1, now=now, ok=True)
 
 
 class ChoiceTests(TestCase):
@@ -160,12 +160,25 @@
                 fixture.answer("near", latency=0.01)
                 fixture.answer("far", latency=0.01)
                 near = fixture.board.get(server="near")
-                for _ in range(9):
-                    near.started()
+                for attempt in range(9):
+                    near.started(attempt=attempt, now=0.0)
                     if name == "failures":
-                        near.finished(now=0.0, latency=0.01, ok=False)
+                        near.finished(attempt=attempt, now=0.0, ok=False)
                 self.assertEqual(fixture.choose(), "far")
 
+    def test_an_attempt_without_an_answer_counts_by_its_age(self):
+        for name in ("in flight", "cancelled"):
+            with self.subTest(name):
+                fixture = Fixture(rule=ChoiceRule.LEAST_EXPECTED_FINISH)
+                fixture.answer("near", latency=0.01)
+                fixture.answer("far", latency=0.01)
+                self.assertEqual(fixture.choose(now=0.0), "near")
+                near = fixture.board.get(server="near")
+                near.started(attempt="stalled", now=0.0)
+                if name == "cancelled":
+                    near.cancelled(attempt="stalled", now=0.5)
+                self.assertEqual(fixture.choose(now=0.5), "far")
+
     def test_a_slow_replica_is_tried_again_once_its_mean_has_faded(self):
         fixture = Fixture(rule=ChoiceRule.LEAST_EXPECTED_FINISH)
         fixture.answer("near", latency=0.5)
