--- a/benchmarks/bench_calls.py
+++ b/benchmarks/bench_calls.py
@@ -17,7 +17,6 @@
     Scheme,
 )
 from benchmarks.calls_pruning import print_pruning
-
 from savorypond.ledger import TicketLedger
 
 SEED = 8409
--- a/benchmarks/bench_tail.py
+++ b/benchmarks/bench_tail.py
@@ -8,10 +8,10 @@
 from random import Random
 from time import perf_counter
 
-from benchmarks.tail_view import AllUsable, KnownServers, NoBudget, NoHedging
-from benchmarks.tail_world import Cancel, Faults, Figures, TailWorld, record
 from defopt import run
 
+from benchmarks.tail_view import AllUsable, KnownServers, NoBudget, NoHedging
+from benchmarks.tail_world import Cancel, Faults, Figures, TailWorld, record
 from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
 from savorypond.model import Preference
 from savorypond.protocols import ExtraWorkBudget, HedgePolicy, ReplicaChooser
--- a/benchmarks/tail_world.py
+++ b/benchmarks/tail_world.py
@@ -7,9 +7,9 @@
 from heapq import heappop, heappush
 from random import Random
 
-from benchmarks.tail_view import KnownServers
 from hdrh.histogram import HdrHistogram
 
+from benchmarks.tail_view import KnownServers
 from savorypond.attempts import (
     Action,
     Attempt,
--- a/src/savorypond/callapi.py
+++ b/src/savorypond/callapi.py
@@ -1,12 +1,12 @@
 """The HTTP interface for tickets and for non-idempotent calls."""
 
-from typing import Any, Protocol
+from typing import Any
 
 from msgspec import Raw
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from savorypond.clock import Clock
-from savorypond.controllers.calls import Calls
+from savorypond.controllers.calls import Calls, refused
 from savorypond.exceptions import RequestRefused, TicketError
 from savorypond.httptypes import HttpRequest, HttpResponse, json_response
 from savorypond.linkwire import ForwardCall, ForwardRefusal, ForwardResult
@@ -15,8 +15,14 @@
 from savorypond.model import Instance, Service, ServiceKind
 from savorypond.peerlink import LinkLost, PeerLinks
 from savorypond.protocols import ConfigView
-from savorypond.reasons import Execution, RefusalReason
-from savorypond.tickets import Ticket, decode_ticket
+from savorypond.reasons import RefusalReason
+from savorypond.ticketroute import (
+    Forward,
+    InstanceLookup,
+    route_ticket,
+    unreachable_issuer,
+)
+from savorypond.tickets import Refuse, Ticket, decode_ticket
 from savorypond.validation import body_refusal
 
 TICKETS_PATH = "/v1/tickets"
@@ -49,13 +55,6 @@
     time_limit_ms: float | None = Field(default=None, ge=0.0, le=LONGEST_TIME_LIMIT)
 
 
-class PeerFinder(Protocol):
-    """Finds instances by name."""
-
-    def find(self, name: str) -> Instance | None:
-        """Return the instance called ``name``, or None where it is not known."""
-
-
 class CallApi:
     """Issues tickets, and runs calls here or where their ticket was issued."""
 
@@ -65,7 +64,8 @@
         instance: str,
         calls: Calls,
         config: ConfigView,
-        peers: PeerFinder,
+        fleet: str,
+        peers: InstanceLookup,
         links: PeerLinks,
         clock: Clock,
         metrics: Metrics,
@@ -73,6 +73,7 @@
         self._instance = instance
         self._calls = calls
         self._config = config
+        self._fleet = fleet
         self._peers = peers
         self._links = links
         self._clock = clock
@@ -121,14 +122,16 @@
 
     async def _run(self, body: CallBody, service: Service, deadline: float) -> bytes:
         ticket = _read_ticket(body.ticket)
-        if ticket.instance == self._instance:
-            return await self._calls.run(
-                ticket, service=service, payload=body.payload, deadline=deadline
-            )
-        issuer = self._peers.find(ticket.instance)
-        if issuer is None:
-            raise _issuer_gone(ticket, "is not known here")
-        return await self._forward(issuer, ticket, body, service, deadline)
+        route = route_ticket(
+            ticket=ticket, fleet=self._fleet, myself=self._instance, peers=self._peers
+        )
+        if isinstance(route, Refuse):
+            raise refused(route)
+        if isinstance(route, Forward):
+            return await self._forward(route.instance, ticket, body, service, deadline)
+        return await self._calls.run(
+            ticket, service=service, payload=body.payload, deadline=deadline
+        )
 
     async def _forward(
         self,
@@ -149,7 +152,7 @@
         try:
             reply = await self._links.ask(issuer.peer_address, message, seconds=left)
         except LinkLost as error:
-            raise _issuer_gone(ticket, str(error)) from error
+            raise refused(unreachable_issuer(ticket)) from error
         if isinstance(reply, ForwardResult):
             return reply.result
         if isinstance(reply, ForwardRefusal):
@@ -159,7 +162,7 @@
                 execution=reply.execution,
                 retry_after=reply.retry_after,
             )
-        raise _issuer_gone(ticket, f"answered with {type(reply).__name__}")
+        raise refused(unreachable_issuer(ticket))
 
     def _service(self, name: str) -> Service:
         bundle = self._config.bundle
@@ -195,14 +198,3 @@
         raise RequestRefused(
             reason=RefusalReason.TICKET_UNKNOWN, detail=str(error)
         ) from error
-
-
-def _issuer_gone(ticket: Ticket, why: str) -> RequestRefused:
-    # The call may have run there before: whoever asks again must not take this
-    # for "not run".
-    return RequestRefused(
-        reason=RefusalReason.INSTANCE_GONE,
-        detail=f"instance {ticket.instance!r}, which issued the ticket, {why}",
-        execution=Execution.UNKNOWN,
-        retry_after=1.0,
-    )
--- a/src/savorypond/callconnection.py
+++ b/src/savorypond/callconnection.py
@@ -120,19 +120,18 @@
         assert self._lease is not None
         self._started = self._clock.now()
         stats = self._servers.stats(self._server)
-        stats.started()
+        stats.started(attempt=self, now=self._started)
         try:
             response = await self._lease.request(
                 self._to_http(time_left), seconds=time_left
             )
         except BackendServerError:
-            seconds = self._clock.now() - self._started
-            stats.finished(now=self._clock.now(), latency=seconds, ok=False)
+            stats.finished(attempt=self, now=self._clock.now(), ok=False)
             self._servers.record_failure(server=self._server)
             return Tick() if self._left() <= 0.0 else ConnectionLost()
         seconds = self._clock.now() - self._started
         ok = response.status == 200
-        stats.finished(now=self._clock.now(), latency=seconds, ok=ok)
+        stats.finished(attempt=self, now=self._clock.now(), ok=ok)
         return self._read(response, seconds)
 
     async def hand_back(self, how: Release) -> None:
--- /dev/null
+++ b/src/savorypond/controllers/active.py
@@ -0,0 +1,135 @@
+"""The services whose backend servers this instance works with itself.
+
+With thousands of services in force an instance keeps gates, connections and
+health only for those it owns or has lately sent work of.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any, Self
+
+from curio import Event, ignore_after, sleep, spawn
+
+from savorypond.clock import Clock
+from savorypond.controllers.backend_servers import BackendServers
+from savorypond.controllers.pools import ConnectionPools
+from savorypond.model import Service
+from savorypond.placement import SlotSharing
+from savorypond.protocols import ConfigView, MembershipView
+
+IDLE_LIMIT = 60.0  # seconds after which a service that is not owned is dropped
+_LOOK_INTERVAL = 0.1  # seconds
+_SWEEP_BATCH = 200  # services looked at in a row
+
+
+@dataclass(slots=True, kw_only=True)
+class _Active:
+    service: Service
+    used_at: float
+
+
+class ActiveServices:
+    """Activates services on use and by ownership, and drops idle ones."""
+
+    def __init__(
+        self,
+        *,
+        config: ConfigView,
+        view: MembershipView,
+        placement: SlotSharing,
+        servers: BackendServers,
+        pools: ConnectionPools,
+        clock: Clock,
+    ) -> None:
+        self._config = config
+        self._view = view
+        self._placement = placement
+        self._servers = servers
+        self._pools = pools
+        self._clock = clock
+        self._active: dict[str, _Active] = {}
+        self._version = -1
+        self._revision = 0
+        self._woken = Event()
+        self._task: Any = None
+
+    async def __aenter__(self) -> Self:
+        self._task = await spawn(self._follow)
+        return self
+
+    async def __aexit__(self, *reason: object) -> None:
+        await self._task.cancel()
+
+    def owns(self, service: Service) -> bool:
+        """Return whether this instance sends the work of ``service`` itself."""
+        now = self._clock.now()
+        return self._placement.routes(services=[service], now=now)[0].owner is None
+
+    async def ensure(self, services: Iterable[Service]) -> None:
+        """Have gates and connections for ``services``, as they are in force."""
+        now = self._clock.now()
+        for service in services:
+            active = self._active.get(service.name)
+            if active is not None and active.service == service:
+                active.used_at = now
+            else:
+                await self._put(service)
+
+    async def config_changed(self) -> None:
+        """Look at every service anew."""
+        await self._woken.set()
+
+    async def _put(self, service: Service) -> None:
+        active = self._active.get(service.name)
+        previous = active.service if active is not None else None
+        self._active[service.name] = _Active(service=service, used_at=self._clock.now())
+        self._servers.put(service, previous=previous)
+        await self._pools.put(service)
+        await self._apply_share(service)
+
+    async def _drop(self, name: str) -> None:
+        service = self._active.pop(name).service
+        self._servers.remove(service)
+        await self._pools.remove(service)
+
+    async def _apply_share(self, service: Service) -> None:
+        for server in service.backend_servers:
+            share = self._placement.share(service=service, server=server)
+            self._servers.set_share(server=server.name, share=share)
+            await self._pools.resize(service=service, server=server)
+
+    async def _follow(self) -> None:
+        while True:
+            self._woken.clear()
+            bundle = self._config.bundle
+            if bundle is not None:
+                version = self._view.version
+                if version != self._version or bundle.revision != self._revision:
+                    self._version = version
+                    self._revision = bundle.revision
+                    await self._sweep()
+                await self._drop_idle()
+            await ignore_after(_LOOK_INTERVAL, self._woken.wait)
+
+    async def _sweep(self) -> None:
+        """Activate what this instance owns, and follow changes of the rest."""
+        bundle = self._config.bundle
+        if bundle is None:
+            return
+        for name in list(self._active):
+            if name not in bundle.services:
+                await self._drop(name)
+        for number, name in enumerate(list(bundle.services), start=1):
+            service = bundle.services.get(name)
+            if service is not None and (name in self._active or self.owns(service)):
+                await self.ensure([service])
+                await self._apply_share(service)
+            if number % _SWEEP_BATCH == 0:
+                await sleep(0)
+
+    async def _drop_idle(self) -> None:
+        limit = self._clock.now() - IDLE_LIMIT
+        idle = [a for a in self._active.values() if a.used_at < limit]
+        for active in idle:
+            if not self.owns(active.service):
+                await self._drop(active.service.name)
--- a/src/savorypond/controllers/backend_servers.py
+++ b/src/savorypond/controllers/backend_servers.py
@@ -1,6 +1,6 @@
 """What this instance knows about backend servers, and the work it has there."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -18,7 +18,6 @@
 from savorypond.limiter import ServerGate
 from savorypond.model import (
     BackendServer,
-    Bundle,
     Counters,
     Holding,
     Pin,
@@ -92,20 +91,25 @@
         """The backend servers in force by name."""
         return self._known
 
-    def apply(self, bundle: Bundle) -> None:
-        """Take over the backend servers of ``bundle``."""
-        wanted = {
-            server.name: (server, service)
-            for service in bundle.services.values()
-            for server in service.backend_servers
-        }
-        for name in list(self._known):
-            if name not in wanted:
-                self._remove(name)
-        for server, service in wanted.values():
+    def put(self, service: Service, *, previous: Service | None) -> None:
+        """Take over the backend servers of ``service`` as they are in force.
+
+        :param previous: the service as it was before, or None.
+        """
+        wanted = {server.name for server in service.backend_servers}
+        for server in previous.backend_servers if previous is not None else ():
+            if server.name not in wanted:
+                self._remove(server.name)
+        for server in service.backend_servers:
             self._put(server, service)
-        for service in bundle.services.values():
-            self._update_usable(service)
+        self._update_usable(service)
+        self._usable_version += 1
+
+    def remove(self, service: Service) -> None:
+        """Drop the backend servers of ``service``."""
+        for server in service.backend_servers:
+            if server.name in self._known:
+                self._remove(server.name)
         self._usable_version += 1
 
     def set_share(self, *, server: str, share: float) -> None:
@@ -192,6 +196,12 @@
             usable_version=self._usable_version,
         )
 
+    def complete_pins(self, services: Sequence[Service]) -> tuple[Pin, ...]:
+        """Return the snapshots that all of ``services`` can be answered from."""
+        return self._snapshots.complete_pins(
+            services=services, now=self._clock.now(), usable=self._is_usable
+        )
+
     def leaving(self, *, server: str) -> bool:
         """Return whether ``server`` must get no new work."""
         return server in self._leaving
@@ -224,7 +234,7 @@
         )
 
     def _is_usable(self, server: str) -> bool:
-        return server in self._known and server not in self._leaving
+        return server not in self._leaving
 
     def _put(self, server: BackendServer, service: Service) -> None:
         known = self._known.get(server.name)
--- a/src/savorypond/controllers/calls.py
+++ b/src/savorypond/controllers/calls.py
@@ -16,11 +16,13 @@
     Probe,
     Write,
 )
+from savorypond.claims import InProgress, Replay, Run
 from savorypond.clock import Clock
+from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.exceptions import RequestRefused
 from savorypond.issuer import TicketIssuer, new_incarnation
-from savorypond.ledger import InProgress, Replay, Run, TicketLedger
+from savorypond.ledger import TicketLedger
 from savorypond.model import Counters, Service
 from savorypond.pause import Paused, PauseDetector
 from savorypond.reasons import Execution, RefusalReason
@@ -63,6 +65,7 @@
         *,
         instance: str,
         fleet: str,
+        active: ActiveServices,
         servers: BackendServers,
         leaving: LeavingServers,
         connections: ConnectionSource,
@@ -71,6 +74,7 @@
         rng: Random,
         counters: Counters,
     ) -> None:
+        self._active = active
         self._servers = servers
         self._leaving = leaving
         self._connections = connections
@@ -136,13 +140,14 @@
         if isinstance(claim, InProgress):
             raise _in_progress()
         if isinstance(claim, Refuse):
-            raise _refused(claim)
+            raise refused(claim)
         assert isinstance(claim, Run)
         return await self._run(ticket, service, payload, deadline)
 
     async def _run(
         self, ticket: Ticket, service: Service, payload: object, deadline: float
     ) -> bytes:
+        await self._active.ensure([service])
         run = CallRun(
             ticket=ticket,
             deadline=deadline,
@@ -165,7 +170,7 @@
         if isinstance(outcome, Answered):
             self._counters.add("tickets", "ran")
             return outcome.result
-        raise _refused(outcome)
+        raise refused(outcome)
 
     async def _drive(
         self, run: CallRun, connection: CallConnection
@@ -192,7 +197,8 @@
         return None
 
 
-def _refused(refusal: Refuse) -> RequestRefused:
+def refused(refusal: Refuse) -> RequestRefused:
+    """Return ``refusal`` as the error that ends a request."""
     return RequestRefused(
         reason=refusal.reason,
         detail=refusal.detail,
--- a/src/savorypond/controllers/health.py
+++ b/src/savorypond/controllers/health.py
@@ -1,5 +1,6 @@
 """Asks backend servers for their health, and believes it only so far."""
 
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import Any, Self
@@ -14,9 +15,10 @@
 from savorypond.exceptions import BackendServerError
 from savorypond.httptypes import HttpRequest
 from savorypond.leaving import ServerDrain
-from savorypond.model import Counters, Holding, ServiceKind
+from savorypond.model import Counters, Holding, Service, ServiceKind
 
 HEALTH_PATH = "/v1/health"
+NOT_OWNED_FACTOR = 5.0  # intervals between questions where another one owns
 _ANSWER_TIME = 0.25  # seconds
 _AT_ONCE = 32  # health requests in flight
 _REQUEST = HttpRequest(method="GET", path=HEALTH_PATH)
@@ -66,6 +68,7 @@
         rng: Random,
         counters: Counters,
         interval: HealthInterval,
+        owns: Callable[[Service], bool],
     ) -> None:
         self._servers = servers
         self._pools = pools
@@ -74,6 +77,7 @@
         self._rng = rng
         self._counters = counters
         self._interval = interval
+        self._owns = owns
         self._due: dict[str, float] = {}
         self._cold: set[str] = set()
         self._task: Any = None
@@ -85,10 +89,18 @@
     async def __aexit__(self, *reason: object) -> None:
         await self._task.cancel()
 
+    async def ask_now(self, services: Sequence[Service]) -> None:
+        """Ask every backend server of ``services`` and wait for the answers."""
+        names = [s.name for service in services for s in service.backend_servers]
+        for batch in _batches(names):
+            async with TaskGroup(wait=all) as group:
+                for name in batch:
+                    await group.spawn(self._ask, name)
+
     async def _poll(self) -> None:
         while True:
             for batch in _batches(self._take_due()):
-                async with TaskGroup() as group:
+                async with TaskGroup(wait=all) as group:
                     for name in batch:
                         await group.spawn(self._ask, name)
             await sleep(self._interval.seconds / 20.0)
@@ -101,7 +113,10 @@
         due = [name for name in known if self._due.get(name, 0.0) <= now]
         for name in due:
             spread = self._interval.jitter * (2.0 * self._rng.random() - 1.0)
-            self._due[name] = now + self._interval.seconds * (1.0 + spread)
+            seconds = self._interval.seconds
+            if not self._owns(known[name].service):
+                seconds *= NOT_OWNED_FACTOR
+            self._due[name] = now + seconds * (1.0 + spread)
         return due
 
     async def _ask(self, name: str) -> None:
--- a/src/savorypond/controllers/owners.py
+++ b/src/savorypond/controllers/owners.py
@@ -4,11 +4,11 @@
 
 from savorypond.budget import BudgetConfig, RetryBudget
 from savorypond.clock import Clock
-from savorypond.controllers.backend_servers import BackendServers
+from savorypond.controllers.holdings import Holdings
 from savorypond.forwarding import owner_key
 from savorypond.latency import LatencyTracker, PercentileHedge
 from savorypond.metrics import Metrics
-from savorypond.model import Holding, Instance, Pin, Service
+from savorypond.model import Instance, Pin, Service
 
 _HEDGE_SHARE = 0.05  # extra requests for each first one
 _HEDGE_FLOOR = 2.0  # extra requests a second where the share yields fewer
@@ -18,10 +18,8 @@
 class Owners:
     """Latencies of owners, the budget for hedging them, and what they report."""
 
-    def __init__(
-        self, *, servers: BackendServers, clock: Clock, metrics: Metrics
-    ) -> None:
-        self._servers = servers
+    def __init__(self, *, holdings: Holdings, clock: Clock, metrics: Metrics) -> None:
+        self._holdings = holdings
         self._clock = clock
         self._metrics = metrics
         self._latencies = LatencyTracker()
@@ -54,16 +52,5 @@
         self._metrics.counters.add("owners_lost", owner.data_centre)
 
     def owner_holds(self, *, services: Sequence[Service], pins: Sequence[Pin]) -> None:
-        """Note which snapshots the backend servers of ``services`` hold."""
-        for service in services:
-            held = [_holding(service, pin) for pin in pins]
-            for server in service.backend_servers:
-                self._servers.record_report(
-                    service=service, server=server.name, held=held
-                )
-
-
-def _holding(service: Service, pin: Pin) -> Holding:
-    layout = service.layout(pin.layout)
-    shards = frozenset(s.shard for s in layout.shards) if layout else frozenset()
-    return Holding(snapshot=pin.snapshot, layout=pin.layout, shards=shards)
+        """Note which snapshots ``services`` can be answered from."""
+        self._holdings.heard(services, pins)
--- a/src/savorypond/controllers/pools.py
+++ b/src/savorypond/controllers/pools.py
@@ -7,7 +7,7 @@
 
 from savorypond.clock import Clock
 from savorypond.controllers.connections import ServerConnections
-from savorypond.model import BackendServer, Bundle, Counters, Service
+from savorypond.model import BackendServer, Counters, Service
 from savorypond.pool import PoolLimits
 
 _REAP_INTERVAL = 5.0  # seconds
@@ -50,20 +50,17 @@
         for pool in self._pools.values():
             await pool.close()
 
-    async def apply(self, bundle: Bundle) -> None:
-        """Take over the backend servers of ``bundle``."""
-        wanted = {
-            server.name: server
-            for service in bundle.services.values()
-            for server in service.backend_servers
-        }
-        for name in list(self._pools):
-            if wanted.get(name) != self._servers[name]:
-                del self._servers[name]
-                await self._pools.pop(name).close()
-        for service in bundle.services.values():
-            for server in service.backend_servers:
-                await self._put(service, server)
+    async def put(self, service: Service) -> None:
+        """Take over the backend servers of ``service`` as they are in force."""
+        for server in service.backend_servers:
+            if self._servers.get(server.name, server) != server:
+                await self._close(server.name)
+            await self._put(service, server)
+
+    async def remove(self, service: Service) -> None:
+        """Close the connections to the backend servers of ``service``."""
+        for server in service.backend_servers:
+            await self._close(server.name)
 
     async def resize(self, *, service: Service, server: BackendServer) -> None:
         """Put the present share of connections to ``server`` into force."""
@@ -81,6 +78,12 @@
         for pool in self._pools.values():
             pool.distrust()
 
+    async def _close(self, name: str) -> None:
+        pool = self._pools.pop(name, None)
+        self._servers.pop(name, None)
+        if pool is not None:
+            await pool.close()
+
     async def _put(self, service: Service, server: BackendServer) -> None:
         if server.name in self._pools:
             await self.resize(service=service, server=server)
--- a/src/savorypond/filters/fanout.py
+++ b/src/savorypond/filters/fanout.py
@@ -26,7 +26,7 @@
         assert exchange.pin is not None
         started = self._clock.now()
         first = await self._run(exchange, exchange.pin)
-        pin = self._second_pin(exchange, first, started)
+        pin = await self._second_pin(exchange, first, started)
         if pin is None:
             return first
         self._counters.add("repins", RepinReason.RESTARTED)
@@ -42,7 +42,7 @@
         )
         return await run.run()
 
-    def _second_pin(
+    async def _second_pin(
         self, exchange: Exchange, first: Answer, started: float
     ) -> Pin | None:
         reasons = {missing.reason for missing in first.coverage.missing}
@@ -52,7 +52,7 @@
         if exchange.query.deadline - now < max(now - started, LEAST_SECOND_RUN):
             self._counters.add("repins", RepinReason.NO_TIME)
             return None
-        choice = self._pins.pin(exchange.services)
+        choice = await self._pins.pin(exchange.services)
         if choice is None or choice.pin == exchange.pin:
             self._counters.add("repins", RepinReason.NO_BETTER_PIN)
             return None
--- a/src/savorypond/filters/snapshot.py
+++ b/src/savorypond/filters/snapshot.py
@@ -12,7 +12,7 @@
 class PinSource(Protocol):
     """Chooses snapshots."""
 
-    def pin(self, services: tuple[Service, ...]) -> PinChoice | None:
+    async def pin(self, services: tuple[Service, ...]) -> PinChoice | None:
         """Return the snapshot to answer a query to ``services`` from, or None."""
 
 
@@ -24,7 +24,7 @@
 
     async def __call__(self, exchange: Exchange, proceed: Step) -> Answer:
         """Return the answer of ``proceed``; raise RequestRefused."""
-        choice = self._pins.pin(exchange.services)
+        choice = await self._pins.pin(exchange.services)
         if choice is None:
             raise RequestRefused(
                 reason=RefusalReason.NO_SNAPSHOT,
--- a/src/savorypond/linkwire.py
+++ b/src/savorypond/linkwire.py
@@ -51,7 +51,7 @@
 
 
 class WireHeld(Struct, frozen=True, array_like=True):
-    """A snapshot of which every service asked has a usable holder."""
+    """A snapshot whose shards all have a usable holder."""
 
     snapshot: int
     layout: int
@@ -60,8 +60,7 @@
 class ForwardAnswer(Struct, tag="answer", frozen=True, kw_only=True):
     """An owner's merged partial answers, all of the pinned snapshot.
 
-    :param held: the newest snapshots that the services asked can be answered
-        from, whatever the pinned one is.
+    :param held: the snapshots that all the services asked can be answered from.
     """
 
     request_id: str
@@ -72,6 +71,25 @@
     held: tuple[WireHeld, ...] = ()
 
 
+class HoldingsAsk(Struct, tag="holdings", frozen=True, kw_only=True):
+    """Asks an owner which snapshots its services can be answered from."""
+
+    services: tuple[str, ...]
+
+
+class ServiceHeld(Struct, frozen=True, array_like=True):
+    """The snapshots that one service can be answered from, newest first."""
+
+    service: str
+    held: tuple[WireHeld, ...]
+
+
+class HoldingsAnswer(Struct, tag="held", frozen=True, kw_only=True):
+    """An owner's answer to HoldingsAsk."""
+
+    services: tuple[ServiceHeld, ...]
+
+
 class ForwardCall(Struct, tag="call", frozen=True, kw_only=True):
     """Hands a non-idempotent call to the instance that its ticket names."""
 
@@ -109,6 +127,8 @@
 LinkMessage = (
     ForwardQuery
     | ForwardAnswer
+    | HoldingsAsk
+    | HoldingsAnswer
     | ForwardCall
     | ForwardResult
     | ForwardRefusal
--- a/src/savorypond/peerapi.py
+++ b/src/savorypond/peerapi.py
@@ -5,14 +5,15 @@
 from savorypond.callapi import CallApi
 from savorypond.clock import Clock
 from savorypond.controllers.backend_servers import BackendServers
+from savorypond.controllers.holdings import Holdings, wire_held
 from savorypond.exceptions import RequestRefused
 from savorypond.forwardrun import renamed
 from savorypond.linkwire import (
     ForwardAnswer,
     ForwardCall,
     ForwardQuery,
+    HoldingsAsk,
     LinkMessage,
-    WireHeld,
     WireMissing,
     WirePartial,
 )
@@ -31,6 +32,7 @@
         instance: str,
         calls: CallApi,
         config: ConfigView,
+        holdings: Holdings,
         servers: BackendServers,
         tools: QueryTools,
         clock: Clock,
@@ -38,6 +40,7 @@
         self._instance = instance
         self._calls = calls
         self._config = config
+        self._holdings = holdings
         self._servers = servers
         self._tools = tools
         self._clock = clock
@@ -46,6 +49,8 @@
         """Return the reply to ``message``; raise RequestRefused."""
         if isinstance(message, ForwardQuery):
             return await self._query(message)
+        if isinstance(message, HoldingsAsk):
+            return await self._holdings.answer(self._services(message.services))
         if isinstance(message, ForwardCall):
             return await self._calls.run_forwarded(message)
         raise RequestRefused(
@@ -54,7 +59,7 @@
         )
 
     async def _query(self, message: ForwardQuery) -> ForwardAnswer:
-        services = self._services(message)
+        services = self._services(message.services)
         pin = Pin(snapshot=message.snapshot, layout=message.layout)
         run = QueryRun(
             tools=self._tools,
@@ -65,16 +70,16 @@
         answer = replace(await run.run(), request_id=message.request_id)
         return self._to_reply(answer, services)
 
-    def _services(self, message: ForwardQuery) -> list[Service]:
+    def _services(self, names: tuple[str, ...]) -> list[Service]:
         bundle = self._config.bundle
         known = bundle.services if bundle is not None else {}
-        unknown = [name for name in message.services if name not in known]
+        unknown = [name for name in names if name not in known]
         if unknown:
             raise RequestRefused(
                 reason=RefusalReason.UNKNOWN_SERVICE,
                 detail=f"{', '.join(unknown)} not in force at {self._instance}",
             )
-        return [known[name] for name in message.services]
+        return [known[name] for name in names]
 
     def _to_query(self, message: ForwardQuery) -> Query:
         query = Query(
@@ -102,11 +107,5 @@
             missing=tuple(
                 WireMissing(m.shard, m.reason) for m in answer.coverage.missing
             ),
-            held=self._held(services),
+            held=wire_held(self._servers, services),
         )
-
-    def _held(self, services: list[Service]) -> tuple[WireHeld, ...]:
-        choice = self._servers.pin(tuple(services))
-        if choice is None or not choice.complete:
-            return ()
-        return (WireHeld(choice.pin.snapshot, choice.pin.layout),)
--- a/src/savorypond/platformclient.py
+++ b/src/savorypond/platformclient.py
@@ -6,6 +6,7 @@
 from msgspec import DecodeError, Raw, Struct
 from msgspec.json import Decoder
 
+from savorypond.controllers.config import ConfigValue
 from savorypond.exceptions import BackendServerError, SavorypondError
 from savorypond.httpclient import HttpConnection
 from savorypond.httptypes import HttpRequest, HttpResponse
@@ -24,7 +25,7 @@
         self.problem = problem
 
 
-class StoredValue(Struct, frozen=True, kw_only=True):
+class _StoredValue(Struct, frozen=True, kw_only=True):
     """One value of the configuration service.
 
     :param value: the value as encoded JSON.
@@ -41,9 +42,9 @@
     def __init__(self, *, address: Address, source_host: str) -> None:
         self._address = address
         self._source_host = source_host
-        self._decoder = Decoder(StoredValue)
+        self._decoder = Decoder(_StoredValue)
 
-    async def get(self, key: str) -> StoredValue | None:
+    async def get(self, key: str) -> ConfigValue | None:
         """Return the value of ``key``, or None where there is none.
 
         Raises PlatformError.
@@ -53,15 +54,15 @@
             return None
         return self._decode(response)
 
-    async def watch(
-        self, key: str, *, after: int, seconds: float
-    ) -> StoredValue | None:
-        """Return the value once its revision exceeds ``after``, or None.
+    async def watch(self, key: str, *, after: int, wait: float) -> ConfigValue | None:
+        """Return the value once its revision exceeds ``after``.
+
+        :param wait: seconds after which None is returned instead.
 
         Raises PlatformError.
         """
-        path = f"/v1/values/{quote(key)}?after={after}&wait={seconds}"
-        response = await self._request(path, seconds + _WATCH_GRACE)
+        path = f"/v1/values/{quote(key)}?after={after}&wait={wait}"
+        response = await self._request(path, wait + _WATCH_GRACE)
         return None if response.status == 204 else self._decode(response)
 
     async def _request(self, path: str, seconds: float) -> HttpResponse:
@@ -69,17 +70,18 @@
             self._address, self._source_host, path, seconds, "configuration service"
         )
 
-    def _decode(self, response: HttpResponse) -> StoredValue:
+    def _decode(self, response: HttpResponse) -> ConfigValue:
         if response.status != 200:
             raise PlatformError(
                 service="configuration service", problem=f"status {response.status}"
             )
         try:
-            return self._decoder.decode(response.body)
+            stored = self._decoder.decode(response.body)
         except DecodeError as error:
             raise PlatformError(
                 service="configuration service", problem=str(error)
             ) from error
+        return ConfigValue(revision=stored.revision, data=bytes(stored.value))
 
 
 async def _get(
--- a/src/savorypond/queryrun.py
+++ b/src/savorypond/queryrun.py
@@ -17,6 +17,7 @@
     SendAttempt,
 )
 from savorypond.clock import Clock
+from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.fanout import Fanout
 from savorypond.fanoutpolicies import FanoutPolicies
@@ -31,6 +32,7 @@
 class QueryTools:
     """What every query run needs, built once."""
 
+    active: ActiveServices
     servers: BackendServers
     caller: ShardCaller
     clock: Clock
@@ -45,6 +47,7 @@
     ) -> None:
         self._tools = tools
         self._query = query
+        self._services = services
         self._events: deque[_Event] = deque()
         self._arrived = Event()
         self._answer: Answer | None = None
@@ -59,6 +62,7 @@
 
     async def run(self) -> Answer:
         """Return the answer; it comes by the query's deadline."""
+        await self._tools.active.ensure(self._services)
         try:
             return await self._drive()
         except CancelledError:
--- a/src/savorypond/shardcalls.py
+++ b/src/savorypond/shardcalls.py
@@ -48,7 +48,7 @@
         """Return the connections to ``server``, or None where it is not in force."""
 
 
-@dataclass(slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True, eq=False)
 class RunningCall:
     """One attempt on its way.
 
@@ -165,25 +165,24 @@
     ) -> None:
         attempt = call.attempt
         stats = self._servers.stats(attempt.server.name)
-        stats.started()
         started = self._clock.now()
+        stats.started(attempt=call, now=started)
         try:
             wait = deadline - started
             async with await connections.lease(seconds=wait) as lease:
                 response = await self._exchange(call, query, deadline, events, lease)
         except BackendServerError as error:
-            seconds = self._clock.now() - started
-            stats.finished(now=self._clock.now(), latency=seconds, ok=False)
+            stats.finished(attempt=call, now=self._clock.now(), ok=False)
             if call.cancelled is None:
                 self._servers.record_failure(server=attempt.server.name)
             await events.failed(attempt, _connection_failure(error))
             return
         except BaseException:
-            stats.cancelled()
+            stats.cancelled(attempt=call, now=self._clock.now())
             raise
         seconds = self._clock.now() - started
         ok = response.status == 200
-        stats.finished(now=self._clock.now(), latency=seconds, ok=ok)
+        stats.finished(attempt=call, now=self._clock.now(), ok=ok)
         slot.ended(_slot_outcome(call, response))
         if call.cancelled is None:
             await self._report(attempt, response, seconds, events)
--- a/src/savorypond/snapshots.py
+++ b/src/savorypond/snapshots.py
@@ -212,6 +212,27 @@
         )
         return choice
 
+    def complete_pins(
+        self, *, services: Sequence[Service], now: float, usable: Callable[[str], bool]
+    ) -> tuple[Pin, ...]:
+        """Return the snapshots that all of ``services`` can be answered from.
+
+        :returns: pins of which every shard has a usable holder, newest first.
+        """
+        known = self._indexes.get(services[0].index) if services else None
+        if known is None:
+            return ()
+        shards = IndexShards(services=services)
+        holders = _usable_facts(known, shards, usable)
+        pins = {pin for facts in holders.values() for pin in facts}
+        since = now - self._max_age
+        found = []
+        for pin in sorted(pins, key=_newest_first):
+            choice = _assess(shards, holders, pin, since)
+            if choice is not None and choice.complete:
+                found.append(pin)
+        return tuple(found)
+
     def _facts(self, index: str, server: str) -> dict[Pin, _Fact]:
         known = self._indexes.setdefault(index, _IndexFacts())
         return known.servers.setdefault(server, {})
