--- a/benchmarks/calls_model.py
+++ b/benchmarks/calls_model.py
@@ -23,9 +23,9 @@
     Tick,
     Write,
 )
-from savorypond.claims import InProgress, Replay, Run
 from savorypond.issuer import TicketIssuer, new_incarnation
 from savorypond.leaving import ServerDrain
+from savorypond.ledger import InProgress, Replay, Run
 from savorypond.model import Address, Instance
 from savorypond.pause import PauseDetector
 from savorypond.reasons import Execution, RefusalReason
--- a/src/savorypond/ledger.py
+++ b/src/savorypond/ledger.py
@@ -4,7 +4,10 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from savorypond.claims import (
+from savorypond.expiry import ExpiryBuckets
+from savorypond.reasons import Execution
+from savorypond.spent import Mark, SpentNumbers
+from savorypond.ticketrefusals import (
     EARLIER_START,
     EXPIRED,
     FORGOTTEN,
@@ -16,18 +19,36 @@
     RESULT_DROPPED,
     REVOKED,
     UNRESOLVED,
-    InProgress,
-    Replay,
-    Run,
 )
-from savorypond.expiry import ExpiryBuckets
-from savorypond.reasons import Execution
-from savorypond.spent import Mark, SpentNumbers
 from savorypond.tickets import Refuse, Ticket, TicketLimits, TicketSeal
 
 FORGET_INTERVAL = 1.0  # seconds
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """The call may go on to its dispatch; nobody else holds the ticket."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Replay:
+    """The call ran before and this was its result."""
+
+    result: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InProgress:
+    """Another request holds the ticket now.
+
+    :param dispatched: whether a byte of it may have left for a backend server.
+    """
+
+    dispatched: bool
+
+
 class _State(Enum):
     CLAIMED = auto()
     DISPATCHED = auto()
--- a/src/savorypond/claims.py
+++ b/src/savorypond/ticketrefusals.py
@@ -1,37 +1,11 @@
-"""What a claim on a ticket can come to."""
-
-from dataclasses import dataclass
+"""Why an instance refuses a ticket that it issued, and with what certainty."""
 
 from savorypond.reasons import Execution, RefusalReason
-from savorypond.tickets import Refuse, Ticket
+from savorypond.tickets import Refuse
 
 BUSY_RETRY_AFTER = 1.0  # seconds
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Run:
-    """The call may go on to its dispatch; nobody else holds the ticket."""
-
-    ticket: Ticket
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Replay:
-    """The call ran before and this was its result."""
-
-    result: bytes
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class InProgress:
-    """Another request holds the ticket now.
-
-    :param dispatched: whether a byte of it may have left for a backend server.
-    """
-
-    dispatched: bool
-
-
 UNRESOLVED = Refuse(
     reason=RefusalReason.TICKET_UNRESOLVED,
     execution=Execution.UNKNOWN,
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -33,10 +33,9 @@
     Tick,
     Write,
 )
-from savorypond.claims import Run
 from savorypond.issuer import TicketIssuer, new_incarnation
 from savorypond.leaving import ServerDrain
-from savorypond.ledger import TicketLedger
+from savorypond.ledger import Run, TicketLedger
 from savorypond.pause import PauseDetector
 from savorypond.reasons import Execution
 from savorypond.tickets import Refuse, TicketLimits, TicketSeal
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -3,9 +3,8 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.claims import InProgress, Replay, Run
 from savorypond.issuer import TicketIssuer
-from savorypond.ledger import TicketLedger
+from savorypond.ledger import InProgress, Replay, Run, TicketLedger
 from savorypond.reasons import Execution, RefusalReason
 from savorypond.tickets import Refuse, TicketLimits, TicketSeal
 
