Count only answers for an instance, not what it sends

Cause: a datagram heard from a peer counted against a suspicion, so that a peer whose inbound path is broken was kept longer, although nothing can be forwarded to it.

The new test states the outcome; it passes with the former rule too, which was slower only.

--- a/src/savorypond/membership.py
+++ b/src/savorypond/membership.py
@@ -235,7 +235,7 @@
     def _judge(self, probe: Probe, now: float) -> None:
         """Take it that nobody reached the target of ``probe``."""
         member = self._table.get(probe.target)
-        if member is None or not member.usable or member.heard_at >= probe.sent_at:
+        if member is None or not member.usable:
             return
         if member.state is InstanceState.SUSPECT:
             if probe.sent_at >= member.changed_at:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -214,6 +214,16 @@
                     self.assertEqual(fleet.knows(node), expected)
                     self.assertTrue(node.membership.may_own(fleet.now))
 
+    def test_one_that_only_sends_is_removed(self):
+        for size in (3, 7, 30):
+            with self.subTest(size):
+                fleet = settled(size)
+                fleet.cut = lambda sender, target: target.instance.name == "i0001"
+                fleet.run(AGREE)
+                for node in running(fleet):
+                    if node.instance.name != "i0001":
+                        self.assertNotIn("i0001", fleet.knows(node))
+
     def test_traffic_stays_within_the_budget_whatever_happens(self):
         for fault in (restart_all, split, kill_two):
             with self.subTest(fault.__name__):
@@ -326,6 +336,18 @@
         packet = Packet(sender=origin, message=Leave(updates=updates))
         return self.membership.received(packet, origin.address, 0.0)
 
+    def ping(self, target, *updates):
+        ping = Ping(
+            number=1,
+            target=target,
+            catching_up=False,
+            config_revision=0,
+            config_digest=0,
+            updates=updates,
+        )
+        packet = Packet(sender=self.update("a"), message=ping)
+        return self.membership.received(packet, Address(host="x", port=1), 0.0)
+
     def update(self, name, *, state=InstanceState.LIVE, incarnation=5, refutation=0):
         return MemberUpdate(
             name=name,
@@ -343,20 +365,23 @@
     def test_denying_a_suspicion_keeps_the_incarnation(self):
         accusation = self.update("me", state=InstanceState.SUSPECT, incarnation=10)
         self.hear("a", accusation)
-        ping = Ping(
-            number=1,
-            target="me",
-            catching_up=False,
-            config_revision=0,
-            config_digest=0,
-        )
-        packet = Packet(sender=self.update("a"), message=ping)
-        (answer,) = self.membership.received(packet, Address(host="x", port=1), 0.0)
+        (answer,) = self.ping("me")
         denial = answer.packet.sender
         self.assertGreater(denial.precedence, accusation.precedence)
         self.assertEqual(denial.incarnation, 10)
         self.assertEqual(self.membership.myself.incarnation, 10)
 
+    def test_answers_no_ping_that_is_for_another(self):
+        self.assertEqual(self.ping("predecessor"), [])
+
+    def test_answers_an_outdated_update_with_a_later_one(self):
+        self.hear("b", state=InstanceState.LEAVING)
+        while any(u.name == "b" for u in self.ping("me")[0].packet.message.updates):
+            pass
+        (answer,) = self.ping("me", self.update("b", state=InstanceState.SUSPECT))
+        told = [(u.name, u.state) for u in answer.packet.message.updates]
+        self.assertIn(("b", InstanceState.LEAVING), told)
+
     def test_the_list_marks_leaving_once_per_incarnation(self):
         leaving = self.instance("a", 0, InstanceState.LEAVING)
         live = self.instance("a", 0)
