--- a/src/savorypond/bundle.py
+++ b/src/savorypond/bundle.py
@@ -110,28 +110,29 @@
         raise ExceptionGroup(f"bundle revision {revision} cannot be used", errors)
 
 
-def encode_bundle(bundle: Bundle) -> bytes:
+def encode_bundle(bundle: Bundle, *, most: int = MAX_VALUE_BYTES) -> bytes:
     """Return the bundle as one JSON value, the same for equal bundles.
 
+    :param most: bytes that the value may have.
     :raises ExceptionGroup: of BundleErrors where it breaks a rule or is larger
-        than the configuration service holds.
+        than ``most``.
     """
     check_bundle(bundle)
     services = [bundle.services[name] for name in sorted(bundle.services)]
     value = encode(_BundleValue(revision=bundle.revision, services=services))
-    if len(value) > MAX_VALUE_BYTES:
-        text = f"{len(value)} bytes are more than {MAX_VALUE_BYTES}"
-        refuse(bundle.revision, [text])
+    if len(value) > most:
+        refuse(bundle.revision, [f"{len(value)} bytes are more than {most}"])
     return value
 
 
-def decode_bundle(value: bytes) -> Bundle:
+def decode_bundle(value: bytes, *, most: int = MAX_VALUE_BYTES) -> Bundle:
     """Read and check a bundle from its JSON value.
 
+    :param most: bytes that the value may have.
     :raises ExceptionGroup: of one BundleError for each problem.
     """
-    if len(value) > MAX_VALUE_BYTES:
-        refuse(0, [f"{len(value)} bytes are more than {MAX_VALUE_BYTES}"])
+    if len(value) > most:
+        refuse(0, [f"{len(value)} bytes are more than {most}"])
     try:
         read = _decoder.decode(value)
     except (DecodeError, ValidationError) as error:
--- a/src/savorypond/check.py
+++ b/src/savorypond/check.py
@@ -1,6 +1,7 @@
 """The program that checks service files before they are published."""
 
 from pathlib import Path
+from sys import stderr
 
 from defopt import run as run_command
 from msgspec import Struct
@@ -49,7 +50,7 @@
     :param json: print the problems as one JSON list
     """
     if not paths:
-        print("savorypond-check: name at least one file or directory")
+        print("name at least one file or directory", file=stderr)
         return EXIT_USAGE
     problems = find_problems(list(paths))
     if json:
--- a/src/savorypond/confspread.py
+++ b/src/savorypond/confspread.py
@@ -25,9 +25,10 @@
 LEAST_PERIOD = 1.0  # seconds between reads that bring nothing new
 FALLBACK_LEAST = 300.0  # seconds between reads of an instance that hears peers
 FALLBACK_MOST = 600.0  # seconds
-SILENCE = 10.0  # seconds without a word from peers before reading instead
-QUIET_WINDOW = 10.0  # seconds over which reads in silence are spread, at least
-QUIET_READS = 200.0  # reads a second of a whole fleet in silence
+FAILED_PULLS = 3  # pulls in a row after which the service is read instead
+HASTE_WINDOW = 2.0  # seconds over which such reads are spread, at least
+HASTE_READS = 400.0  # such reads a second, of a whole fleet
+IDLE_TIME = 1.0  # seconds after which a step is due in any case
 BACKOFF_FIRST = 0.25  # seconds
 BACKOFF_MOST = 30.0  # seconds
 PULL_PAUSE = 0.2  # seconds, at most, before another peer is asked
@@ -52,7 +53,6 @@
     service call is answered by exactly one of ``on_value`` and
     ``on_service_failed``, a pull by one of ``on_reply`` and ``on_pull_failed``.
 
-    :param fleet: name that the peers of one installation share.
     :param watchers: most instances of a data centre that watch the service.
     """
 
@@ -61,19 +61,17 @@
         *,
         store: ConfigStore,
         view: MembershipView,
-        fleet: str,
         random: Random,
         watchers: int,
     ) -> None:
         self._store = store
         self._view = view
-        self._fleet = fleet
         self._random = random
         self._name = view.myself.name
         self._choice = WatcherChoice(view=view, watchers=watchers)
         self._budget = ReadBudget(random=random)
         self._reader = ServiceReader(store=store)
-        self._cutter = ReplyCutter(store=store, fleet=fleet, name=self._name)
+        self._cutter = ReplyCutter(store=store)
         self._outbox: list[SpreadAction] = []
         self._steps: ReadSteps | None = None
         self._call: ServiceCall | None = None
@@ -90,7 +88,7 @@
         self._asked: set[str] = set()
         self._unanswered: set[str] = set()
         self._ready = False
-        self._heard_at = 0.0
+        self._failed_pulls = 0
 
     @property
     def ready(self) -> bool:
@@ -109,7 +107,6 @@
     def start(self, now: float) -> None:
         """Begin; called once, when the platform's list was asked for peers."""
         self._started = now
-        self._heard_at = now
         self._next_read = now
 
     def step(self, now: float) -> tuple[SpreadAction, ...]:
@@ -127,7 +124,7 @@
 
     def next_wake(self, now: float) -> float:
         """Return the monotonic seconds at which ``step`` has something to do."""
-        times = [now + SILENCE]
+        times = [now + IDLE_TIME]
         if self._steps is None:
             times.append(self._next_read)
         elif self._call is not None:
@@ -141,23 +138,22 @@
 
     # What peers say
 
-    def on_digest(self, now: float, instance: str, stamp: Stamp) -> None:
+    def on_digest(self, instance: str, stamp: Stamp) -> None:
         """Note what a peer holds, as its pings carry it."""
-        self._heard_at = now
         if stamp <= self._store.stamp:
             self._holders.pop(instance, None)
         elif instance in self._holders or len(self._holders) < HOLDERS:
             self._holders[instance] = stamp
 
-    def on_request(self, now: float, request: PullRequest) -> PullReply:
+    def on_request(self, request: PullRequest) -> PullReply:
         """Answer the pull of a peer, and note what that peer holds."""
-        self.on_digest(now, request.sender, request.held)
+        self.on_digest(request.sender, request.held)
         return self._cutter.reply(request)
 
     def on_reply(self, now: float, pull: PullFrom, reply: PullReply) -> None:
         """Take the reply to ``pull``."""
         self._unanswered.discard(pull.instance)
-        self.on_digest(now, pull.instance, reply.held)
+        self.on_digest(pull.instance, reply.held)
         if self._pull is None or not pull.request.limit:
             return
         request = self._pull.on_reply(reply)
@@ -174,9 +170,15 @@
 
     def _end_pull(self, now: float, outcome: Outcome | None) -> None:
         peer, self._pull = self._pull_peer, None
-        if outcome is not Outcome.ACCEPTED:
-            self._holders.pop(peer, None)
-            self._pull_after = now + self._random.uniform(0.0, PULL_PAUSE)
+        if outcome is Outcome.ACCEPTED:
+            self._failed_pulls = 0
+            return
+        self._holders.pop(peer, None)
+        self._pull_after = now + self._random.uniform(0.0, PULL_PAUSE)
+        self._failed_pulls += outcome is not Outcome.CURRENT
+        if self._failed_pulls >= FAILED_PULLS:
+            self._failed_pulls = 0
+            self._hasten_read(now)
 
     def _begin_pull(self, now: float) -> None:
         held = self._store.stamp
@@ -187,7 +189,7 @@
         best = max(higher.values())
         peers = sorted(name for name, stamp in higher.items() if stamp == best)
         self._pull_peer = self._random.choice(peers)
-        self._pull = Pull(store=self._store, fleet=self._fleet, name=self._name)
+        self._pull = Pull(store=self._store, name=self._name)
         self._send(self._pull_peer, self._pull.request())
 
     def _send(self, instance: str, request: PullRequest) -> None:
@@ -205,9 +207,7 @@
 
     def _exchange_stamps(self, peers: Iterable[Instance]) -> None:
         for peer in peers:
-            request = PullRequest(
-                fleet=self._fleet, sender=self._name, held=self._store.stamp, limit=0
-            )
+            request = PullRequest(sender=self._name, held=self._store.stamp, limit=0)
             self._send(peer.name, request)
 
     def _peers(self) -> list[Instance]:
@@ -259,21 +259,16 @@
         self._watched = watches
         if self._steps is not None:
             return
-        self._hasten_in_silence(now)
         if now < self._next_read:
             return
         self._steps = self._reader.read(now=now, watch=watches)
         self._call = next(self._steps)
         self._read_at = now
 
-    def _hasten_in_silence(self, now: float) -> None:
-        window = self._quiet_window()
-        silent = now >= self._heard_at + SILENCE
-        if silent and self._next_read > now + 2 * window:
-            self._next_read = now + self._random.uniform(0.0, window)
-
-    def _quiet_window(self) -> float:
-        return max(QUIET_WINDOW, self._choice.fleet_size / QUIET_READS)
+    def _hasten_read(self, now: float) -> None:
+        window = max(HASTE_WINDOW, self._choice.fleet_size / HASTE_READS)
+        at = now + self._random.uniform(0.0, window)
+        self._next_read = min(self._next_read, at)
 
     def _send_call(self, now: float) -> None:
         if self._call is None:
@@ -295,9 +290,6 @@
             self._next_read = now
         elif self._watched or not self._store.stamp.revision:
             self._next_read = max(now, self._read_at + LEAST_PERIOD)
-        elif now >= self._heard_at + SILENCE:
-            window = self._quiet_window()
-            self._next_read = now + self._random.uniform(window, 2 * window)
         else:
             wait = self._random.uniform(FALLBACK_LEAST, FALLBACK_MOST)
             self._next_read = now + wait
--- a/src/savorypond/controllers/config.py
+++ b/src/savorypond/controllers/config.py
@@ -1,7 +1,6 @@
 """Runs the configuration decisions: reads the service, and talks to peers."""
 
 from contextlib import suppress
-from dataclasses import dataclass
 from random import Random
 from types import TracebackType
 from typing import Any, Protocol, Self
@@ -16,33 +15,25 @@
 from savorypond.confstore import ConfigStore
 from savorypond.exceptions import SavorypondError
 from savorypond.model import Bundle, Counters
+from savorypond.platformclient import StoredValue
 from savorypond.protocols import MembershipView
 
 CALL_TIME = 2.0  # seconds for a read of the service, besides a watch's wait
 PULL_TIME = 2.0  # seconds for one reply of a peer
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ConfigValue:
-    """One value of the configuration service.
-
-    :param data: the value as JSON.
-    """
-
-    revision: int
-    data: bytes
-
-
 class ConfigService(Protocol):
     """The platform's configuration service; errors are SavorypondErrors."""
 
-    async def get(self, key: str) -> ConfigValue | None:
+    async def get(self, key: str) -> StoredValue | None:
         """Return the value of ``key``, or None where it has none."""
 
-    async def watch(self, key: str, *, after: int, wait: float) -> ConfigValue | None:
-        """Return the value once its revision is above ``after``.
+    async def watch(
+        self, key: str, *, after: int, seconds: float
+    ) -> StoredValue | None:
+        """Return the value once its revision is above ``after``, or None.
 
-        :param wait: seconds after which None is returned instead.
+        :param seconds: how long to wait for it.
         """
 
 
@@ -65,7 +56,6 @@
         view: MembershipView,
         service: ConfigService,
         peers: PeerConfig,
-        fleet: str,
         watchers: int,
         clock: Clock,
         random: Random,
@@ -79,7 +69,6 @@
         self._spread = ConfigSpread(
             store=self._store,
             view=view,
-            fleet=fleet,
             random=random,
             watchers=watchers,
         )
@@ -88,6 +77,7 @@
         self._ready = Event()
         self._tasks: set[Any] = set()
         self._told = Stamp()
+        self._problem = ""
 
     @property
     def bundle(self) -> Bundle | None:
@@ -143,7 +133,7 @@
 
     async def on_digest(self, instance: str, stamp: Stamp) -> None:
         """Note what a peer holds, as its pings carry it."""
-        self._spread.on_digest(self._clock.now(), instance, stamp)
+        self._spread.on_digest(instance, stamp)
         if stamp > self._store.stamp:
             await self._wake.set()
 
@@ -154,7 +144,7 @@
 
     async def answer(self, request: PullRequest) -> PullReply:
         """Answer the pull of a peer."""
-        reply = self._spread.on_request(self._clock.now(), request)
+        reply = self._spread.on_request(request)
         if request.held > self._store.stamp:
             await self._wake.set()
         return reply
@@ -178,6 +168,9 @@
             log_info("configuration revision %d is in force", stamp.revision)
             changed, self._changed = self._changed, Event()
             await changed.set()
+        if self._store.last_problem != self._problem:
+            self._problem = self._store.last_problem
+            log_error("configuration refused: %s", self._problem)
         if self._spread.ready:
             await self._ready.set()
 
@@ -209,15 +202,14 @@
             warning("configuration service: %r", error)
             self._spread.on_service_failed(self._clock.now())
             return
-        problem = self._store.last_problem
-        data = value.data if value is not None else None
+        data = bytes(value.value) if value is not None else None
         self._spread.on_value(self._clock.now(), data)
-        if self._store.last_problem != problem:
-            log_error("configuration refused: %s", self._store.last_problem)
 
-    async def _fetch(self, call: ServiceCall) -> ConfigValue | None:
+    async def _fetch(self, call: ServiceCall) -> StoredValue | None:
         if not isinstance(call, WatchService):
             async with timeout_after(CALL_TIME):
                 return await self._service.get(call.key)
         async with timeout_after(call.wait + CALL_TIME):
-            return await self._service.watch(call.key, after=call.after, wait=call.wait)
+            return await self._service.watch(
+                call.key, after=call.after, seconds=call.wait
+            )
--- a/tests/config_fakes.py
+++ b/tests/config_fakes.py
@@ -160,7 +160,6 @@
         spread = ConfigSpread(
             store=store,
             view=view,
-            fleet="f",
             random=Random(self.random.random()),
             watchers=self.watchers,
         )
@@ -199,7 +198,7 @@
             peer = self.members[self.random.choice(member.view.peers).name]
             if peer.up and self.link(member, peer):
                 for a, b in ((member, peer), (peer, member)):
-                    a.spread.on_digest(self.now, b.instance.name, b.store.stamp)
+                    a.spread.on_digest(b.instance.name, b.store.stamp)
                     self.step(a)
         self.at(self.now + self.PING, lambda: self.ping(member))
 
@@ -236,7 +235,7 @@
         if not self.alive(member):
             return
         if peer.up and self.link(member, peer):
-            reply = peer.spread.on_request(self.now, action.request)
+            reply = peer.spread.on_request(action.request)
             member.spread.on_reply(self.now, action, reply)
             self.step(peer)
         else:
--- /dev/null
+++ b/tests/test_config_controller.py
@@ -0,0 +1,130 @@
+from random import Random
+from unittest import TestCase
+from unittest.mock import patch
+
+from curio import TaskTimeout, run, run_in_thread, timeout_after
+from msgspec.json import decode
+
+from savorypond.bundletool import read_in_force
+from savorypond.clock import SystemClock
+from savorypond.controllers.config import ConfigController
+from savorypond.exceptions import WireError
+from savorypond.model import Address, Counters, Instance
+from savorypond.platformclient import HttpConfigService
+from savorypond.publication import publish
+from savorypond.reasons import ConfigReason
+from savorypond.standin_platform import (
+    PlatformFaults,
+    StandinConfigService,
+    StoredValue,
+)
+from tests.config_fakes import FakeView, history
+
+HISTORY = history(4)
+ANY_PORT = Address(host="127.0.0.1", port=0)
+PATIENCE = 10.0  # seconds before a test gives up
+
+
+class Peers:
+    """Hands pulls to the controllers of one process."""
+
+    def __init__(self):
+        self.controllers = {}
+
+    async def pull(self, instance, request):
+        if instance not in self.controllers:
+            raise WireError(sender=instance, problem="unreachable")
+        return await self.controllers[instance].answer(request)
+
+
+async def put(service, in_force, bundle):
+    for value in publish(in_force, bundle):
+        stored = StoredValue(revision=bundle.revision, value=decode(value.data))
+        await service.publish(value.key, stored)
+
+
+def make_controller(peers, service, number, others=(), counters=None):
+    def instance(n):
+        return Instance(
+            name=f"i{n}", data_centre="dc", peer_address=ANY_PORT, incarnation=1
+        )
+
+    view = FakeView(instance(number), [instance(n) for n in others])
+    controller = ConfigController(
+        view=view,
+        service=HttpConfigService(address=service.address, source_host=""),
+        peers=peers,
+        watchers=1,
+        clock=SystemClock(),
+        random=Random(number),
+        counters=counters or Counters(),
+    )
+    peers.controllers[f"i{number}"] = controller
+    return controller
+
+
+class ControllerTests(TestCase):
+    def test_change_reaches_watcher_and_peer(self):
+        async def main():
+            peers = Peers()
+            async with StandinConfigService(address=ANY_PORT) as service:
+                await put(service, None, HISTORY[0])
+                first = make_controller(peers, service, 1, others=[2])
+                second = make_controller(peers, service, 2, others=[1])
+                async with timeout_after(PATIENCE), first, second:
+                    await first.wait_ready()
+                    await second.wait_ready()
+                    self.assertEqual([first.watches, second.watches].count(True), 1)
+                    await put(service, HISTORY[0], HISTORY[1])
+                    for controller in (first, second):
+                        bundle = await controller.wait_above(1)
+                        self.assertEqual(dict(bundle.services), HISTORY[1].services)
+
+        run(main)
+
+    def test_starts_from_a_peer_while_the_service_is_down(self):
+        async def main():
+            peers, counters = Peers(), Counters()
+            async with StandinConfigService(address=ANY_PORT) as service:
+                await put(service, None, HISTORY[0])
+                first = make_controller(peers, service, 1)
+                async with timeout_after(PATIENCE), first:
+                    await first.wait_ready()
+                    service.set_faults(PlatformFaults(down=True))
+                    second = make_controller(
+                        peers, service, 2, others=[1, 3], counters=counters
+                    )
+                    async with second:
+                        await second.wait_ready()
+                        self.assertEqual(second.stamp, first.stamp)
+                        self.assertEqual(second.last_problem, "")
+
+        run(main)
+
+    def test_not_ready_without_any_configuration(self):
+        async def main():
+            peers, counters = Peers(), Counters()
+            async with StandinConfigService(address=ANY_PORT) as service:
+                service.set_faults(PlatformFaults(down=True))
+                only = make_controller(peers, service, 1, counters=counters)
+                with patch("savorypond.controllers.config.CALL_TIME", 0.05):
+                    async with only:
+                        with self.assertRaises(TaskTimeout):
+                            async with timeout_after(0.5):
+                                await only.wait_ready()
+                    self.assertIsNone(only.bundle)
+            down = counters.value("config_refused", ConfigReason.SERVICE_DOWN)
+            self.assertGreater(down, 0)
+
+        run(main)
+
+    def test_publishing_step_reads_what_is_in_force(self):
+        async def main():
+            async with StandinConfigService(address=ANY_PORT) as service:
+                url = f"http://{service.address}"
+                self.assertIsNone(await run_in_thread(read_in_force, url))
+                await put(service, None, HISTORY[0])
+                held = await run_in_thread(read_in_force, url)
+                self.assertEqual(held, HISTORY[0])
+
+        run(main)
--- /dev/null
+++ b/tests/test_publication.py
@@ -0,0 +1,164 @@
+from unittest import TestCase
+from unittest.mock import patch
+
+from hypothesis import given, strategies as st
+
+from savorypond.bundle import MAX_VALUE_BYTES
+from savorypond.configwire import Stamp
+from savorypond.confread import ServiceReader
+from savorypond.confstore import ConfigStore
+from savorypond.model import Counters
+from savorypond.publication import (
+    HEAD_KEY,
+    change_key,
+    collect,
+    decode_change,
+    decode_head,
+    part_key,
+    publish,
+)
+from savorypond.reasons import ConfigReason
+from tests.config_fakes import FakeService, history, make_bundle, stamp_of
+
+HISTORY = history(12)
+
+
+class PublishTests(TestCase):
+    def test_values_collect_to_the_bundle(self):
+        service = FakeService()
+        for bundle in HISTORY:
+            service.publish(bundle)
+            self.assertEqual(collect(service.values), bundle)
+
+    def test_a_change_moves_little_of_a_large_bundle(self):
+        numbers = range(2000)
+        old, new = make_bundle(1, *numbers), make_bundle(2, *numbers)
+        new.services["s7"] = make_bundle(2, 7, slots=9).services["s7"]
+        service = FakeService()
+        service.publish(old)
+        self.assertGreater(decode_head(service.values[HEAD_KEY]).parts, 1)
+        sizes = {value.key: len(value.data) for value in publish(old, new)}
+        self.assertEqual(len(sizes), 3)
+        self.assertLess(sizes[change_key(2)], 2000)
+        self.assertTrue(all(size < MAX_VALUE_BYTES for size in sizes.values()))
+        service.publish(new)
+        self.assertEqual(collect(service.values), new)
+
+    def test_growth_into_more_parts(self):
+        service = FakeService()
+        with patch("savorypond.publication.PART_BYTES", 1000):
+            service.publish(make_bundle(1, 1))
+            service.publish(make_bundle(2, *range(20)))
+        self.assertEqual(collect(service.values), make_bundle(2, *range(20)))
+        self.assertGreater(decode_head(service.values[HEAD_KEY]).parts, 1)
+
+    def test_refused_publications(self):
+        table = (
+            ("same revision", HISTORY[0], HISTORY[0]),
+            ("skipped revision", HISTORY[0], HISTORY[2]),
+            ("broken rule", HISTORY[0], make_bundle(2, 1, slots=0)),
+        )
+        for name, old, new in table:
+            with self.subTest(name), self.assertRaises(ExceptionGroup):
+                publish(old, new)
+
+    def test_damaged_values_are_not_collected(self):
+        service = FakeService()
+        service.publish(HISTORY[0])
+        good = service.values
+        other = FakeService()
+        other.publish(make_bundle(1, 9))
+        table = (
+            ("no part", {HEAD_KEY: good[HEAD_KEY]}),
+            ("other part", good | {part_key(1, 0): other.values[part_key(1, 0)]}),
+            ("no head", good | {HEAD_KEY: b"{}"}),
+        )
+        for name, values in table:
+            with self.subTest(name), self.assertRaises(ExceptionGroup):
+                collect(values)
+        self.assertIsNone(collect({}))
+
+    def test_change_names_its_base(self):
+        service = FakeService()
+        for bundle in HISTORY[:2]:
+            service.publish(bundle)
+        change = decode_change(service.values[change_key(2)])
+        self.assertEqual(change.base, stamp_of(HISTORY[0]))
+        self.assertEqual(change.held, stamp_of(HISTORY[1]))
+
+
+class ReaderTests(TestCase):
+    @given(
+        publish_before=st.lists(st.booleans(), max_size=40),
+        start=st.integers(0, 6),
+        lost=st.booleans(),
+    )
+    def test_a_read_while_publishing_goes_on_ends_whole(
+        self, publish_before, start, lost
+    ):
+        """Reads see the values of different moments; the state is one of them."""
+        service, todo = FakeService(), list(HISTORY)
+        store = ConfigStore(counters=Counters())
+        with patch("savorypond.publication.PART_BYTES", 600):
+            service.publish(todo.pop(0))
+            if start:
+                drive(store, service)
+            for _ in range(start):
+                service.publish(todo.pop(0))
+            if lost:
+                service.values.pop(change_key(service.revision), None)
+
+            def publish_next():
+                if publish_before and publish_before.pop() and todo:
+                    service.publish(todo.pop(0))
+
+            for _ in range(len(HISTORY) + 2):
+                drive(store, service, publish_next)
+                if store.stamp.revision:
+                    held = HISTORY[store.stamp.revision - 1]
+                    self.assertEqual(store.stamp, stamp_of(held))
+                    self.assertEqual(dict(store.bundle.services), held.services)
+        self.assertEqual(store.stamp.revision, service.revision)
+        self.assertEqual(store._counters.value("config_refused", "invalid"), 0)
+
+    def test_half_written_revision_is_not_taken(self):
+        service = FakeService()
+        service.publish(HISTORY[0])
+        for value in publish(HISTORY[0], HISTORY[1]):
+            if value.key != HEAD_KEY:
+                service.values[value.key] = value.data
+        store = ConfigStore(counters=Counters())
+        drive(store, service)
+        self.assertEqual(store.stamp, Stamp())
+        service.publish(HISTORY[1])
+        drive(store, service)
+        self.assertEqual(store.stamp, stamp_of(HISTORY[1]))
+
+    def test_refused_state_is_not_read_again_at_once(self):
+        service = FakeService()
+        service.publish(HISTORY[0])
+        head = decode_head(service.values[HEAD_KEY])
+        service.values[HEAD_KEY] = service.values[HEAD_KEY].replace(
+            head.digest.encode(), b"0" * 16
+        )
+        store = ConfigStore(counters=Counters())
+        reader = ServiceReader(store=store)
+        counts = [len(drive(store, service, reader=reader, now=t)) for t in (0, 1, 99)]
+        self.assertEqual(counts, [2, 1, 2])
+        self.assertEqual(
+            store._counters.value("config_refused", ConfigReason.INVALID), 2
+        )
+
+
+def drive(store, service, before=lambda: None, reader=None, now=0.0):
+    """Run one read to its end; return the calls it made."""
+    steps = (reader or ServiceReader(store=store)).read(now=now, watch=False)
+    calls = []
+    try:
+        call = next(steps)
+        while True:
+            calls.append(call)
+            before()
+            call = steps.send(service.values.get(call.key))
+    except StopIteration:
+        return calls
