Measure sheds while instances share backend servers

Cause: the back-off on sheds had no measurement behind it.

Change: the benchmark; benchmarks share one sender. Failed and cancelled attempts change the mean service time only where they ran longer than it, so that refused connections do not make a server look fast.

--- a/benchmarks/bench_choice.py
+++ b/benchmarks/bench_choice.py
@@ -2,10 +2,10 @@
 
 Every instance sends by itself and knows only its own requests; the backend
 servers queue what exceeds their slots. With one instance this is the view of
-an owner.
+an owner. An arrival refused by a full gate counts as a minute.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -14,19 +14,16 @@
 from defopt import run
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.gateview import GateView, make_gates, make_service
-from benchmarks.virtual import Arrival, EventLoop, Traffic, record
-from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
-from savorypond.latency import new_histogram
-from savorypond.limiter import GateChange, Granted, Outcome, Refused
-from savorypond.model import Pin, Service
-from savorypond.protocols import Purpose
+from benchmarks.gateview import make_service
+from benchmarks.sender import End, Sender
+from benchmarks.virtual import EventLoop, Traffic, record
+from savorypond.balancer import ChoiceRule
+from savorypond.latency import HIGHEST, new_histogram
 
 SLOTS = 2
 MEAN_WORK = 0.01  # seconds
-PIN = Pin(snapshot=1, layout=1)
 LOAD = 0.45  # of the capacity; the rest must do while one replica stalls
-NO_DEADLINE = 1e9  # seconds
+ANY_TIME = 1e9  # seconds
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,16 +45,16 @@
 )
 
 
-class Server:
+class QueueingServer:
     """A backend server that runs SLOTS requests and queues the rest."""
 
     def __init__(self, *, loop: EventLoop, slowness: Callable[[float], float]) -> None:
         self._loop = loop
         self._slowness = slowness
         self._busy = 0
-        self._queue: deque[tuple[float, Callable[[], None]]] = deque()
+        self._queue: deque[tuple[float, Callable[[bool], None]]] = deque()
 
-    def send(self, work: float, answer: Callable[[], None]) -> None:
+    def send(self, work: float, answer: Callable[[bool], None]) -> None:
         self._queue.append((work, answer))
         self._serve()
 
@@ -68,76 +65,12 @@
             took = work * self._slowness(self._loop.now)
             self._loop.at(self._loop.now + took, partial(self._finish, answer))
 
-    def _finish(self, answer: Callable[[], None]) -> None:
+    def _finish(self, answer: Callable[[bool], None]) -> None:
         self._busy -= 1
-        answer()
+        answer(True)
         self._serve()
 
 
-class Sender:
-    """One instance: a chooser and a gate for each backend server."""
-
-    def __init__(
-        self,
-        *,
-        loop: EventLoop,
-        service: Service,
-        servers: dict[str, Server],
-        rule: ChoiceRule,
-        seed: int,
-        latencies: HdrHistogram,
-    ) -> None:
-        self._loop = loop
-        self._service = service
-        self._servers = servers
-        self._latencies = latencies
-        self._gates = make_gates(service)
-        self._board = ReplicaBoard()
-        self._chooser = make_chooser(
-            rule=rule,
-            rng=Random(seed),
-            links=LinkTimes(own="split"),
-            view=GateView(gates=self._gates),
-            board=self._board,
-        )
-
-    def arrive(self, arrival: Arrival) -> None:
-        server = self._chooser.choose(
-            service=self._service,
-            pin=PIN,
-            tried=frozenset(),
-            now=self._loop.now,
-            purpose=Purpose.FIRST,
-        )
-        assert server is not None
-        verdict = self._gates[server.name].offer(
-            waiter=(server.name, arrival),
-            priority=arrival.priority,
-            deadline=NO_DEADLINE,
-            now=self._loop.now,
-        )
-        if isinstance(verdict, Granted):
-            self._start(server.name, arrival)
-        elif isinstance(verdict, Refused):
-            self._latencies.record_value(60_000_000)
-
-    def _start(self, server: str, arrival: Arrival) -> None:
-        self._board.get(server=server).started(attempt=arrival, now=self._loop.now)
-        answer = partial(self._answer, server, arrival, self._loop.now)
-        self._servers[server].send(arrival.work[0], answer)
-
-    def _answer(self, server: str, arrival: Arrival, started: float) -> None:
-        now = self._loop.now
-        self._latencies.record_value(round((now - arrival.time) * 1e6))
-        stats = self._board.get(server=server)
-        stats.finished(attempt=arrival, now=now, ok=True)
-        change: GateChange = self._gates[server].release(
-            now=now, service_time=now - started, outcome=Outcome.SUCCESS
-        )
-        for name, waiting in change.granted:
-            self._start(name, waiting)
-
-
 def measure(
     *, scenario: Scenario, replicas: int, instances: int, rule: ChoiceRule, seed: int
 ) -> HdrHistogram:
@@ -151,16 +84,18 @@
         work_sigma=0.8,
         seconds=60.0,
         seed=seed,
+        classes=((0.0, ANY_TIME), (1.0, ANY_TIME), (0.0, ANY_TIME)),
     )
     loop = EventLoop()
     service = make_service("s", replicas=replicas, slots=SLOTS)
     servers = {
-        server.name: Server(
+        server.name: QueueingServer(
             loop=loop,
             slowness=scenario.slowness if not number else lambda now: 1.0,
         )
         for number, server in enumerate(service.backend_servers)
     }
+    ends: Counter[End] = Counter()
     latencies = new_histogram(significant_figures=2)
     senders = [
         Sender(
@@ -169,6 +104,7 @@
             servers=servers,
             rule=rule,
             seed=number,
+            ends=ends,
             latencies=latencies,
         )
         for number in range(instances)
@@ -177,6 +113,8 @@
     for arrival in record(traffic):
         loop.at(arrival.time, partial(spread.choice(senders).arrive, arrival))
     loop.run(until=traffic.seconds + 10.0)
+    for _ in range(ends[End.REFUSED]):
+        latencies.record_value(HIGHEST)
     return latencies
 
 
--- a/benchmarks/gateview.py
+++ b/benchmarks/gateview.py
@@ -1,6 +1,6 @@
 """Stand-in facts about backend servers for the benchmarks."""
 
-from savorypond.limiter import ServerGate
+from savorypond.limiter import DEFAULT_GATE, GateConfig, ServerGate
 from savorypond.model import (
     Address,
     BackendServer,
@@ -64,10 +64,12 @@
     )
 
 
-def make_gates(service: Service) -> dict[str, ServerGate]:
+def make_gates(
+    service: Service, *, config: GateConfig = DEFAULT_GATE
+) -> dict[str, ServerGate]:
     """Return one gate for each backend server of ``service``."""
-    limits = service.limits
+    slots = service.limits.slots
     return {
-        server.name: ServerGate(slots=limits.slots, connections=limits.connections)
+        server.name: ServerGate(slots=slots, connections=CONNECTIONS, config=config)
         for server in service.backend_servers
     }
--- a/src/savorypond/balancer.py
+++ b/src/savorypond/balancer.py
@@ -59,7 +59,10 @@
         return self._failure_share
 
     def started(self, *, attempt: Hashable, now: float) -> None:
-        """Count one attempt that was dispatched."""
+        """Count one attempt that was dispatched.
+
+        It stays in flight until it is finished or cancelled.
+        """
         self._started[attempt] = now
 
     def finished(self, *, attempt: Hashable, now: float, ok: bool) -> None:
--- a/src/savorypond/limiter.py
+++ b/src/savorypond/limiter.py
@@ -90,9 +90,9 @@
 
     Requests in flight never exceed ``slots`` times ``share``, nor a window that
     halves on sheds and grows by successes (AIMD; Chiu and Jain, 1989), as other
-    instances may use the same slots. Who finds no slot waits in a bounded queue
-    by priority class, then by deadline. A lower class is passed over a bounded
-    number of times in a row.
+    instances may use the same slots. What finds no slot waits in a bounded
+    :class:`WaitQueue`, or is refused at once where the expected wait leaves too
+    little time to be answered.
     """
 
     __slots__ = (
@@ -296,9 +296,12 @@
         return max(wait, self._hold_until - now)
 
     def _learn(self, service_time: float, outcome: Outcome) -> None:
-        self._times.record(service_time)
         if outcome is not Outcome.SUCCESS:
+            # A quick end says nothing about how long an answer takes.
+            if service_time > self._times.mean:
+                self._times.record(service_time)
             return
+        self._times.record(service_time)
         self._sheds_in_row = 0
         if self._window < self._slot_limit:
             grown = self._window + self._config.increase / self._window
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -5,7 +5,6 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from savorypond.limiter import (
-    DEFAULT_GATE,
     GateChange,
     GateConfig,
     Granted,
@@ -19,6 +18,7 @@
 
 GAPS = st.sampled_from([0.0, 0.001, 0.01, 0.1])
 URGENT, INTERACTIVE, BACKGROUND = Priority
+PASSED_OVER = (0, 1, 3)
 
 
 class GateMachine(RuleBasedStateMachine):
@@ -27,7 +27,8 @@
     def __init__(self):
         super().__init__()
         self.slots, self.connections = 2, 3
-        self.gate = ServerGate(slots=2, connections=3)
+        config = GateConfig(passed_over=PASSED_OVER)
+        self.gate = ServerGate(slots=2, connections=3, config=config)
         self.now = 0.0
         self.offered = 0
         self.waiting = {}
@@ -52,9 +53,9 @@
         for other in Priority:
             waits = other in self.waiting.values()
             self.skipped[other] = self.skipped[other] + 1 if waits else 0
-            # A lower class that is due at the same moment may go first.
-            bound = DEFAULT_GATE.passed_over[other] + 1
-            assert other is URGENT or self.skipped[other] <= bound
+            # Each lower class that is due at the same moment may go first.
+            lower_classes = BACKGROUND - other
+            assert self.skipped[other] <= PASSED_OVER[other] + lower_classes
 
     @rule(gap=GAPS, priority=st.sampled_from(Priority), left=st.floats(-0.01, 0.5))
     def offer(self, gap, priority, left):
@@ -216,6 +217,22 @@
         self.assertAlmostEqual(due, 0.011)
         self.assertEqual(gate.advance(now=due).granted, ("waiter",))
 
+    def test_only_what_ran_long_or_succeeded_changes_the_service_time(self):
+        table = [
+            (Outcome.SUCCESS, 0.001, True),
+            (Outcome.FAILED, 0.001, False),
+            (Outcome.CANCELLED, 0.001, False),
+            (Outcome.SHED, 0.5, False),
+            (Outcome.FAILED, 0.5, True),
+            (Outcome.CANCELLED, 0.5, True),
+        ]
+        for outcome, held, changes in table:
+            with self.subTest(outcome=outcome, held=held):
+                gate = busy_gate()
+                before = gate.service_time
+                self.release(gate, held=held, outcome=outcome)
+                self.assertEqual(gate.service_time != before, changes)
+
     def test_misuse_is_an_error(self):
         gate = busy_gate()
         offer(gate, "waiter", left=1.0)
