--- /dev/null
+++ b/src/savorypond/ledger.py
@@ -0,0 +1,271 @@
+"""What became of the tickets of this process: the record behind at most once."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from savorypond.claims import (
+    EARLIER_START,
+    EXPIRED,
+    FORGOTTEN,
+    FULL,
+    GIVEN_UP,
+    NOT_ISSUED,
+    PAUSED,
+    REFUSED_BEFORE,
+    RESULT_DROPPED,
+    REVOKED,
+    UNRESOLVED,
+    InProgress,
+    Replay,
+    Run,
+)
+from savorypond.expiry import ExpiryBuckets
+from savorypond.reasons import Execution
+from savorypond.spent import Mark, SpentNumbers
+from savorypond.tickets import Refuse, Ticket, TicketLimits, TicketSeal
+
+FORGET_INTERVAL = 1.0  # seconds
+
+
+class _State(Enum):
+    CLAIMED = auto()
+    DISPATCHED = auto()
+    RAN = auto()
+
+
+@dataclass(slots=True, kw_only=True)
+class _Entry:
+    forget_at: float
+    state: _State = _State.CLAIMED
+    result: bytes = b""
+
+
+class TicketLedger:
+    """Lets each ticket of this process be dispatched at most once.
+
+    A ticket is claimed, then marked as dispatched right before the first byte may
+    leave, then finished. What is remembered ends with the lifetime of the ticket
+    and a grace; two bits per used number last that long, while the results kept
+    for repeats are dropped, oldest first, when they need too much room.
+
+    When the incarnation rises, as after a pause, every ticket of an earlier one
+    that was not dispatched is void. A request that lay unread in a socket through
+    the pause looks like a new one, and its caller may have moved on since; the
+    incarnation is all that tells them apart. Because the memory of this process
+    survived, each void ticket can truthfully be refused as not run. No other
+    process ever says so: a ticket whose seal does not fit is refused as unknown.
+    """
+
+    def __init__(
+        self, *, incarnation: int, seal: TicketSeal, limits: TicketLimits
+    ) -> None:
+        self._incarnation = incarnation
+        self._seal = seal
+        self._limits = limits
+        self._entries: dict[int, _Entry] = {}
+        self._ran: OrderedDict[int, None] = OrderedDict()
+        self._result_bytes = 0
+        self._spent = SpentNumbers()
+        self._ends = ExpiryBuckets()
+        self._forgot_at = float("-inf")
+
+    @property
+    def incarnation(self) -> int:
+        """The incarnation whose tickets may run."""
+        return self._incarnation
+
+    @property
+    def entries(self) -> int:
+        """Calls in progress and kept results, together."""
+        return len(self._entries)
+
+    @property
+    def in_progress(self) -> int:
+        """Claimed and dispatched calls that have not ended."""
+        return len(self._entries) - len(self._ran)
+
+    @property
+    def result_bytes(self) -> int:
+        """Bytes of all kept results."""
+        return self._result_bytes
+
+    @property
+    def spent_bytes(self) -> int:
+        """Bytes of the marks of used numbers."""
+        return self._spent.size
+
+    def raise_incarnation(self, incarnation: int) -> int:
+        """Void the tickets of earlier incarnations that were not dispatched.
+
+        :returns: how many claimed ones lost their right to run.
+        """
+        if incarnation <= self._incarnation:
+            return 0
+        self._incarnation = incarnation
+        claimed = [
+            number
+            for number, entry in self._entries.items()
+            if entry.state is _State.CLAIMED
+        ]
+        for number in claimed:
+            self._remove(number)
+        return len(claimed)
+
+    def claim(
+        self, ticket: Ticket, *, now: float
+    ) -> Run | Replay | InProgress | Refuse:
+        """Take the right to run ``ticket``, or tell what became of it."""
+        self._forget(now)
+        known = self._refuse_stranger(ticket) or self._recall(ticket)
+        refusal = known or self.right(ticket, now=now)
+        if refusal is not None:
+            return refusal
+        if self.in_progress >= self._limits.max_entries:
+            return self.refused(ticket, FULL)
+        self._drop_results(room=1)
+        entry = _Entry(forget_at=self._forget_at(ticket))
+        self._entries[ticket.number] = entry
+        self._ends.add(ticket.number, ends_at=entry.forget_at)
+        return Run(ticket=ticket)
+
+    def revoke(self, ticket: Ticket, *, now: float) -> Replay | InProgress | Refuse:
+        """Close ``ticket`` if it was not used, so that it never runs.
+
+        A caller whose request ended as unknown learns from this what became of it,
+        or that it may do the work anew.
+        """
+        claim = self.claim(ticket, now=now)
+        return self.refused(ticket, REVOKED) if isinstance(claim, Run) else claim
+
+    def right(self, ticket: Ticket, *, now: float) -> Refuse | None:
+        """Return why a ticket that was not used may no longer run, or None."""
+        if now >= self._forget_at(ticket):
+            return FORGOTTEN
+        if now >= ticket.expires_at:
+            return EXPIRED
+        return PAUSED if ticket.incarnation < self._incarnation else None
+
+    def dispatched(self, ticket: Ticket, *, now: float) -> Refuse | None:
+        """Check the right to run and spend it; call right before the first byte.
+
+        :returns: None where the write may start, else why it must not.
+        """
+        entry = self._in_state(ticket, _State.CLAIMED)
+        if entry is None:
+            marked = self._refuse_marked(ticket)
+            return marked or self.right(ticket, now=now) or GIVEN_UP
+        refusal = self.right(ticket, now=now)
+        if refusal is not None:
+            self._remove(ticket.number)
+            return refusal
+        entry.state = _State.DISPATCHED
+        self._mark(ticket, Mark.DISPATCHED)
+        return None
+
+    def abandoned_before_send(self, ticket: Ticket) -> None:
+        """Give a claim back of which the caller is told nothing.
+
+        No byte left, so that the ticket can be claimed again.
+        """
+        if self._in_state(ticket, _State.CLAIMED) is not None:
+            self._remove(ticket.number)
+
+    def refused(self, ticket: Ticket, refusal: Refuse) -> Refuse:
+        """Give a claim back, and return what its caller may be told.
+
+        A caller who reads "not run" may do the work anew under another ticket,
+        while an older copy of this request may still be on its way. The ticket is
+        therefore closed: it never runs after it was refused as not run.
+        """
+        self.abandoned_before_send(ticket)
+        marked = self._refuse_marked(ticket)
+        if marked is not None or ticket.number in self._entries:
+            return marked or UNRESOLVED
+        if refusal.execution is Execution.NOT_RUN:
+            self._mark(ticket, Mark.REFUSED)
+        return refusal
+
+    def said_not_run(self, ticket: Ticket) -> None:
+        """Turn a dispatch back into a claim: the backend server refused the work."""
+        entry = self._in_state(ticket, _State.DISPATCHED)
+        if entry is None:
+            return
+        self._mark(ticket, Mark.UNUSED)
+        entry.state = _State.CLAIMED
+        if ticket.incarnation < self._incarnation:
+            self._remove(ticket.number)
+
+    def finished(self, ticket: Ticket, result: bytes) -> None:
+        """Keep the result of a dispatched call for callers who ask again."""
+        entry = self._in_state(ticket, _State.DISPATCHED)
+        if entry is None:
+            return
+        self._mark(ticket, Mark.RAN)
+        entry.state = _State.RAN
+        entry.result = result
+        self._ran[ticket.number] = None
+        self._result_bytes += len(result)
+        self._drop_results()
+
+    def lost(self, ticket: Ticket) -> None:
+        """End a dispatched call whose outcome will not be known."""
+        if self._in_state(ticket, _State.DISPATCHED) is not None:
+            self._remove(ticket.number)
+
+    def _in_state(self, ticket: Ticket, state: _State) -> _Entry | None:
+        entry = self._entries.get(ticket.number)
+        return entry if entry is not None and entry.state is state else None
+
+    def _refuse_stranger(self, ticket: Ticket) -> Refuse | None:
+        if self._seal.verify(ticket):
+            return None
+        same_start = ticket.incarnation == self._incarnation
+        return NOT_ISSUED if same_start else EARLIER_START
+
+    def _recall(self, ticket: Ticket) -> Replay | InProgress | Refuse | None:
+        entry = self._entries.get(ticket.number)
+        if entry is None:
+            return self._refuse_marked(ticket)
+        if entry.state is _State.RAN:
+            return Replay(result=entry.result)
+        return InProgress(dispatched=entry.state is _State.DISPATCHED)
+
+    def _refuse_marked(self, ticket: Ticket) -> Refuse | None:
+        match self._spent.read(ticket.number):
+            case Mark.RAN:
+                return RESULT_DROPPED
+            case Mark.DISPATCHED:
+                return UNRESOLVED
+            case Mark.REFUSED:
+                return REFUSED_BEFORE
+        return None
+
+    def _mark(self, ticket: Ticket, mark: Mark) -> None:
+        self._spent.mark(ticket.number, mark, forget_at=self._forget_at(ticket))
+
+    def _forget_at(self, ticket: Ticket) -> float:
+        return ticket.expires_at + self._limits.grace
+
+    def _remove(self, number: int) -> None:
+        entry = self._entries.pop(number, None)
+        if entry is None:
+            return
+        self._ends.discard(number, ends_at=entry.forget_at)
+        self._ran.pop(number, None)
+        self._result_bytes -= len(entry.result)
+
+    def _drop_results(self, *, room: int = 0) -> None:
+        while self._ran and (
+            self.entries + room > self._limits.max_entries
+            or self._result_bytes > self._limits.max_result_bytes
+        ):
+            self._remove(next(iter(self._ran)))
+
+    def _forget(self, now: float) -> None:
+        if now < self._forgot_at + FORGET_INTERVAL:
+            return
+        self._forgot_at = now
+        self._spent.forget(now)
+        for number in self._ends.take_ended(now):
+            self._remove(number)
