--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -7,99 +7,90 @@
 
 from curio import TaskGroup, ignore_after, sleep
 
-from savorypond.admission import Admission, AdmissionConfig
-from savorypond.bundle import decode_bundle
 from savorypond.callapi import CallApi
 from savorypond.callerapi import CallerApi
 from savorypond.clock import SystemClock
+from savorypond.configwire import Stamp
+from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.calls import Calls
+from savorypond.controllers.config import ConfigController
 from savorypond.controllers.drain import DrainController
 from savorypond.controllers.health import HealthInterval, HealthPoller
+from savorypond.controllers.holdings import Holdings
 from savorypond.controllers.membership import MembershipController
 from savorypond.controllers.owners import Owners
 from savorypond.controllers.pools import ConnectionPools
-from savorypond.controllers.shares import ShareController
 from savorypond.fanoutpolicies import FanoutPolicies, FanoutSettings
-from savorypond.filters.admission import AdmissionFilter
-from savorypond.filters.chain import Chain
-from savorypond.filters.coverage import CoverageFilter
-from savorypond.filters.deadline import DeadlineFilter
-from savorypond.filters.fanout import FanoutStep
-from savorypond.filters.metrics import MetricsFilter
-from savorypond.filters.services import ServiceFilter
-from savorypond.filters.snapshot import SnapshotFilter
 from savorypond.forwardrun import ForwardTools
 from savorypond.httpserver import HttpLimits, HttpServer
 from savorypond.leaving import ServerDrain
 from savorypond.linkdelay import link_delay
 from savorypond.logs import log_event
+from savorypond.membersettings import ConfigDiffers
 from savorypond.metrics import Metrics
-from savorypond.model import Bundle, Instance
+from savorypond.model import Address, Instance
 from savorypond.operatorapi import OperatorApi
 from savorypond.pause import HEARTBEAT_INTERVAL
 from savorypond.peerapi import PeerApi
+from savorypond.peercontrol import ControlClient, ControlServer
 from savorypond.peerlink import PeerLinks, PeerServer
-from savorypond.placement import (
-    DirectPlacement,
-    FleetView,
-    OwnerPlacement,
-    SlotSharing,
-    StaticShares,
-)
-from savorypond.platformclient import (
-    HttpConfigService,
-    HttpInstanceList,
-    PlatformError,
-)
+from savorypond.platformclient import HttpConfigService, HttpInstanceList
 from savorypond.queryrun import QueryTools
-from savorypond.settings import PlacementMode, Settings
+from savorypond.settings import Settings
 from savorypond.shardcalls import ShardCaller
 from savorypond.statuspage import StatusPage
+from savorypond.wiring import caller_limits, make_chain, make_placement
 
 LINK_TIME = 0.003  # seconds that another data centre is expected to add
-_BUNDLE_KEY = "bundle"
-_WATCH_TIME = 30.0  # seconds
+_DIFFERENCE_INTERVAL = 0.05  # seconds
 _HAND_OVER_TIME = 1.0  # seconds
 
 
 class Daemon:
-    """One entry instance."""
+    """One entry instance.
+
+    Entering the context starts it; leaving it ends it at once. ``drain`` stops
+    it without cutting a request.
+    """
 
     def __init__(self, *, settings: Settings) -> None:
         self._settings = settings
         self._clock = SystemClock()
         self._rng = SystemRandom()
         self._metrics = Metrics()
-        self._bundle: Bundle | None = None
+        self._counters = self._metrics.counters
         self._stack = AsyncExitStack()
         self._tasks = TaskGroup()
         self._source_host = settings.caller_address.host
         self._incarnation = time_ns()
+        self._differing: list[ConfigDiffers] = []
+
+    @property
+    def config(self) -> ConfigController:
+        """The configuration in force."""
+        return self._config
 
     @property
-    def bundle(self) -> Bundle | None:
-        """The highest accepted bundle, or None before the first."""
-        return self._bundle
+    def metrics(self) -> Metrics:
+        """What this instance counts and measures."""
+        return self._metrics
+
+    @property
+    def status_page(self) -> StatusPage:
+        """What this instance believes."""
+        return self._page
 
     async def __aenter__(self) -> Self:
-        await self._start_membership()
-        self._build_servers()
-        await self._enter(self._pools)
-        self._build_queries()
-        await self._enter(self._caller)
-        await self._enter(self._links)
-        self._build_calls()
-        await self._enter(self._shares)
-        await self._enter(self._health)
-        await self._start_interfaces()
-        await self._tasks.spawn(self._watch_config)
-        await self._tasks.spawn(self._beat)
+        try:
+            await self._start()
+        except BaseException:
+            await self._stop()
+            raise
         return self
 
     async def __aexit__(self, *reason: object) -> None:
-        await self._tasks.cancel_remaining()
-        await self._stack.aclose()
+        await self._stop()
 
     async def drain(self) -> None:
         """Stop as planned: cut nothing, and hand the work of this instance on."""
@@ -112,6 +103,20 @@
                 return member.instance
         return None
 
+    async def _start(self) -> None:
+        await self._start_membership()
+        await self._start_config()
+        await self._start_backend_servers()
+        await self._start_queries()
+        self._build_calls()
+        await self._start_interfaces()
+        for work in (self._follow_config, self._tell_differences, self._beat):
+            await self._tasks.spawn(work)
+
+    async def _stop(self) -> None:
+        await self._tasks.cancel_remaining()
+        await self._stack.aclose()
+
     async def _enter(self, owned: Any) -> None:
         await self._stack.enter_async_context(owned)
 
@@ -128,20 +133,45 @@
             ),
             clock=self._clock,
             rng=self._rng,
-            counters=self._metrics.counters,
+            counters=self._counters,
+            on_config=self._note_difference,
         )
         await self._enter(self._membership)
-        self._placement = _make_placement(
-            settings.placement, self._membership.membership
+        view = self._membership.membership
+        self._placement = make_placement(settings.placement, view)
+
+    async def _start_config(self) -> None:
+        settings = self._settings
+        control = ControlClient(fleet=settings.fleet, find=self._find_address)
+        await self._enter(control)
+        self._config = ConfigController(
+            view=self._membership.membership,
+            service=HttpConfigService(
+                address=settings.config_service, source_host=self._source_host
+            ),
+            peers=control,
+            name=settings.name,
+            fleet=settings.fleet,
+            watchers=settings.watchers_per_data_centre,
+            clock=self._clock,
+            random=self._rng,
+            counters=self._counters,
         )
+        await self._enter(
+            ControlServer(
+                address=settings.peer_address,
+                fleet=settings.fleet,
+                answer=self._config.answer,
+            )
+        )
+        await self._enter(self._config)
 
-    def _build_servers(self) -> None:
-        counters = self._metrics.counters
+    async def _start_backend_servers(self) -> None:
         self._servers = BackendServers(
             data_centre=self._settings.data_centre,
             clock=self._clock,
             rng=self._rng,
-            counters=counters,
+            counters=self._counters,
             link_time=LINK_TIME,
         )
         self._pools = ConnectionPools(
@@ -149,7 +179,15 @@
             share=self._placement,
             clock=self._clock,
             rng=self._rng,
-            counters=counters,
+            counters=self._counters,
+        )
+        self._active = ActiveServices(
+            config=self._config,
+            view=self._membership.membership,
+            placement=self._placement,
+            servers=self._servers,
+            pools=self._pools,
+            clock=self._clock,
         )
         self._leaving = ServerDrain()
         self._health = HealthPoller(
@@ -158,74 +196,67 @@
             drain=self._leaving,
             clock=self._clock,
             rng=self._rng,
-            counters=counters,
+            counters=self._counters,
             interval=HealthInterval(),
+            owns=self._active.owns,
         )
-        self._shares = ShareController(
-            view=self._membership.membership,
-            placement=self._placement,
-            servers=self._servers,
-            pools=self._pools,
-        )
-        self._owners = Owners(
-            servers=self._servers, clock=self._clock, metrics=self._metrics
-        )
+        for owned in (self._pools, self._active, self._health):
+            await self._enter(owned)
 
-    def _build_queries(self) -> None:
+    async def _start_queries(self) -> None:
         settings = self._settings
-        counters = self._metrics.counters
         self._caller = ShardCaller(
             servers=self._servers,
             connections=self._pools,
             clock=self._clock,
-            counters=counters,
+            counters=self._counters,
+        )
+        self._links = PeerLinks(fleet=settings.fleet, source_host=self._source_host)
+        self._holdings = Holdings(
+            active=self._active,
+            servers=self._servers,
+            health=self._health,
+            placement=self._placement,
+            links=self._links,
+            clock=self._clock,
         )
+        for owned in (self._caller, self._links, self._holdings):
+            await self._enter(owned)
         policies = FanoutPolicies(
             chooser=self._servers.chooser,
             budget=self._servers.budget,
             hedging=self._servers.hedging,
-            counters=counters,
+            counters=self._counters,
             random=self._rng,
             settings=FanoutSettings(finish_margin=settings.deadline_margin),
         )
         self._query_tools = QueryTools(
+            active=self._active,
             servers=self._servers,
             caller=self._caller,
             clock=self._clock,
             policies=policies,
         )
-        self._links = PeerLinks(fleet=settings.fleet, source_host=self._source_host)
-        self._forward_tools = ForwardTools(
-            local=self._query_tools,
-            placement=self._placement,
-            links=self._links,
-            reports=self._owners,
-            hedging=self._owners.hedging,
-            budget=self._owners.budget,
-            counters=counters,
-            clock=self._clock,
-            data_centre=settings.data_centre,
-            link_time=LINK_TIME,
-            margin=settings.deadline_margin,
-        )
 
     def _build_calls(self) -> None:
         settings = self._settings
         self._calls = Calls(
             instance=settings.name,
             fleet=settings.fleet,
+            active=self._active,
             servers=self._servers,
             leaving=self._leaving,
             connections=self._pools,
             clock=self._clock,
             wall=time,
             rng=self._rng,
-            counters=self._metrics.counters,
+            counters=self._counters,
         )
         self._call_api = CallApi(
             instance=settings.name,
             calls=self._calls,
-            config=self,
+            config=self._config,
+            fleet=settings.fleet,
             peers=self,
             links=self._links,
             clock=self._clock,
@@ -236,31 +267,14 @@
             announce=self._membership.leave,
             hand_over=self._hand_over,
             clock=self._clock,
-            counters=self._metrics.counters,
+            counters=self._counters,
         )
 
     async def _start_interfaces(self) -> None:
         settings = self._settings
-        counters = self._metrics.counters
-        peer_api = PeerApi(
-            instance=settings.name,
-            calls=self._call_api,
-            config=self,
-            servers=self._servers,
-            tools=self._query_tools,
-            clock=self._clock,
-        )
-        caller_api = CallerApi(
-            instance=settings.name,
-            incarnation=self._incarnation,
-            chain=self._build_chain(),
-            calls=self._call_api,
-            config=self,
-            clock=self._clock,
-        )
-        page = StatusPage(
+        self._page = StatusPage(
             settings=settings,
-            config=self,
+            config=self._config,
             membership=self._membership,
             placement=self._placement,
             servers=self._servers,
@@ -268,77 +282,108 @@
             drain=self._drain,
             clock=self._clock,
         )
-        operator_api = OperatorApi(
-            metrics=self._metrics, status=page.status, not_ready=page.not_ready
+        operators = OperatorApi(
+            metrics=self._metrics,
+            status=self._page.status,
+            not_ready=self._page.not_ready,
         )
         await self._enter(
             PeerServer(
                 address=settings.peer_address,
                 fleet=settings.fleet,
-                handler=peer_api.handle,
+                handler=self._make_peer_api().handle,
                 delay=self._link_delay,
             )
         )
         await self._enter(
             HttpServer(
                 address=settings.operator_address,
-                handler=operator_api.handle,
+                handler=operators.handle,
                 limits=HttpLimits(),
             )
         )
         await self._enter(
             HttpServer(
                 address=settings.caller_address,
-                handler=self._drain.guard(caller_api.handle),
-                limits=_http_limits(settings),
-                on_refusal=lambda reason: counters.add("refusals", reason),
+                handler=self._drain.guard(self._make_caller_api().handle),
+                limits=caller_limits(settings),
+                on_refusal=lambda reason: self._counters.add("refusals", reason),
             )
         )
 
-    def _build_chain(self) -> Chain:
-        settings = self._settings
-        counters = self._metrics.counters
-        admission = Admission(config=AdmissionConfig(most=settings.requests.in_flight))
-        return Chain(
-            filters=(
-                MetricsFilter(metrics=self._metrics, clock=self._clock),
-                DeadlineFilter(clock=self._clock, margin=settings.deadline_margin),
-                AdmissionFilter(admission=admission, clock=self._clock),
-                ServiceFilter(config=self),
-                SnapshotFilter(pins=self._servers),
-                CoverageFilter(),
-            ),
-            last=FanoutStep(
-                tools=self._forward_tools,
-                pins=self._servers,
-                clock=self._clock,
-                counters=counters,
-            ),
+    def _make_peer_api(self) -> PeerApi:
+        return PeerApi(
+            instance=self._settings.name,
+            calls=self._call_api,
+            config=self._config,
+            holdings=self._holdings,
+            servers=self._servers,
+            tools=self._query_tools,
+            clock=self._clock,
         )
 
-    async def _watch_config(self) -> None:
-        service = HttpConfigService(
-            address=self._settings.config_service, source_host=self._source_host
+    def _make_caller_api(self) -> CallerApi:
+        settings = self._settings
+        owners = Owners(
+            holdings=self._holdings, clock=self._clock, metrics=self._metrics
         )
-        after = 0
+        tools = ForwardTools(
+            local=self._query_tools,
+            placement=self._placement,
+            links=self._links,
+            reports=owners,
+            hedging=owners.hedging,
+            budget=owners.budget,
+            counters=self._counters,
+            clock=self._clock,
+            data_centre=settings.data_centre,
+            link_time=LINK_TIME,
+            margin=settings.deadline_margin,
+        )
+        chain = make_chain(
+            settings=settings,
+            config=self._config,
+            pins=self._holdings,
+            tools=tools,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
+        return CallerApi(
+            instance=settings.name,
+            incarnation=self._incarnation,
+            chain=chain,
+            calls=self._call_api,
+            config=self._config,
+            clock=self._clock,
+        )
+
+    def _find_address(self, name: str) -> Address | None:
+        peer = self.find(name)
+        return peer.peer_address if peer is not None else None
+
+    def _note_difference(self, differs: ConfigDiffers) -> None:
+        self._differing.append(differs)
+
+    async def _tell_differences(self) -> None:
         while True:
-            try:
-                stored = await service.watch(
-                    _BUNDLE_KEY, after=after, seconds=_WATCH_TIME
-                )
-            except PlatformError:
-                await sleep(1.0)
-                continue
-            if stored is not None:
-                after = stored.revision
-                await self._take(decode_bundle(bytes(stored.value)))
-
-    async def _take(self, bundle: Bundle) -> None:
-        self._bundle = bundle
-        self._servers.apply(bundle)
-        await self._pools.apply(bundle)
-        await self._shares.apply(bundle.services.values())
-        log_event("config-in-force", revision=bundle.revision)
+            await sleep(_DIFFERENCE_INTERVAL)
+            differing, self._differing = self._differing, []
+            for one in differing:
+                stamp = Stamp(one.revision, one.digest)
+                await self._config.on_digest(one.peer.name, stamp)
+            await self._config.on_fleet_size(self._membership.membership.fleet_size)
+
+    async def _follow_config(self) -> None:
+        revision = 0
+        while True:
+            bundle = await self._config.wait_above(revision)
+            revision = bundle.revision
+            stamp = self._config.stamp
+            self._membership.membership.set_config(
+                revision=stamp.revision, digest=stamp.digest
+            )
+            log_event("config-in-force", revision=revision)
+            await self._active.config_changed()
 
     async def _beat(self) -> None:
         while True:
@@ -346,7 +391,7 @@
             paused = self._calls.pause.observe(self._clock.now())
             if paused is not None:
                 log_event("woke", gap=round(paused.gap, 3))
-                self._metrics.counters.add("pauses", "noticed")
+                self._counters.add("pauses", "noticed")
                 self._pools.distrust()
 
     def _link_delay(self, peer: str) -> float:
@@ -354,23 +399,4 @@
         return link_delay(self._source_host, peer, between=between) if between else 0.0
 
     async def _hand_over(self) -> None:
-        async with ignore_after(_HAND_OVER_TIME):
-            await self._caller.drain()
-
-
-def _make_placement(mode: PlacementMode, view: FleetView) -> SlotSharing:
-    if mode is PlacementMode.DIRECT:
-        return DirectPlacement(view=view)
-    if mode is PlacementMode.STATIC:
-        return StaticShares(view=view)
-    return OwnerPlacement(view=view)
-
-
-def _http_limits(settings: Settings) -> HttpLimits:
-    requests = settings.requests
-    return HttpLimits(
-        header_bytes=requests.header_bytes,
-        body_bytes=requests.body_bytes,
-        receive_time=requests.receive_time,
-        connections_per_peer=requests.connections_per_caller,
-    )
+        await ignore_after(_HAND_OVER_TIME, self._caller.drain)
--- /dev/null
+++ b/src/savorypond/wiring.py
@@ -0,0 +1,68 @@
+"""Small builders for the parts that the daemon wires."""
+
+from savorypond.admission import Admission, AdmissionConfig
+from savorypond.clock import Clock
+from savorypond.filters.admission import AdmissionFilter
+from savorypond.filters.chain import Chain
+from savorypond.filters.coverage import CoverageFilter
+from savorypond.filters.deadline import DeadlineFilter
+from savorypond.filters.fanout import FanoutStep
+from savorypond.filters.metrics import MetricsFilter
+from savorypond.filters.services import ServiceFilter
+from savorypond.filters.snapshot import PinSource, SnapshotFilter
+from savorypond.forwardrun import ForwardTools
+from savorypond.httpserver import HttpLimits
+from savorypond.metrics import Metrics
+from savorypond.placement import (
+    DirectPlacement,
+    FleetView,
+    OwnerPlacement,
+    SlotSharing,
+    StaticShares,
+)
+from savorypond.protocols import ConfigView
+from savorypond.settings import PlacementMode, Settings
+
+
+def make_placement(mode: PlacementMode, view: FleetView) -> SlotSharing:
+    """Return the placement that ``mode`` names."""
+    if mode is PlacementMode.DIRECT:
+        return DirectPlacement(view=view)
+    if mode is PlacementMode.STATIC:
+        return StaticShares(view=view)
+    return OwnerPlacement(view=view)
+
+
+def caller_limits(settings: Settings) -> HttpLimits:
+    """Return what the callers' port accepts."""
+    requests = settings.requests
+    return HttpLimits(
+        header_bytes=requests.header_bytes,
+        body_bytes=requests.body_bytes,
+        receive_time=requests.receive_time,
+        connections_per_peer=requests.connections_per_caller,
+    )
+
+
+def make_chain(
+    *,
+    settings: Settings,
+    config: ConfigView,
+    pins: PinSource,
+    tools: ForwardTools,
+    metrics: Metrics,
+    clock: Clock,
+) -> Chain:
+    """Return the filters that a query walks, in order."""
+    admission = Admission(config=AdmissionConfig(most=settings.requests.in_flight))
+    return Chain(
+        filters=(
+            MetricsFilter(metrics=metrics, clock=clock),
+            DeadlineFilter(clock=clock, margin=settings.deadline_margin),
+            AdmissionFilter(admission=admission, clock=clock),
+            ServiceFilter(config=config),
+            SnapshotFilter(pins=pins),
+            CoverageFilter(),
+        ),
+        last=FanoutStep(tools=tools, pins=pins, clock=clock, counters=metrics.counters),
+    )
