--- a/src/savorypond/controllers/calls.py
+++ b/src/savorypond/controllers/calls.py
@@ -16,13 +16,12 @@
     Probe,
     Write,
 )
-from savorypond.claims import InProgress, Replay, Run
 from savorypond.clock import Clock
 from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.exceptions import RequestRefused
 from savorypond.issuer import TicketIssuer, new_incarnation
-from savorypond.ledger import TicketLedger
+from savorypond.ledger import InProgress, Replay, Run, TicketLedger
 from savorypond.model import Counters, Service
 from savorypond.pause import Paused, PauseDetector
 from savorypond.reasons import Execution, RefusalReason
