Hint at lost data centres in answers too, and keep a start of the whole fleet quiet

Cause: 220 instances in 22 data centres took 44 s until all knew that one data centre was cut off, as only pings within a data centre told of it; and after a start of all, each spread every incarnation, 2.5 KB/s per instance for 20 s.

Change: acks carry the hint as well, from any data centre; an update that only confirms what the platform lists is not passed on.

--- /dev/null
+++ b/benchmarks/bench_members.py
@@ -0,0 +1,306 @@
+"""Measure what membership and placement cost as the fleet grows.
+
+Prints four tables: the cost of one instance's membership, the cost of finding
+owners, how fast news reaches every instance, and how fast the loss of a data
+centre does. Run with ``python -m benchmarks.bench_members``.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from gc import collect
+from random import Random
+from statistics import mean
+from time import perf_counter
+from tracemalloc import get_traced_memory, start, stop
+
+from tests.memberfleet import MemberFleet
+
+from savorypond.membersettings import Send
+from savorypond.membership import Membership
+from savorypond.memberwire import (
+    Ack,
+    Leave,
+    MemberUpdate,
+    Packet,
+    Ping,
+    decode,
+    encode,
+)
+from savorypond.model import (
+    Address,
+    BackendServer,
+    Instance,
+    InstanceState,
+    Preference,
+    Priority,
+    ServerLimits,
+    Service,
+    ServiceKind,
+)
+from savorypond.ownertable import OwnerTable
+
+FLEET_SIZES = (7, 100, 1000, 4200)
+DATA_CENTRES = 22
+TICK = 0.1  # seconds
+SIMULATED = 60.0  # seconds of one instance's life
+PINGS_RECEIVED = 2.0  # per second
+CHANGES = 0.5 / 4200  # updates per second and instance: 21,400 come and go a day
+SERVICES = 43_500
+SAMPLE = 3_000  # services looked up
+SPREAD_SIZES = (7, 30, 100)
+SEEDS = range(5)
+LOSS = 0.01
+LIMIT = 60.0  # seconds
+ME = Address(host="127.0.0.1", port=1)
+
+
+def update_of(number: int, incarnation: int, state=InstanceState.LIVE) -> MemberUpdate:
+    return MemberUpdate(
+        name=f"entry-{number:05}",
+        data_centre=f"dc-{number % DATA_CENTRES:02}",
+        host=f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}",
+        port=7400,
+        incarnation=incarnation,
+        refutation=0,
+        state=state,
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class Spent:
+    """Seconds spent in calls of one kind, and how many there were."""
+
+    seconds: float = 0.0
+    calls: int = 0
+
+    def run(self, call: Callable[[], list]) -> list:
+        begun = perf_counter()
+        result = call()
+        self.seconds += perf_counter() - begun
+        self.calls += 1
+        return result
+
+    @property
+    def microseconds(self) -> float:
+        return self.seconds / max(1, self.calls) * 1e6
+
+
+class OneInstance:
+    """The membership of one instance among peers that answer at once."""
+
+    def __init__(self, *, size: int) -> None:
+        self.ticks, self.received = Spent(), Spent()
+        self.live, self.wire = Spent(), Spent()
+        self.sent_bytes = 0
+        self._rng = Random(size)
+        self._size = size
+        self._now = 0.0
+        collect()
+        start()
+        before, _ = get_traced_memory()
+        self._membership = Membership(
+            myself=update_of(0, 1).to_instance(), now=0.0, rng=Random(1)
+        )
+        listed = [update_of(n, 0).to_instance() for n in range(size)]
+        self._membership.listed(listed, 0.0)
+        del listed
+        for first in range(1, size, 8):
+            known = [update_of(n, 1) for n in range(first, min(size, first + 8))]
+            self._receive(Packet(sender=known[0], message=Leave(updates=tuple(known))))
+        self._membership.live()
+        collect()
+        after, _ = get_traced_memory()
+        stop()
+        self.bytes_per_member = (after - before) / max(1, size - 1)
+
+    def live_for(self, seconds: float) -> None:
+        """Run until the joins have been spread, then count ``seconds``."""
+        self._run(120.0)
+        self.ticks, self.received = Spent(), Spent()
+        self.live, self.wire = Spent(), Spent()
+        self.sent_bytes = 0
+        self._run(seconds)
+
+    def _run(self, seconds: float) -> None:
+        end = self._now + seconds
+        while self._now < end:
+            self._now += TICK
+            self._act(self.ticks.run(lambda: self._membership.tick(self._now)))
+            if self._rng.random() < PINGS_RECEIVED * TICK:
+                self._receive_ping()
+
+    def _receive_ping(self) -> None:
+        news = ()
+        # Updates of the whole fleet reach each instance a few times over.
+        if self._rng.random() < CHANGES * self._size / PINGS_RECEIVED:
+            number = self._rng.randrange(1, self._size)
+            news = (update_of(number, 2 + int(self._now * 1000)),)
+        ping = Ping(
+            number=1,
+            target="entry-00000",
+            catching_up=False,
+            config_revision=0,
+            config_digest=0,
+            updates=news,
+        )
+        peer = update_of(self._rng.randrange(1, self._size), 1)
+        self._receive(Packet(sender=peer, message=ping))
+
+    def _receive(self, packet: Packet) -> None:
+        now = self._now
+
+        def receive() -> list:
+            return self._membership.received(packet, ME, now)
+
+        version = self._membership.version
+        self._act(self.received.run(receive))
+        if self._membership.version != version:
+            self.live.run(lambda: list(self._membership.live()))
+
+    def _act(self, actions: list) -> None:
+        for action in actions:
+            if not isinstance(action, Send):
+                continue
+            data = encode(action.packet, fleet="fleet")
+            self.sent_bytes += len(data)
+            self.wire.run(lambda d=data: [decode(d, fleet="fleet", source=ME)])
+            message = action.packet.message
+            if isinstance(message, Ping):
+                ack = Ack(
+                    number=message.number,
+                    subject=message.target,
+                    config_revision=0,
+                    config_digest=0,
+                )
+                peer = update_of(int(message.target[6:]), 1)
+                self._receive(Packet(sender=peer, message=ack))
+
+
+def service(number: int) -> Service:
+    servers = tuple(
+        BackendServer(
+            name=f"s{number}-{place}",
+            address=Address(host="127.0.0.1", port=1),
+            data_centre=f"dc-{(number * 7 + place) % DATA_CENTRES:02}",
+        )
+        for place in range(2)
+    )
+    return Service(
+        name=f"listings-{number:05}",
+        kind=ServiceKind.SEARCH,
+        index="listings",
+        layouts=(),
+        backend_servers=servers,
+        limits=ServerLimits(slots=2, connections=25, connect_time=0.006),
+        priority=Priority.INTERACTIVE,
+        prefer=Preference.LATENCY,
+        time_limit=1.0,
+        least_coverage=0.0,
+    )
+
+
+def print_membership() -> None:
+    print("Membership of one instance (CPU: microseconds; in and out at rest)")
+    print(
+        "members  bytes/member  us/tick  us/datagram  us/decode  us/live()"
+        "  sent bytes/s  % of a core"
+    )
+    for size in FLEET_SIZES:
+        one = OneInstance(size=size)
+        one.live_for(SIMULATED)
+        spent = (one.ticks, one.received, one.wire, one.live)
+        core = sum(kind.seconds for kind in spent) / SIMULATED * 100
+        print(
+            f"{size:7} {one.bytes_per_member:13.0f} {one.ticks.microseconds:8.1f}"
+            f" {one.received.microseconds:12.1f} {one.wire.microseconds:10.1f}"
+            f" {one.live.microseconds:10.0f} {one.sent_bytes / SIMULATED:13.0f}"
+            f" {core:12.3f}"
+        )
+
+
+def print_owners() -> None:
+    print("\nOwner lookup (microseconds per service; instances in 22 data centres)")
+    print("instances  services  cold  cached  bytes/service  one joins  one is lost")
+    services = [service(n * (SERVICES // SAMPLE)) for n in range(SAMPLE)]
+    for size in FLEET_SIZES:
+        instances = [update_of(n, 1).to_instance() for n in range(size)]
+        table = OwnerTable(groups=0)
+        table.follow(instances)
+        cold = timed(lambda t=table: look_up(t, services)) / SAMPLE
+        cached = timed(lambda t=table: look_up(t, services)) / SAMPLE
+        joined = [*instances, update_of(size, 1).to_instance()]
+        join = timed(lambda t=table, i=joined: t.follow(i))
+        look_up(table, services)
+        loss = timed(lambda t=table, i=instances: t.follow(i))
+        print(
+            f"{size:9} {SAMPLE:9} {cold:5.1f} {cached:7.2f}"
+            f" {bytes_per_service(instances, services):14.0f}"
+            f" {join:10.0f} {loss:12.0f}"
+        )
+
+
+def look_up(table: OwnerTable, services: list[Service]) -> None:
+    for asked in services:
+        table.lookup(asked)
+
+
+def bytes_per_service(instances: list[Instance], services: list[Service]) -> float:
+    collect()
+    start()
+    table = OwnerTable(groups=0)
+    table.follow(instances)
+    before, _ = get_traced_memory()
+    look_up(table, services)
+    after, _ = get_traced_memory()
+    stop()
+    return (after - before) / len(services)
+
+
+def timed(call: Callable[[], None]) -> float:
+    begun = perf_counter()
+    call()
+    return (perf_counter() - begun) * 1e6
+
+
+def kill(fleet: MemberFleet) -> None:
+    fleet.node(1).alive = False
+
+
+def leave(fleet: MemberFleet) -> None:
+    fleet.leave(fleet.node(1))
+
+
+def join(fleet: MemberFleet) -> None:
+    fleet.list_to(fleet.start(len(fleet.nodes), "dc0"))
+
+
+def lose_data_centre(fleet: MemberFleet) -> None:
+    for node in fleet.nodes.values():
+        node.alive = node.instance.data_centre != "dc0"
+
+
+def print_spread() -> None:
+    print(f"\nUntil all views agree (virtual clock, {LOSS:.0%} loss, 5 seeds)")
+    print("instances  event             mean s   max s  messages/s  bytes/s each")
+    for size in SPREAD_SIZES:
+        for event in (kill, leave, join, lose_data_centre):
+            times, messages, sent = [], [], []
+            for seed in SEEDS:
+                fleet = MemberFleet(size=size, seed=seed, loss=LOSS)
+                fleet.run(60.0)
+                counted = (fleet.sent, fleet.sent_bytes)
+                event(fleet)
+                times.append(max(0.1, fleet.run_until(fleet.agree, LIMIT)))
+                per_second = times[-1] * size
+                messages.append((fleet.sent - counted[0]) / per_second)
+                sent.append((fleet.sent_bytes - counted[1]) / per_second)
+            print(
+                f"{size:9}  {event.__name__:16} {mean(times):7.1f} {max(times):7.1f}"
+                f" {mean(messages):11.1f} {mean(sent):13.0f}"
+            )
+
+
+if __name__ == "__main__":
+    print_membership()
+    print_owners()
+    print_spread()
--- a/src/savorypond/beliefs.py
+++ b/src/savorypond/beliefs.py
@@ -57,6 +57,7 @@
         """Take ``update`` about a peer and pass it on; tell if it was news."""
         known = self._table.get(update.name)
         was_gone = known is not None and not known.usable
+        confirms_list = known is not None and _confirms_list(known, update)
         member = self._table.merge(update, now=now)
         if member is None:
             return False
@@ -66,7 +67,8 @@
             self._targets.hurry_revival(now)
         if update.state is InstanceState.SUSPECT:
             self._start_suspicion(member, now)
-        self._dissemination.add(update)
+        if not confirms_list:
+            self._dissemination.add(update)
         return True
 
     def introduce(self, instances: Sequence[Instance], now: float) -> None:
@@ -137,6 +139,16 @@
         return rounds * scale * self._settings.probe_interval
 
 
+def _confirms_list(member: Member, update: MemberUpdate) -> bool:
+    """Tell whether ``update`` says only what the platform's list says to all.
+
+    It is not passed on, so that a fleet that starts at once is quiet.
+    """
+    unknown = member.update.incarnation == UNKNOWN_INCARNATION
+    live = member.usable and update.state is InstanceState.LIVE
+    return unknown and live and member.address == update.address
+
+
 def _listed_update(instance: Instance) -> MemberUpdate:
     """Return an update that any word of the instance itself overrules."""
     return MemberUpdate(
--- a/src/savorypond/membermessages.py
+++ b/src/savorypond/membermessages.py
@@ -62,7 +62,12 @@
         return self._send(helper.address, PingReq(number=number, target=target))
 
     def answer(
-        self, ping: Ping, origin: MemberUpdate, corrections: tuple[MemberUpdate, ...]
+        self,
+        ping: Ping,
+        origin: MemberUpdate,
+        *,
+        corrections: tuple[MemberUpdate, ...],
+        look_at: tuple[str, ...],
     ) -> Send:
         """Answer ``ping``, telling its sender what is believed about it."""
         sender = self._table.get(origin.name)
@@ -70,7 +75,7 @@
         updates = self._updates(doubts + corrections)
         if ping.catching_up:
             updates = self._fill_up(updates)
-        ack = self._ack(ping.number, self._own.update.name, updates)
+        ack = self._ack(ping.number, self._own.update.name, updates, look_at)
         return self._send(origin.address, ack)
 
     def pass_on(self, requester: Address, *, number: int, subject: Member) -> Send:
@@ -93,13 +98,20 @@
         peer = origin.to_instance()
         return [ConfigDiffers(peer=peer, revision=revision, digest=digest)]
 
-    def _ack(self, number: int, subject: str, updates: tuple[MemberUpdate, ...]) -> Ack:
+    def _ack(
+        self,
+        number: int,
+        subject: str,
+        updates: tuple[MemberUpdate, ...],
+        look_at: tuple[str, ...] = (),
+    ) -> Ack:
         return Ack(
             number=number,
             subject=subject,
             config_revision=self._config_revision,
             config_digest=self._config_digest,
             updates=updates,
+            look_at=look_at,
         )
 
     def _updates(self, first: tuple[MemberUpdate, ...]) -> tuple[MemberUpdate, ...]:
--- a/src/savorypond/membership.py
+++ b/src/savorypond/membership.py
@@ -172,10 +172,12 @@
         self._hear_directly(origin.name, now)
         match message:
             case Ping():
+                self._take_hints(message, now)
                 return self._answer(message, origin, corrections, now)
             case PingReq():
                 return self._relay(message, origin, now)
             case Ack():
+                self._take_hints(message, now)
                 return self._acknowledged(message, origin)
             case Leave():
                 return []
@@ -232,6 +234,11 @@
         for unanswered in self._data_centres.heard(member.data_centre, now):
             self._beliefs.suspect(unanswered, now)
 
+    def _take_hints(self, message: Ping | Ack, now: float) -> None:
+        for data_centre in message.look_at:
+            if data_centre != self._own.update.data_centre:
+                self._data_centres.hint(data_centre, now)
+
     def _judge(self, probe: Probe, now: float) -> None:
         """Take it that nobody reached the target of ``probe``."""
         member = self._table.get(probe.target)
@@ -301,10 +308,12 @@
     ) -> list[MemberAction]:
         if ping.target != self._own.update.name:
             return []
-        if origin.data_centre == self._own.update.data_centre:
-            for data_centre in ping.look_at:
-                self._data_centres.hint(data_centre, now)
-        answer = self._messages.answer(ping, origin, corrections)
+        answer = self._messages.answer(
+            ping,
+            origin,
+            corrections=corrections,
+            look_at=self._data_centres.hints(now),
+        )
         return [answer, *self._messages.config_of(ping, origin)]
 
     def _relay(
--- a/src/savorypond/memberwire.py
+++ b/src/savorypond/memberwire.py
@@ -103,7 +103,10 @@
 class Ack(Struct, frozen=True, array_like=True, kw_only=True, tag=3):
     """Answer to a ping, or the answer of ``subject`` passed on by a third member.
 
-    The configuration fields are those of the sender of this datagram.
+    The other fields are those of the sender of this datagram.
+
+    :param look_at: data centres that the sender has just lost or regained
+        sight of.
     """
 
     number: Counter
@@ -111,6 +114,7 @@
     config_revision: Counter
     config_digest: Digest
     updates: tuple[MemberUpdate, ...] = ()
+    look_at: tuple[Name, ...] = ()
 
 
 class Leave(Struct, frozen=True, array_like=True, kw_only=True, tag=4):
