--- /dev/null
+++ b/benchmarks/bench_config.py
@@ -0,0 +1,216 @@
+"""Slopes of holding and spreading configuration, at growing numbers of services.
+
+Run with ``python -m benchmarks.bench_config``.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from gc import collect as collect_garbage
+from time import process_time
+from tracemalloc import get_traced_memory, reset_peak, start, stop
+
+from defopt import run
+from msgspec.json import encode as encode_json
+from msgspec.msgpack import encode as encode_message
+
+from savorypond.configentry import encode_entry, entries_digest
+from savorypond.configwire import PullRequest
+from savorypond.confpull import Pull, ReplyCutter
+from savorypond.confstore import Change, ConfigStore, bundle_stamp
+from savorypond.model import (
+    Address,
+    BackendServer,
+    Bundle,
+    Counters,
+    Preference,
+    Priority,
+    ServerLimits,
+    Service,
+    ServiceKind,
+    ShardLayout,
+    ShardRange,
+)
+from savorypond.publication import PART_BYTES, change_key, decode_part, publish
+
+SIZES = (50, 1000, 10_000, 43_500)  # services
+INDEX_SERVICES = 50  # services of one index
+REPEATS = 200  # changes timed
+
+
+def make_services(count: int) -> dict[str, Service]:
+    """Return services of the shape of the listings search."""
+    return {s.name: s for s in (make_service(n) for n in range(count))}
+
+
+def make_service(number: int) -> Service:
+    index, place = divmod(number, INDEX_SERVICES)
+    name = f"catalogue-{index:04}-{place:02}"
+    edges = [n * 65536 // INDEX_SERVICES for n in (place, place + 1)]
+    shard = ShardRange(shard=name, low=edges[0], high=edges[1])
+    return Service(
+        name=name,
+        kind=ServiceKind.SEARCH,
+        index=f"catalogue-{index:04}",
+        layouts=(ShardLayout(number=1, shards=(shard,)),),
+        backend_servers=tuple(make_server(name, number, r) for r in range(2)),
+        limits=ServerLimits(slots=2, connections=25, connect_time=0.006),
+        priority=Priority.INTERACTIVE,
+        prefer=Preference.LATENCY,
+        time_limit=0.054,
+        least_coverage=0.5,
+    )
+
+
+def make_server(name: str, number: int, replica: int) -> BackendServer:
+    host = f"10.{replica}.{number // 250}.{number % 250}"
+    return BackendServer(
+        name=f"{name}-{'ab'[replica]}",
+        address=Address(host=host, port=9001),
+        data_centre=f"data-centre-{(number + replica) % 22:02}",
+    )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Slopes:
+    """What one size costs; times are processor time."""
+
+    services: int
+    store_bytes: float  # a service
+    peak_bytes: float  # a service, while the whole is taken
+    accept_us: float  # a service, taking the whole
+    digest_us: float  # a service, digest of the whole
+    change_us: float  # a change of one service's limits
+    layout_us: float  # a change of one service's shard
+    value_bytes: int  # the whole as one value
+    change_bytes: int  # the value of a change
+    part_bytes: int  # the value of the part it lies in
+    pull_bytes: int  # request and reply of a peer that lacks the change
+    cut_us: float  # cutting that reply
+    tell_bytes: int  # telling one peer of a change, and its answer
+    cold_us: float  # a service, reading all parts from JSON
+    cold_reads: int  # parts of a cold start
+
+
+def timed_us(work: Callable[[], object]) -> float:
+    began = process_time()
+    work()
+    return (process_time() - began) * 1e6
+
+
+def make_store(entries: list[bytes]) -> ConfigStore:
+    store = ConfigStore(counters=Counters())
+    store.offer_full(bundle_stamp(1, entries), entries)
+    assert store.stamp.revision == 1, store.last_problem
+    return store
+
+
+def memory_of(entries: list[bytes]) -> tuple[float, float]:
+    """Return bytes a service held and at most, the encoded entries included."""
+    stamp = bundle_stamp(1, entries)
+    collect_garbage()
+    start()
+    reset_peak()
+    store = ConfigStore(counters=Counters())
+    store.offer_full(stamp, (bytes(bytearray(data)) for data in entries))
+    held, peak = get_traced_memory()
+    stop()
+    assert store.stamp == stamp
+    return held / len(entries), peak / len(entries)
+
+
+def changed(service: Service, number: int, *, layout: bool) -> Service:
+    if not layout:
+        limits = replace(service.limits, connections=30 + number)
+        return replace(service, limits=limits)
+    old = service.layouts[0].shards[0]
+    shard = replace(old, shard=f"{service.name}-{number}")
+    return replace(service, layouts=(ShardLayout(number=1, shards=(shard,)),))
+
+
+def change_cost(store: ConfigStore, services: list[Service], *, layout: bool) -> float:
+    """Return the microseconds of one change, its check included."""
+    changes, stamp = [], store.stamp
+    known = dict(store.entries)
+    for number in range(REPEATS):
+        service = services[number * 7919 % len(services)]
+        entry = encode_entry(changed(service, number, layout=layout))
+        digest = stamp.digest - entries_digest([known[service.name]])
+        digest = (digest + entries_digest([entry])) % 2**64
+        held = type(stamp)(stamp.revision + 1, digest)
+        changes.append(Change(base=stamp, held=held, entries=(entry,)))
+        known[service.name], stamp = entry, held
+    spent = timed_us(lambda: [store.offer_change(change) for change in changes])
+    assert store.stamp == stamp, store.last_problem
+    return spent / REPEATS
+
+
+def pull_cost(store: ConfigStore, behind: ConfigStore) -> tuple[int, float]:
+    """Return bytes of a pull of the last change, and microseconds to cut it."""
+    cutter = ReplyCutter(store=store)
+    request = Pull(store=behind, name="entry-0001").request()
+    spent = timed_us(lambda: [cutter.reply(request) for _ in range(REPEATS)])
+    reply = cutter.reply(request)
+    size = len(encode_message(request)) + len(encode_message(reply))
+    return size, spent / REPEATS
+
+
+def tell_size(store: ConfigStore) -> int:
+    request = PullRequest(sender="entry-0001", held=store.stamp, limit=0)
+    reply = ReplyCutter(store=store).reply(request)
+    return len(encode_message(request)) + len(encode_message(reply))
+
+
+def measure(count: int) -> Slopes:
+    services = make_services(count)
+    entries = [encode_entry(service) for service in services.values()]
+    held, peak = memory_of(entries)
+    accept = timed_us(lambda: make_store(entries))
+    digest = timed_us(lambda: entries_digest(entries))
+    store, old = make_store(entries), make_store(entries)
+    listed = list(services.values())
+    first = Bundle(revision=1, services=services)
+    name = listed[0].name
+    later = services | {name: changed(services[name], 1, layout=False)}
+    second = Bundle(revision=2, services=later)
+    values = {value.key: len(value.data) for value in publish(first, second)}
+    parts = [v.data for v in publish(None, first) if v.key.startswith("part/")]
+    cold = timed_us(
+        lambda: [encode_entry(s) for data in parts for s in decode_part(data).services]
+    )
+    after = [encode_entry(service) for service in later.values()]
+    store.offer_full(bundle_stamp(2, after), after)
+    pull_bytes, cut = pull_cost(store, old)
+    return Slopes(
+        services=count,
+        store_bytes=held,
+        peak_bytes=peak,
+        accept_us=accept / count,
+        digest_us=digest / count,
+        change_us=change_cost(store, list(later.values()), layout=False),
+        layout_us=change_cost(old, listed, layout=True),
+        value_bytes=len(encode_json(tuple(listed))),
+        change_bytes=values[change_key(2)],
+        part_bytes=max(n for key, n in values.items() if key.startswith("part/")),
+        pull_bytes=pull_bytes,
+        cut_us=cut,
+        tell_bytes=tell_size(store),
+        cold_us=cold / count,
+        cold_reads=len(parts),
+    )
+
+
+def main() -> None:
+    """Print what each size costs, one column a size."""
+    found = [measure(size) for size in SIZES]
+    print(f"parts aim at {PART_BYTES} bytes; times are processor time")
+    for name in Slopes.__dataclass_fields__:
+        row = [getattr(slopes, name) for slopes in found]
+        cells = "".join(
+            f"{value:>14.2f}" if isinstance(value, float) else f"{value:>14}"
+            for value in row
+        )
+        print(f"{name:<14}{cells}")
+
+
+if __name__ == "__main__":
+    run(main)
--- a/src/savorypond/publication.py
+++ b/src/savorypond/publication.py
@@ -15,7 +15,7 @@
 from savorypond.model import Bundle, Service
 
 HEAD_KEY = "head"
-PART_BYTES = 250_000  # aimed size of a part, which grows with its services
+PART_BYTES = 500_000  # aimed size of a part, which grows with its services
 MAX_PARTS = 4096
 
 
