--- a/benchmarks/bench_config.py
+++ b/benchmarks/bench_config.py
@@ -146,8 +146,8 @@
 
 def pull_cost(store: ConfigStore, behind: ConfigStore) -> tuple[int, float]:
     """Return bytes of a pull of the last change, and microseconds to cut it."""
-    cutter = ReplyCutter(store=store)
-    request = Pull(store=behind, name="entry-0001").request()
+    cutter = ReplyCutter(store=store, fleet="baric", name="entry-0002")
+    request = Pull(store=behind, fleet="baric", name="entry-0001").request()
     spent = timed_us(lambda: [cutter.reply(request) for _ in range(REPEATS)])
     reply = cutter.reply(request)
     size = len(encode_message(request)) + len(encode_message(reply))
@@ -155,8 +155,8 @@
 
 
 def tell_size(store: ConfigStore) -> int:
-    request = PullRequest(sender="entry-0001", held=store.stamp, limit=0)
-    reply = ReplyCutter(store=store).reply(request)
+    request = PullRequest(fleet="baric", sender="entry-0001", held=store.stamp, limit=0)
+    reply = ReplyCutter(store=store, fleet="baric", name="entry-0002").reply(request)
     return len(encode_message(request)) + len(encode_message(reply))
 
 
--- a/src/savorypond/bundletool.py
+++ b/src/savorypond/bundletool.py
@@ -111,12 +111,12 @@
     head = await service.get(HEAD_KEY)
     if head is None:
         return {}
-    values = {HEAD_KEY: bytes(head.value)}
+    values = {HEAD_KEY: head.data}
     parts = decode_head(values[HEAD_KEY]).parts
     for key in (part_key(parts, number) for number in range(parts)):
         stored = await service.get(key)
         if stored is not None:
-            values[key] = bytes(stored.value)
+            values[key] = stored.data
     return values
 
 
--- a/src/savorypond/confbudget.py
+++ b/src/savorypond/confbudget.py
@@ -44,8 +44,9 @@
 
     def observe_fleet(self, size: int) -> None:
         """Note how many instances the platform lists in the whole fleet."""
-        self._fleet_size = max(1, size)
-        self._version = -1
+        if size != self._fleet_size:
+            self._fleet_size = max(1, size)
+            self._version = -1
 
     @property
     def fleet_size(self) -> int:
--- a/src/savorypond/confpull.py
+++ b/src/savorypond/confpull.py
@@ -18,10 +18,16 @@
 
 
 class ReplyCutter:
-    """Answers the pulls of peers out of what is in force."""
+    """Answers the pulls of peers out of what is in force.
 
-    def __init__(self, *, store: ConfigStore) -> None:
+    :param fleet: name that the peers of one installation share.
+    :param name: name of this instance.
+    """
+
+    def __init__(self, *, store: ConfigStore, fleet: str, name: str) -> None:
         self._store = store
+        self._fleet = fleet
+        self._name = name
         self._order_of = Stamp()
         self._order: Sequence[str] = ()
 
@@ -44,7 +50,12 @@
         return self._cut(request, base, names)
 
     def _stamp_reply(self) -> PullReply:
-        return PullReply(kind=ReplyKind.STAMP, held=self._store.stamp)
+        return PullReply(
+            fleet=self._fleet,
+            sender=self._name,
+            kind=ReplyKind.STAMP,
+            held=self._store.stamp,
+        )
 
     def _all_names(self) -> Sequence[str]:
         if self._order_of != self._store.stamp:
@@ -70,6 +81,8 @@
                 last = name
                 break
         return PullReply(
+            fleet=self._fleet,
+            sender=self._name,
             kind=ReplyKind.CHANGES,
             held=self._store.stamp,
             base=base,
@@ -82,11 +95,13 @@
 class Pull:
     """One pull from one peer, reply by reply, until the store is offered all.
 
+    :param fleet: name that the peers of one installation share.
     :param name: name of this instance.
     """
 
-    def __init__(self, *, store: ConfigStore, name: str) -> None:
+    def __init__(self, *, store: ConfigStore, fleet: str, name: str) -> None:
         self._store = store
+        self._fleet = fleet
         self._name = name
         self._have = store.stamp
         self._assembly: Assembly | None = None
@@ -101,6 +116,7 @@
     def request(self, *, after: str = "") -> PullRequest:
         """Return the next request."""
         return PullRequest(
+            fleet=self._fleet,
             sender=self._name,
             held=self._store.stamp,
             have=self._have,
--- a/src/savorypond/confspread.py
+++ b/src/savorypond/confspread.py
@@ -53,6 +53,7 @@
     service call is answered by exactly one of ``on_value`` and
     ``on_service_failed``, a pull by one of ``on_reply`` and ``on_pull_failed``.
 
+    :param fleet: name that the peers of one installation share.
     :param watchers: most instances of a data centre that watch the service.
     """
 
@@ -61,17 +62,19 @@
         *,
         store: ConfigStore,
         view: MembershipView,
+        fleet: str,
         random: Random,
         watchers: int,
     ) -> None:
         self._store = store
         self._view = view
+        self._fleet = fleet
         self._random = random
         self._name = view.myself.name
         self._choice = WatcherChoice(view=view, watchers=watchers)
         self._budget = ReadBudget(random=random)
         self._reader = ServiceReader(store=store)
-        self._cutter = ReplyCutter(store=store)
+        self._cutter = ReplyCutter(store=store, fleet=fleet, name=self._name)
         self._outbox: list[SpreadAction] = []
         self._steps: ReadSteps | None = None
         self._call: ServiceCall | None = None
@@ -189,7 +192,7 @@
         best = max(higher.values())
         peers = sorted(name for name, stamp in higher.items() if stamp == best)
         self._pull_peer = self._random.choice(peers)
-        self._pull = Pull(store=self._store, name=self._name)
+        self._pull = Pull(store=self._store, fleet=self._fleet, name=self._name)
         self._send(self._pull_peer, self._pull.request())
 
     def _send(self, instance: str, request: PullRequest) -> None:
@@ -207,7 +210,9 @@
 
     def _exchange_stamps(self, peers: Iterable[Instance]) -> None:
         for peer in peers:
-            request = PullRequest(sender=self._name, held=self._store.stamp, limit=0)
+            request = PullRequest(
+                fleet=self._fleet, sender=self._name, held=self._store.stamp, limit=0
+            )
             self._send(peer.name, request)
 
     def _peers(self) -> list[Instance]:
--- a/src/savorypond/controllers/config.py
+++ b/src/savorypond/controllers/config.py
@@ -1,6 +1,7 @@
 """Runs the configuration decisions: reads the service, and talks to peers."""
 
 from contextlib import suppress
+from dataclasses import dataclass
 from random import Random
 from types import TracebackType
 from typing import Any, Protocol, Self
@@ -15,25 +16,33 @@
 from savorypond.confstore import ConfigStore
 from savorypond.exceptions import SavorypondError
 from savorypond.model import Bundle, Counters
-from savorypond.platformclient import StoredValue
 from savorypond.protocols import MembershipView
 
 CALL_TIME = 2.0  # seconds for a read of the service, besides a watch's wait
 PULL_TIME = 2.0  # seconds for one reply of a peer
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigValue:
+    """One value of the configuration service.
+
+    :param data: the value as JSON.
+    """
+
+    revision: int
+    data: bytes
+
+
 class ConfigService(Protocol):
     """The platform's configuration service; errors are SavorypondErrors."""
 
-    async def get(self, key: str) -> StoredValue | None:
+    async def get(self, key: str) -> ConfigValue | None:
         """Return the value of ``key``, or None where it has none."""
 
-    async def watch(
-        self, key: str, *, after: int, seconds: float
-    ) -> StoredValue | None:
-        """Return the value once its revision is above ``after``, or None.
+    async def watch(self, key: str, *, after: int, wait: float) -> ConfigValue | None:
+        """Return the value once its revision is above ``after``.
 
-        :param seconds: how long to wait for it.
+        :param wait: seconds after which None is returned instead.
         """
 
 
@@ -47,6 +56,7 @@
 class ConfigController:
     """Keeps the configuration in force, as an async context manager.
 
+    :param fleet: name that the peers of one installation share.
     :param watchers: most instances of a data centre that watch the service.
     """
 
@@ -56,6 +66,7 @@
         view: MembershipView,
         service: ConfigService,
         peers: PeerConfig,
+        fleet: str,
         watchers: int,
         clock: Clock,
         random: Random,
@@ -69,6 +80,7 @@
         self._spread = ConfigSpread(
             store=self._store,
             view=view,
+            fleet=fleet,
             random=random,
             watchers=watchers,
         )
@@ -140,7 +152,6 @@
     async def on_fleet_size(self, size: int) -> None:
         """Note how many instances the platform's list holds in all."""
         self._spread.observe_fleet(size)
-        await self._wake.set()
 
     async def answer(self, request: PullRequest) -> PullReply:
         """Answer the pull of a peer."""
@@ -202,14 +213,12 @@
             warning("configuration service: %r", error)
             self._spread.on_service_failed(self._clock.now())
             return
-        data = bytes(value.value) if value is not None else None
+        data = value.data if value is not None else None
         self._spread.on_value(self._clock.now(), data)
 
-    async def _fetch(self, call: ServiceCall) -> StoredValue | None:
+    async def _fetch(self, call: ServiceCall) -> ConfigValue | None:
         if not isinstance(call, WatchService):
             async with timeout_after(CALL_TIME):
                 return await self._service.get(call.key)
         async with timeout_after(call.wait + CALL_TIME):
-            return await self._service.watch(
-                call.key, after=call.after, seconds=call.wait
-            )
+            return await self._service.watch(call.key, after=call.after, wait=call.wait)
--- a/tests/config_fakes.py
+++ b/tests/config_fakes.py
@@ -160,6 +160,7 @@
         spread = ConfigSpread(
             store=store,
             view=view,
+            fleet="f",
             random=Random(self.random.random()),
             watchers=self.watchers,
         )
--- a/tests/test_config_controller.py
+++ b/tests/test_config_controller.py
@@ -54,6 +54,7 @@
         view=view,
         service=HttpConfigService(address=service.address, source_host=""),
         peers=peers,
+        fleet="f",
         watchers=1,
         clock=SystemClock(),
         random=Random(number),
--- a/tests/test_confspread.py
+++ b/tests/test_confspread.py
@@ -362,10 +362,12 @@
     def test_a_peer_that_asks_with_a_higher_state_is_pulled_from(self):
         view = FakeView(instance("i1"), [instance("i2")])
         store = ConfigStore(counters=Counters())
-        spread = ConfigSpread(store=store, view=view, random=Random(1), watchers=2)
+        spread = ConfigSpread(
+            store=store, view=view, fleet="f", random=Random(1), watchers=2
+        )
         spread.start(1.0)
         spread.step(1.0)
-        request = PullRequest(sender="i2", held=Stamp(3, 9), limit=0)
+        request = PullRequest(fleet="f", sender="i2", held=Stamp(3, 9), limit=0)
         reply = spread.on_request(request)
         self.assertEqual(reply.held, Stamp())
         pulls = [a for a in spread.step(1.5) if isinstance(a, PullFrom)]
--- a/tests/test_confstore.py
+++ b/tests/test_confstore.py
@@ -137,8 +137,8 @@
         for bundle in HISTORY[1:6]:
             peer.offer_full(stamp_of(bundle), entries_of(bundle))
         store = make_store(HISTORY[have - 1] if have else None)
-        cutter = ReplyCutter(store=peer)
-        pull = Pull(store=store, name="me")
+        cutter = ReplyCutter(store=peer, fleet="f", name="peer")
+        pull = Pull(store=store, fleet="f", name="me")
         request, todo = pull.request(), list(moves)
         while request is not None:
             for _ in range(todo.pop() if todo else 0):
@@ -156,8 +156,8 @@
         peer = make_store(HISTORY[5])
         odd = make_bundle(2, 4)
         store = make_store(odd)
-        pull = Pull(store=store, name="me")
-        cutter = ReplyCutter(store=peer)
+        pull = Pull(store=store, fleet="f", name="me")
+        cutter = ReplyCutter(store=peer, fleet="f", name="peer")
         reply = cutter.reply(pull.request())
         self.assertEqual(reply.base, Stamp())
         self.assertIsNone(pull.on_reply(reply))
