--- a/benchmarks/bench_tail.py
+++ b/benchmarks/bench_tail.py
@@ -8,11 +8,18 @@
 from random import Random
 from time import perf_counter
 
-from benchmarks.tail_view import AllUsable, KnownServers, NoBudget, NoHedging
-from benchmarks.tail_world import Cancel, Faults, Figures, TailWorld, record
+from benchmarks.tail_recording import Figures, record
+from benchmarks.tail_view import (
+    AllUsable,
+    KnownServers,
+    NoBudget,
+    NoHedging,
+)
+from benchmarks.tail_world import Cancel, Faults, TailWorld
 from defopt import run
 
 from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
+from savorypond.hedging import FallbackHedge
 from savorypond.model import Preference
 from savorypond.protocols import ExtraWorkBudget, HedgePolicy, ReplicaChooser
 
@@ -40,6 +47,8 @@
     ejecting: bool = True
     cancel: Cancel = Cancel.STOP
     learn_cancelled: bool = True
+    percentile: float | None = None
+    fallback: bool = True
 
     def policies(self, known: KnownServers) -> Policies:
         chooser = known.chooser
@@ -49,14 +58,21 @@
                 rng=Random(2),
                 links=LinkTimes(own="here"),
                 view=known if self.ejecting else AllUsable(),
-                board=ReplicaBoard(),
+                board=known.board if self.ejecting else ReplicaBoard(),
             )
         return (
             chooser,
             known.budget if self.budgeted else NoBudget(),
-            known.hedging if self.hedged else NoHedging(),
+            self._hedging(known),
         )
 
+    def _hedging(self, known: KnownServers) -> HedgePolicy:
+        if not self.hedged:
+            return NoHedging()
+        if not self.fallback:
+            return known.hedging
+        return FallbackHedge(hedging=known.hedging)
+
 
 BASELINE = Way(
     name="baseline",
@@ -71,6 +87,12 @@
     replace(DESIGN, name="no hedge", hedged=False),
     replace(DESIGN, name="let finish", cancel=Cancel.LET_FINISH),
     replace(DESIGN, name="not learnt", learn_cancelled=False),
+    replace(DESIGN, name="no fallback", fallback=False),
+    replace(DESIGN, name="power of 2", rule=ChoiceRule.POWER_OF_TWO),
+    replace(DESIGN, name="random", rule=ChoiceRule.RANDOM),
+    replace(DESIGN, name="p95", percentile=95.0),
+    replace(DESIGN, name="p98", percentile=98.0),
+    replace(DESIGN, name="p99", percentile=99.0),
 )
 
 
@@ -82,6 +104,7 @@
     time_limit: float = 1.0,
     coverage_first: bool = False,
     variants: bool = False,
+    only: str = "",
 ) -> None:
     """Print the figures of every scenario and way.
 
@@ -90,16 +113,20 @@
     :param seed: seed of the recording
     :param time_limit: seconds that each query has
     :param coverage_first: whether queries put coverage first
+    :param only: name of the only scenario to run
     :param variants: whether to run parts of the design left out, too
     """
     prefer = Preference.COVERAGE if coverage_first else Preference.LATENCY
     recording = record(seconds=seconds, rate=rate, seed=seed)
     print(f"{len(recording.arrivals)} queries, {rate:g}/s, seed {seed}, ms")
     print(
-        f"{'scenario':13} {'way':11} {'p50':>7} {'p99':>7} {'p99.9':>7}"
+        f"{'scenario':10} {'way':11} {'p50':>7} {'p99':>7} {'p99.9':>7} {'p99/base':>8}"
         f" {'mean cov':>8} {'least':>6} {'extra':>7} {'worst':>7} {'wall s':>6}"
     )
     for scenario, faults in SCENARIOS.items():
+        if only not in ("", scenario):
+            continue
+        baseline: Figures | None = None
         for way in (BASELINE, DESIGN, *(VARIANTS if variants else ())):
             started = perf_counter()
             world = TailWorld(
@@ -110,19 +137,24 @@
                 time_limit=time_limit,
                 prefer=prefer,
                 learn_cancelled=way.learn_cancelled,
+                percentile=way.percentile,
                 policies=way.policies,
             )
             figures = world.run()
             taken = perf_counter() - started
-            print_row(scenario, way.name, figures, taken)
+            baseline = baseline or figures
+            print_row(scenario, way.name, figures, baseline, taken)
 
 
-def print_row(scenario: str, way: str, figures: Figures, taken: float) -> None:
+def print_row(
+    scenario: str, way: str, figures: Figures, baseline: Figures, taken: float
+) -> None:
     """Print the figures of one run."""
-    percentiles = [figures.percentile(each) for each in (50.0, 99.0, 99.9)]
+    p50, p99, p999 = [figures.percentile(each) for each in (50.0, 99.0, 99.9)]
+    ratio = p99 / baseline.percentile(99.0)
     print(
-        f"{scenario:13} {way:11} {percentiles[0]:7.1f} {percentiles[1]:7.1f}"
-        f" {percentiles[2]:7.1f} {figures.mean_coverage:8.4f}"
+        f"{scenario:10} {way:11} {p50:7.1f} {p99:7.1f} {p999:7.1f} {ratio:8.2f}"
+        f" {figures.mean_coverage:8.4f}"
         f" {figures.least_coverage:6.3f} {figures.extra_share:7.2%}"
         f" {figures.worst_extra_share:7.2%} {taken:6.1f}",
         flush=True,
--- a/benchmarks/tail_view.py
+++ b/benchmarks/tail_view.py
@@ -6,7 +6,7 @@
 from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
 from savorypond.budget import RetryBudget
 from savorypond.clock import VirtualClock
-from savorypond.latency import LatencyTracker, PercentileHedge
+from savorypond.latency import LatencyConfig, LatencyTracker, PercentileHedge
 from savorypond.limiter import ServerGate
 from savorypond.model import Counters, Holding, Pin, Service
 from savorypond.outlier import OutlierDetector
@@ -23,6 +23,7 @@
         clock: VirtualClock,
         random: Random,
         counters: Counters,
+        percentile: float | None,
     ) -> None:
         self._clock = clock
         self._counters = counters
@@ -34,7 +35,10 @@
         }
         self._snapshots = SnapshotBook()
         self._outliers = OutlierDetector()
-        self._latencies = LatencyTracker()
+        config = LatencyConfig()
+        if percentile is not None:
+            config = LatencyConfig(percentile=percentile)
+        self._latencies = LatencyTracker(config=config)
         self.board = ReplicaBoard()
         self.budget = RetryBudget()
         self.hedging = PercentileHedge(tracker=self._latencies)
--- a/benchmarks/tail_world.py
+++ b/benchmarks/tail_world.py
@@ -2,13 +2,21 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from heapq import heappop, heappush
 from random import Random
 
+from benchmarks.tail_recording import (
+    ATTEMPT_DRAWS,
+    SERVICES,
+    SLOTS,
+    Faults,
+    Figures,
+    Recording,
+    make_services,
+)
 from benchmarks.tail_view import KnownServers
-from hdrh.histogram import HdrHistogram
 
 from savorypond.attempts import (
     Action,
@@ -25,30 +33,11 @@
 from savorypond.fanout import Fanout
 from savorypond.fanoutpolicies import FanoutPolicies
 from savorypond.limiter import Granted, Outcome, Refused, ServerGate
-from savorypond.model import (
-    Address,
-    BackendServer,
-    Counters,
-    Holding,
-    Preference,
-    Priority,
-    Query,
-    ServerLimits,
-    Service,
-    ServiceKind,
-    ShardLayout,
-    ShardRange,
-)
+from savorypond.model import Counters, Holding, Preference, Priority, Query
 from savorypond.partials import ServerAnswer, ServerPartial
 from savorypond.protocols import ExtraWorkBudget, HedgePolicy, ReplicaChooser
 
-SERVICES = 20
-REPLICAS = 2
-SLOTS = 2
 LINK_TIME = 0.0005  # seconds one way between instance and backend server
-MEAN_TIME = 0.005  # seconds of work of a warm backend server
-SIGMA = 0.5  # of the logarithm of the service time
-ATTEMPT_DRAWS = 4  # recorded service times per query and service
 STRAGGLER_FACTOR = 10.0
 COLD_FACTOR = 5.0
 COLD_TIME = 5.0  # seconds that a cold replica takes to get warm
@@ -61,107 +50,6 @@
     LET_FINISH = "let-finish"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Faults:
-    """The backend servers that misbehave, by name."""
-
-    straggler: str = ""
-    lost: str = ""
-    cold: str = ""
-    silent: str = ""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Recording:
-    """Arrivals and service times that every run of a pair repeats."""
-
-    arrivals: tuple[float, ...]
-    times: tuple[tuple[tuple[float, ...], ...], ...]
-
-
-@dataclass(slots=True, kw_only=True)
-class Figures:
-    """What one run showed."""
-
-    latency: HdrHistogram = field(
-        default_factory=lambda: HdrHistogram(1, 60_000_000, 3)
-    )
-    coverage_sum: float = 0.0
-    least_coverage: float = 1.0
-    queries: int = 0
-    firsts: dict[str, int] = field(default_factory=dict)
-    extras: dict[str, int] = field(default_factory=dict)
-
-    def percentile(self, percent: float) -> float:
-        """Return the milliseconds at ``percent``."""
-        return self.latency.get_value_at_percentile(percent) / 1000
-
-    @property
-    def mean_coverage(self) -> float:
-        return self.coverage_sum / self.queries
-
-    @property
-    def extra_share(self) -> float:
-        return sum(self.extras.values()) / sum(self.firsts.values())
-
-    @property
-    def worst_extra_share(self) -> float:
-        """The greatest share of extra requests that one backend server got."""
-        total = sum(self.firsts.values()) / (SERVICES * REPLICAS)
-        return max(self.extras.values(), default=0) / total
-
-
-def record(*, seconds: float, rate: float, seed: int) -> Recording:
-    """Draw Poisson arrivals and lognormal service times."""
-    random = Random(seed)
-    arrivals = []
-    now = random.expovariate(rate)
-    while now < seconds:
-        arrivals.append(now)
-        now += random.expovariate(rate)
-    times = tuple(
-        tuple(
-            tuple(_service_time(random) for _ in range(ATTEMPT_DRAWS))
-            for _ in range(SERVICES)
-        )
-        for _ in arrivals
-    )
-    return Recording(arrivals=tuple(arrivals), times=times)
-
-
-def _service_time(random: Random) -> float:
-    return MEAN_TIME * random.lognormvariate(-SIGMA * SIGMA / 2, SIGMA)
-
-
-def make_services() -> tuple[Service, ...]:
-    """Return the services, each with one shard and two replicas."""
-    return tuple(_make_service(number) for number in range(SERVICES))
-
-
-def _make_service(number: int) -> Service:
-    name = f"s{number:02}"
-    shard = ShardRange(shard=name, low=number, high=number + 1)
-    return Service(
-        name=name,
-        kind=ServiceKind.SEARCH,
-        index="boats",
-        layouts=(ShardLayout(number=1, shards=(shard,)),),
-        backend_servers=tuple(
-            BackendServer(
-                name=f"{name}/{replica}",
-                address=Address(host="127.0.0.1", port=1),
-                data_centre="here",
-            )
-            for replica in range(REPLICAS)
-        ),
-        limits=ServerLimits(slots=SLOTS, connections=25, connect_time=0.006),
-        priority=Priority.INTERACTIVE,
-        prefer=Preference.LATENCY,
-        time_limit=1.0,
-        least_coverage=0.0,
-    )
-
-
 @dataclass(slots=True, kw_only=True, eq=False)
 class Work:
     """One attempt on its way through its gate, its server and back."""
@@ -219,6 +107,7 @@
         time_limit: float,
         prefer: Preference,
         learn_cancelled: bool,
+        percentile: float | None,
         policies: Callable[
             [KnownServers],
             tuple[ReplicaChooser, ExtraWorkBudget, HedgePolicy],
@@ -241,6 +130,7 @@
             clock=self._clock,
             random=self._random,
             counters=self.counters,
+            percentile=percentile,
         )
         chooser, budget, hedging = policies(self._known)
         self._policies = FanoutPolicies(
@@ -317,10 +207,17 @@
                 self._cancel(self._works[query, action.attempt.number])
             elif isinstance(action, Finish):
                 self._finish(query, action)
-            elif isinstance(action, Repin | RejectAnswer):
+            elif isinstance(action, Repin):
+                self._repin(fanout, query)
+            elif isinstance(action, RejectAnswer):
                 raise AssertionError(f"unexpected {action}")
         self._set_timer(fanout, query)
 
+    def _repin(self, fanout: Fanout, query: int) -> None:
+        choice = self._known.pin()
+        pin = choice.pin if choice else None
+        self._apply(fanout, query, fanout.restart(pin, self._clock.now()))
+
     def _set_timer(self, fanout: Fanout, query: int) -> None:
         at = fanout.next_timer()
         if at is not None and self._timers.get(query) != at:
@@ -487,14 +384,15 @@
         server = self._servers[work.attempt.server.name]
         if work.done or server.lost:
             return
-        if server.silent:
-            self._known.record_failure(server=work.attempt.server.name)
         if work.running:
             self._free(server, work)
         work.done = True
         self._after(LINK_TIME, lambda: self._stopped(work))
 
     def _stopped(self, work: Work) -> None:
+        name = work.attempt.server.name
         seconds = self._release(work, Outcome.CANCELLED)
-        if self._learn_cancelled:
-            self._known.record_success(server=work.attempt.server.name, seconds=seconds)
+        if self._servers[name].silent:
+            self._known.record_failure(server=name)
+        elif self._learn_cancelled:
+            self._known.record_time(server=name, seconds=seconds)
--- a/tests/fanout_fakes.py
+++ b/tests/fanout_fakes.py
@@ -5,7 +5,7 @@
 
 from savorypond.attempts import AttemptFailure, Finish, Repin, SendAttempt
 from savorypond.fanout import Fanout
-from savorypond.fanoutpolicies import FanoutPolicies, FanoutSettings
+from savorypond.fanoutpolicies import FanoutPolicies
 from savorypond.model import (
     Address,
     BackendServer,
@@ -88,14 +88,19 @@
 
 
 class InOrderChooser:
-    """Chooses the first replica that is not tried and not lost."""
+    """Chooses the first replica that is not tried and not lost.
+
+    :param lost: names of replicas, or names with the pin that each has lost.
+    """
 
     def __init__(self, *, lost=()):
         self.lost = set(lost)
 
     def choose(self, *, service, pin, tried, now, purpose):
         for server in service.backend_servers:
-            if server.name not in tried and server.name not in self.lost:
+            if server.name in tried or server.name in self.lost:
+                continue
+            if (server.name, pin) not in self.lost:
                 return server
         return None
 
@@ -142,7 +147,7 @@
         hedge_after=0.01,
         lost=(),
         pin=PIN,
-        settings=None,
+        lacking=frozenset(),
     ):
         self.chooser = InOrderChooser(lost=lost)
         self.budget = CountedBudget(grants=grants)
@@ -158,8 +163,8 @@
                 hedging=FixedHedging(seconds=hedge_after),
                 counters=self.counters,
                 random=Random(1),
-                settings=settings or FanoutSettings(),
             ),
+            lacking=lacking,
         )
 
     def __getattr__(self, event):
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -13,6 +13,7 @@
     SendAttempt,
 )
 from savorypond.fanoutpolicies import FanoutSettings
+from savorypond.hedging import FallbackHedge
 from savorypond.model import Pin, Preference
 from savorypond.partials import ServerPartial
 from savorypond.protocols import Purpose
@@ -20,6 +21,7 @@
 from tests.fanout_fakes import (
     PIN,
     FanoutBench,
+    FixedHedging,
     fails,
     make_answer,
     make_service,
@@ -171,6 +173,27 @@
             finish.answer.coverage.missing[0].reason, MissingReason.OVERLOADED
         )
 
+    def test_without_a_replica_the_reason_is_what_the_pin_lacked(self):
+        for lacking, reason in (
+            ((), "no-backend-server"),
+            (("a-0",), "snapshot-not-held"),
+        ):
+            with self.subTest(reason):
+                bench = FanoutBench(
+                    services=[make_service("a")],
+                    lost=("a/0", "a/1"),
+                    lacking=frozenset(lacking),
+                )
+                answer, at = play(bench, {})
+                self.assertEqual(answer.coverage.missing[0].reason, reason)
+                self.assertEqual(at, 0.0)
+
+    def test_service_without_known_latencies_is_hedged_after_the_fallback(self):
+        unknown, known = FixedHedging(seconds=None), FixedHedging(seconds=0.004)
+        for inner, delay in ((unknown, 0.03), (known, 0.004)):
+            hedging = FallbackHedge(hedging=inner, seconds=0.03)
+            self.assertEqual(hedging.delay(service="a"), delay)
+
 
 class DeadlineTests(TestCase):
     def test_nothing_is_sent_at_or_past_the_deadline(self):
@@ -245,6 +268,17 @@
         self.assertEqual(self.bench.counters.value("repins", "restarted"), 1)
         self.assertEqual(self.bench.counters.value("cancels", "repinned"), 1)
 
+    def test_pin_that_others_learnt_to_be_gone_is_replaced(self):
+        self.bench = FanoutBench(services=self.services)
+
+        def lost_as_the_snapshot_goes(attempt):
+            self.bench.chooser.lost = {("a/0", PIN), ("a/1", PIN)}
+            return LOST(attempt) if attempt.pin == PIN else ok(attempt)
+
+        answer, _ = play(self.bench, {"a/0": lost_as_the_snapshot_goes}, repin=LAYOUT_2)
+        self.assertEqual(answer.layout, LAYOUT_2.layout)
+        self.assertEqual(answer.coverage.share, 1.0)
+
     def test_without_a_better_pin_the_answer_is_partial(self):
         answer, _ = self.play(pin=None)
         self.assertEqual(answer.snapshot, PIN.snapshot)
