--- a/src/savorypond/fanoutrun.py
+++ b/src/savorypond/fanoutrun.py
@@ -122,7 +122,7 @@
 
     def start(self, now: float) -> list[Action]:
         """Send the first attempt to each service."""
-        self._advance(now)
+        self._now = now
         if self._is_over():
             self._time_out()
             return []
@@ -133,7 +133,7 @@
 
     def dispatched(self, attempt: Attempt, now: float) -> None:
         """Note that ``attempt`` got its slot and was written."""
-        self._advance(now)
+        self._now = now
         run = self._attempts.run_of(attempt)
         if run is None:
             return
@@ -149,7 +149,7 @@
         self, attempt: Attempt, answer: ServerAnswer, now: float
     ) -> list[Action]:
         """Take what is usable of the answer to ``attempt``."""
-        self._advance(now)
+        self._now = now
         run = self._attempts.end(attempt, answered=True)
         if run is None:
             self._drop_late(attempt)
@@ -174,7 +174,7 @@
         self, attempt: Attempt, failure: AttemptFailure, now: float
     ) -> list[Action]:
         """Note that ``attempt`` ended without an answer; retry if worthwhile."""
-        self._advance(now)
+        self._now = now
         run = self._attempts.end(attempt, answered=False)
         if run is None:
             return []
@@ -184,7 +184,7 @@
 
     def tick(self, now: float) -> list[Action]:
         """Start the hedges and retries that are due."""
-        self._advance(now)
+        self._now = now
         actions: list[Action] = []
         while not self._is_over():
             due = self._timers.pop_due(self._now)
@@ -218,9 +218,6 @@
             },
         )
 
-    def _advance(self, now: float) -> None:
-        self._now = max(self._now, now)
-
     def _is_over(self) -> bool:
         return self._now >= self._finish_at
 
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -127,6 +127,18 @@
         self.assertEqual((choice.pin, choice.orphaned), (S3_LAYOUT_2, ("b",)))
         self.assertIsNone(self.pin(services=services[:1], now=2.0))
 
+    def test_absorbed_by_two_shards_together(self):
+        split = make_service("a", {2: {"a2": (0, 12), "a3": (12, 20)}})
+        self.assertEqual(asked_shards((split, self.services[1]), 2).orphaned, ())
+
+    def test_answers_for_some_shards_add_up(self):
+        service = make_service("a", {1: {"a1": (0, 5), "a9": (5, 10)}})
+        for shard in ("a1", "a9"):
+            self.book.record_answer(
+                index="boats", server="a/0", pin=S1, shards=[shard], now=0.0
+            )
+        self.assertTrue(self.pin(services=(service,)).complete)
+
     def test_another_configuration_of_the_same_services(self):
         self.learn("a/0", S1)
         self.assertTrue(self.pin(services=self.services[:1]).complete)
@@ -151,12 +163,16 @@
         def empty_report(at):
             self.learn("a/0", now=at, report=True)
 
+        def refusal_of_another(at):
+            self.refuse("a/0", S2, now=at)
+
         lag = REPORT_LAG
         cases = (
             ("unknown", (), 0.0, None),
             ("report", ((report, 0.0),), 0.0, True),
             ("answer then refusal", ((answer, 0.0), (refusal, 1.0)), 1.0, False),
             ("refusal then answer", ((refusal, 0.0), (answer, 1.0)), 1.0, True),
+            ("not on a list", ((answer, 0.0), (refusal_of_another, 1.0)), 1.0, False),
             ("older refusal last", ((answer, 1.0), (refusal, 0.0)), 1.0, True),
             ("older answer last", ((refusal, 1.0), (answer, 0.0)), 1.0, False),
             ("report lags refusal", ((refusal, 0.0), (report, lag - 1)), lag, False),
