--- a/benchmarks/bench_tail.py
+++ b/benchmarks/bench_tail.py
@@ -8,6 +8,8 @@
 from random import Random
 from time import perf_counter
 
+from defopt import run
+
 from benchmarks.tail_recording import Figures, record
 from benchmarks.tail_view import (
     AllUsable,
@@ -16,8 +18,6 @@
     NoHedging,
 )
 from benchmarks.tail_world import Cancel, Faults, TailWorld
-from defopt import run
-
 from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
 from savorypond.hedging import FallbackHedge
 from savorypond.model import Preference
--- a/benchmarks/calls_model.py
+++ b/benchmarks/calls_model.py
@@ -6,7 +6,6 @@
 from random import Random
 
 from benchmarks.calls_schemes import Call, Key, Scheme, Tally, gone, key_score
-
 from savorypond.callrun import CallRun
 from savorypond.callsteps import (
     Acquire,
--- a/benchmarks/tail_world.py
+++ b/benchmarks/tail_world.py
@@ -17,7 +17,6 @@
     make_services,
 )
 from benchmarks.tail_view import KnownServers
-
 from savorypond.attempts import (
     Action,
     Attempt,
--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -150,7 +150,6 @@
                 address=settings.config_service, source_host=self._source_host
             ),
             peers=control,
-            name=settings.name,
             fleet=settings.fleet,
             watchers=settings.watchers_per_data_centre,
             clock=self._clock,
--- a/src/savorypond/forwardrun.py
+++ b/src/savorypond/forwardrun.py
@@ -35,7 +35,7 @@
 from savorypond.queryrun import QueryRun, QueryTools
 from savorypond.reasons import DropReason
 
-WAY_BACK_TIME = 0.002  # seconds that an owner's answer needs besides the link
+WAY_BACK_TIME = 0.004  # seconds that an owner's answer needs besides the link
 LOCAL_HEAD_START = 0.001  # seconds by which own parts end before the whole
 
 _Event = Callable[[Forwarding, float], list[ForwardAction]]
--- a/src/savorypond/standin.py
+++ b/src/savorypond/standin.py
@@ -6,11 +6,13 @@
 from signal import SIGINT, SIGTERM
 from sys import exit as sys_exit, stderr
 from time import monotonic
+from urllib.parse import quote
 
 from curio import run as run_curio
 from defopt import run as run_command
 from msgspec.json import decode, encode
 
+from savorypond.bundletool import Publication
 from savorypond.exceptions import BackendServerError
 from savorypond.httpclient import HttpConnection
 from savorypond.httptypes import HttpRequest, HttpResponse
@@ -23,6 +25,7 @@
     StandinBackendServer,
 )
 from savorypond.standin_platform import (
+    VALUES_PATH,
     ListedInstance,
     StandinConfigService,
     StandinInstanceList,
@@ -110,18 +113,24 @@
     return 0
 
 
-def publish(directory: Path, bundle: Path) -> int:
-    """Put a bundle into force at a site's configuration service.
+def publish(directory: Path, publication: Path) -> int:
+    """Put the values of a publication into a site's configuration service.
 
     :param directory: where the site was planned.
-    :param bundle: file that savorypond-bundle wrote.
+    :param publication: file that savorypond-bundle wrote with --values.
     """
     address = load_site(directory).config_service
-    value = decode(bundle.read_bytes())
-    body = encode({"revision": value["revision"], "value": value})
-    request = HttpRequest(method="PUT", path="/v1/values/bundle", body=body)
-    response = run_curio(_send, address, request)
-    return 0 if response.status == 204 else EXIT_FAILED
+    content = decode(publication.read_bytes(), type=Publication)
+    for one in content.values:
+        body = encode({"revision": content.revision, "value": one.value})
+        path = VALUES_PATH + quote(one.key)
+        response = run_curio(
+            _send, address, HttpRequest(method="PUT", path=path, body=body)
+        )
+        if response.status != 204:
+            print(f"{one.key}: status {response.status}", file=stderr)
+            return EXIT_FAILED
+    return 0
 
 
 async def _send(address: Address, request: HttpRequest) -> HttpResponse:
