Give owners' answers more time, and say which shards timed out

Cause: an owner that was still at work at the deadline was reported as unreachable, and its whole batch was cut one timer tick too early.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -44,8 +44,9 @@
 done
 
 echo "== bundle the service files and publish them"
-"$bin/savorypond-bundle" "$site/services" --output "$site/bundle.json"
-"$bin/savorypond-standin" publish "$site" "$site/bundle.json"
+"$bin/savorypond-bundle" "$site/services" --first --values \
+    --output "$site/publication.json"
+"$bin/savorypond-standin" publish "$site" "$site/publication.json"
 wait_for "$bin/savorypond-status" "$site"/entry-*.yaml --ready
 
 echo "== what the instances believe"
--- a/src/savorypond/controllers/health.py
+++ b/src/savorypond/controllers/health.py
@@ -110,7 +110,10 @@
         known = self._servers.known
         for gone in self._due.keys() - known.keys():
             del self._due[gone]
-        due = [name for name in known if self._due.get(name, 0.0) <= now]
+        for new in known.keys() - self._due.keys():
+            # A random start spreads the questions over the interval.
+            self._due[new] = now + self._rng.random() * self._interval.seconds
+        due = [name for name in known if self._due[name] <= now]
         for name in due:
             spread = self._interval.jitter * (2.0 * self._rng.random() - 1.0)
             seconds = self._interval.seconds
--- a/src/savorypond/entry.py
+++ b/src/savorypond/entry.py
@@ -1,5 +1,6 @@
 """The program savorypond-entry: runs one entry instance until it is stopped."""
 
+from gc import collect, freeze, set_threshold
 from pathlib import Path
 from signal import SIGINT, SIGTERM
 from sys import exit as sys_exit, stderr
@@ -13,6 +14,7 @@
 from savorypond.signals import SignalWait
 
 EXIT_BAD_SETTINGS = 2
+COLLECT_AFTER = 20_000  # allocations between two looks for cyclic garbage
 
 
 def entry(settings_file: Path) -> int:
@@ -31,9 +33,17 @@
     return 0
 
 
+def _tune_collector() -> None:
+    # What lives as long as the process need not be looked at again and again.
+    collect()
+    freeze()
+    set_threshold(COLLECT_AFTER)
+
+
 async def _serve(settings: Settings) -> None:
     stop = SignalWait(signals=(SIGTERM, SIGINT))
     async with stop, Daemon(settings=settings) as daemon:
+        _tune_collector()
         log_event("started", data_centre=settings.data_centre)
         await stop.wait()
         log_event("stopping")
--- a/src/savorypond/forwarding.py
+++ b/src/savorypond/forwarding.py
@@ -261,8 +261,11 @@
         if not over and self._unsettled:
             return actions
         self._finished = True
+        unexplained = MissingReason.OWNER_UNREACHABLE
+        if self._asks:
+            unexplained = MissingReason.TIMED_OUT
         actions += self._cancel_running(CancelReason.DEADLINE)
-        return [*actions, FinishForwarding(answer=self._merge())]
+        return [*actions, FinishForwarding(answer=self._merge(unexplained))]
 
     def _cancel_running(self, reason: CancelReason) -> list[ForwardAction]:
         running = list(self._asks.values())
@@ -271,13 +274,13 @@
             self._counters.add("cancels", reason)
         return [CancelAsk(ask=ask, reason=reason) for ask in running]
 
-    def _merge(self) -> Answer:
+    def _merge(self, unexplained: MissingReason) -> Answer:
         return merge_answers(
             request_id=self._query.request_id,
             pin=self._pin,
             answers=self._answers,
             asked=self._asked,
-            unexplained=MissingReason.OWNER_UNREACHABLE,
+            unexplained=unexplained,
         )
 
 
--- a/src/savorypond/forwardrun.py
+++ b/src/savorypond/forwardrun.py
@@ -36,7 +36,7 @@
 from savorypond.reasons import DropReason
 
 WAY_BACK_TIME = 0.004  # seconds that an owner's answer needs besides the link
-LOCAL_HEAD_START = 0.001  # seconds by which own parts end before the whole
+COMPOSE_TIME = 0.001  # seconds that merging and sending the whole answer take
 
 _Event = Callable[[Forwarding, float], list[ForwardAction]]
 
@@ -109,7 +109,7 @@
             hedging=tools.hedging,
             budget=tools.budget,
             counters=tools.counters,
-            finish_at=query.deadline - tools.margin,
+            finish_at=query.deadline - COMPOSE_TIME,
         )
 
     async def run(self) -> Answer:
@@ -139,7 +139,7 @@
 
     async def _conclude_local(self) -> None:
         """Take what this instance's own parts have, before the answer is composed."""
-        if self._now() < self._query.deadline - self._tools.margin:
+        if self._now() < self._query.deadline - COMPOSE_TIME:
             return
         for number, local in list(self._local.items()):
             answer = await local.run.conclude()
@@ -180,10 +180,9 @@
         await self._events.put(lambda way, now: way.answered(ask, answer, now))
 
     async def _ask_directly(self, ask: Ask) -> Answer:
-        deadline = self._query.deadline - LOCAL_HEAD_START
         run = QueryRun(
             tools=self._tools.local,
-            query=replace(self._query, deadline=deadline),
+            query=self._query,
             pin=self._pin,
             services=ask.services,
         )
@@ -196,9 +195,8 @@
     async def _ask_owner(self, ask: Ask, owner: Instance, deadline: float) -> Answer:
         started = self._now()
         link_time = self._link_time(owner)
-        # The owner ends its margin before its deadline, as this instance does.
-        time_left = deadline - started - 2.0 * link_time + self._tools.margin
-        time_left -= WAY_BACK_TIME
+        # The owner ends its part a margin before this, as this instance does.
+        time_left = self._query.deadline - started - 2.0 * link_time - WAY_BACK_TIME
         message = self._message(ask, time_left)
         try:
             reply = await self._tools.links.ask(
