Let a cancelled call leave its ticket in a true state

Cause: a task that was cancelled left its claim behind, so that the ticket stayed in progress until it expired. Change: the run can be abandoned from a clean-up.

--- a/src/savorypond/callrun.py
+++ b/src/savorypond/callrun.py
@@ -126,6 +126,18 @@
                 return (HandBack(how=Release.CLOSED), *self._acquire(now))
         return ()
 
+    def abandon(self) -> None:
+        """End a call whose task is cancelled; without effect once it has ended.
+
+        A ticket that was not used can be claimed again; one that was sent stays
+        unresolved. The connection in hand must be closed.
+        """
+        if self._state is _State.WRITTEN:
+            self._ledger.lost(self._ticket)
+        elif self._state is not _State.DONE:
+            self._ledger.abandoned_before_send(self._ticket)
+        self._state = _State.DONE
+
     def _acquire(self, now: float) -> tuple[Action, ...]:
         if self._time_left(now) < self._least_time:
             return self._refuse(_too_late(self._last))
--- a/tests/test_callrun.py
+++ b/tests/test_callrun.py
@@ -20,7 +20,7 @@
 )
 from savorypond.issuer import TicketIssuer
 from savorypond.leaving import ServerDrain
-from savorypond.ledger import TicketLedger
+from savorypond.ledger import Replay, Run, TicketLedger
 from savorypond.pause import PauseDetector
 from savorypond.pool import Release
 from savorypond.reasons import Execution, RefusalReason
@@ -174,6 +174,20 @@
         self.assertEqual(bench.outcome, (RefusalReason.TICKET_VOID, NOT_RUN))
         self.assertEqual(bench.of(HandBack)[-1].how, Release.UNUSED)
 
+    def test_a_cancelled_call_leaves_its_ticket_in_a_true_state(self):
+        spent = RefusalReason.TICKET_UNRESOLVED
+        for name, script, expected in [
+            ("not sent", [(0.1, STALE)], Run),
+            ("sent", [(0.1, PROVEN)], spent),
+            ("answered", [(0.1, PROVEN), (0.2, DONE)], Replay),
+        ]:
+            with self.subTest(name):
+                bench = Bench().play(script)
+                bench.run.abandon()
+                self.assertEqual(bench.run.on(DONE, now=0.3), ())
+                claim = bench.ledger.claim(bench.ticket, now=0.4)
+                self.assertEqual(getattr(claim, "reason", type(claim)), expected)
+
     def test_a_server_that_failed_is_named_to_the_next_acquire(self):
         script = [(0.1, FAILED), (0.2, OTHER), (0.3, SHED)]
         bench = Bench().play(script)
