--- /dev/null
+++ b/benchmarks/bench_choice.py
@@ -0,0 +1,152 @@
+"""Latency by rule of choice among the replicas of one service.
+
+Every instance sends by itself and knows only its own requests; the backend
+servers queue what exceeds their slots. With one instance this is the view of
+an owner. An arrival refused by a full gate counts as a minute.
+"""
+
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+
+from defopt import run
+from hdrh.histogram import HdrHistogram
+
+from benchmarks.gateview import make_service
+from benchmarks.sender import End, Sender
+from benchmarks.virtual import EventLoop, Traffic, record
+from savorypond.balancer import ChoiceRule
+from savorypond.latency import HIGHEST, new_histogram
+
+SLOTS = 2
+MEAN_WORK = 0.01  # seconds
+LOAD = 0.45  # of the capacity; the rest must do while one replica stalls
+ANY_TIME = 1e9  # seconds
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Scenario:
+    """How much slower than usual the first replica is."""
+
+    name: str
+    slowness: Callable[[float], float]
+
+
+def _stalls(now: float) -> float:
+    return 10.0 if now % 10.0 > 8.0 else 1.0
+
+
+SCENARIOS = (
+    Scenario(name="alike", slowness=lambda now: 1.0),
+    Scenario(name="one 3x slower", slowness=lambda now: 3.0),
+    Scenario(name="one stalls 2 s in 10", slowness=_stalls),
+)
+
+
+class QueueingServer:
+    """A backend server that runs SLOTS requests and queues the rest."""
+
+    def __init__(self, *, loop: EventLoop, slowness: Callable[[float], float]) -> None:
+        self._loop = loop
+        self._slowness = slowness
+        self._busy = 0
+        self._queue: deque[tuple[float, Callable[[bool], None]]] = deque()
+
+    def send(self, work: float, answer: Callable[[bool], None]) -> None:
+        self._queue.append((work, answer))
+        self._serve()
+
+    def _serve(self) -> None:
+        while self._busy < SLOTS and self._queue:
+            work, answer = self._queue.popleft()
+            self._busy += 1
+            took = work * self._slowness(self._loop.now)
+            self._loop.at(self._loop.now + took, partial(self._finish, answer))
+
+    def _finish(self, answer: Callable[[bool], None]) -> None:
+        self._busy -= 1
+        answer(True)
+        self._serve()
+
+
+def measure(
+    *, scenario: Scenario, replicas: int, instances: int, rule: ChoiceRule, seed: int
+) -> HdrHistogram:
+    """Return the latencies in microseconds of one run at LOAD."""
+    capacity = SLOTS / MEAN_WORK * (replicas - 1 + 1 / scenario.slowness(0.0))
+    traffic = Traffic(
+        rate=LOAD * capacity,
+        variation=1.0,
+        parts=1,
+        mean_work=MEAN_WORK,
+        work_sigma=0.8,
+        seconds=60.0,
+        seed=seed,
+        classes=((0.0, ANY_TIME), (1.0, ANY_TIME), (0.0, ANY_TIME)),
+    )
+    loop = EventLoop()
+    service = make_service("s", replicas=replicas, slots=SLOTS)
+    servers = {
+        server.name: QueueingServer(
+            loop=loop,
+            slowness=scenario.slowness if not number else lambda now: 1.0,
+        )
+        for number, server in enumerate(service.backend_servers)
+    }
+    ends: Counter[End] = Counter()
+    latencies = new_histogram(significant_figures=2)
+    senders = [
+        Sender(
+            loop=loop,
+            service=service,
+            servers=servers,
+            rule=rule,
+            seed=number,
+            ends=ends,
+            latencies=latencies,
+        )
+        for number in range(instances)
+    ]
+    spread = Random(seed)
+    for arrival in record(traffic):
+        loop.at(arrival.time, partial(spread.choice(senders).arrive, arrival))
+    loop.run(until=traffic.seconds + 10.0)
+    for _ in range(ends[End.REFUSED]):
+        latencies.record_value(HIGHEST)
+    return latencies
+
+
+def main(*, seed: int = 1) -> None:
+    """Compare the rules of choice on recorded arrivals.
+
+    :param seed: seed of the recorded arrivals
+    """
+    print(
+        "scenario              replicas instances rule"
+        "                    p50 ms   p99 ms p99.9 ms"
+    )
+    for scenario in SCENARIOS:
+        for replicas in (2, 3):
+            for instances in (1, 7):
+                for rule in ChoiceRule:
+                    found = measure(
+                        scenario=scenario,
+                        replicas=replicas,
+                        instances=instances,
+                        rule=rule,
+                        seed=seed,
+                    )
+                    times = " ".join(
+                        f"{found.get_value_at_percentile(p) / 1000:8.1f}"
+                        for p in (50.0, 99.0, 99.9)
+                    )
+                    print(
+                        f"{scenario.name:21} {replicas:8} {instances:9} "
+                        f"{rule.value:21} {times}"
+                    )
+
+
+if __name__ == "__main__":
+    run(main)
--- a/src/savorypond/bundle.py
+++ b/src/savorypond/bundle.py
@@ -40,7 +40,7 @@
     servers = [server for s in services for server in s.backend_servers]
     problems += _twice("backend server", (server.name for server in servers))
     problems += _twice("address", (str(server.address) for server in servers))
-    return problems + list(_tiling_problems(services))
+    return problems + list(tiling_problems(services))
 
 
 def _twice(what: str, names: Iterable[str]) -> list[str]:
@@ -59,7 +59,8 @@
     number: int
 
 
-def _tiling_problems(services: Iterable[Service]) -> Iterator[str]:
+def tiling_problems(services: Iterable[Service]) -> Iterator[str]:
+    """Yield where the shards of an index's layout do not tile its key space."""
     layouts: dict[_LayoutKey, list[ShardRange]] = {}
     for service in services:
         for layout in service.layouts:
@@ -109,28 +110,29 @@
         raise ExceptionGroup(f"bundle revision {revision} cannot be used", errors)
 
 
-def encode_bundle(bundle: Bundle) -> bytes:
+def encode_bundle(bundle: Bundle, *, most: int = MAX_VALUE_BYTES) -> bytes:
     """Return the bundle as one JSON value, the same for equal bundles.
 
+    :param most: bytes that the value may have.
     :raises ExceptionGroup: of BundleErrors where it breaks a rule or is larger
-        than the configuration service holds.
+        than ``most``.
     """
     check_bundle(bundle)
     services = [bundle.services[name] for name in sorted(bundle.services)]
     value = encode(_BundleValue(revision=bundle.revision, services=services))
-    if len(value) > MAX_VALUE_BYTES:
-        text = f"{len(value)} bytes are more than {MAX_VALUE_BYTES}"
-        refuse(bundle.revision, [text])
+    if len(value) > most:
+        refuse(bundle.revision, [f"{len(value)} bytes are more than {most}"])
     return value
 
 
-def decode_bundle(value: bytes) -> Bundle:
+def decode_bundle(value: bytes, *, most: int = MAX_VALUE_BYTES) -> Bundle:
     """Read and check a bundle from its JSON value.
 
+    :param most: bytes that the value may have.
     :raises ExceptionGroup: of one BundleError for each problem.
     """
-    if len(value) > MAX_VALUE_BYTES:
-        refuse(0, [f"{len(value)} bytes are more than {MAX_VALUE_BYTES}"])
+    if len(value) > most:
+        refuse(0, [f"{len(value)} bytes are more than {most}"])
     try:
         read = _decoder.decode(value)
     except (DecodeError, ValidationError) as error:
--- a/src/savorypond/membermessages.py
+++ b/src/savorypond/membermessages.py
@@ -38,17 +38,22 @@
         self._config_digest = digest
 
     def ping(
-        self, member: Member, *, number: int, unreachable: tuple[str, ...]
+        self,
+        member: Member,
+        *,
+        number: int,
+        catching_up: bool = False,
+        look_at: tuple[str, ...] = (),
     ) -> Send:
         """Ask ``member`` for an answer under ``number``."""
         message = Ping(
             number=number,
             target=member.name,
-            joining=not self._own.joined,
+            catching_up=catching_up,
             config_revision=self._config_revision,
             config_digest=self._config_digest,
             updates=self._updates(_doubts(member)),
-            unreachable=unreachable,
+            look_at=look_at,
         )
         return self._send(member.address, message)
 
@@ -57,15 +62,20 @@
         return self._send(helper.address, PingReq(number=number, target=target))
 
     def answer(
-        self, ping: Ping, origin: MemberUpdate, corrections: tuple[MemberUpdate, ...]
+        self,
+        ping: Ping,
+        origin: MemberUpdate,
+        *,
+        corrections: tuple[MemberUpdate, ...],
+        look_at: tuple[str, ...],
     ) -> Send:
         """Answer ``ping``, telling its sender what is believed about it."""
         sender = self._table.get(origin.name)
         doubts = _doubts(sender) if sender is not None else ()
         updates = self._updates(doubts + corrections)
-        if ping.joining:
+        if ping.catching_up:
             updates = self._fill_up(updates)
-        ack = self._ack(ping.number, self._own.update.name, updates)
+        ack = self._ack(ping.number, self._own.update.name, updates, look_at)
         return self._send(origin.address, ack)
 
     def pass_on(self, requester: Address, *, number: int, subject: Member) -> Send:
@@ -88,13 +98,20 @@
         peer = origin.to_instance()
         return [ConfigDiffers(peer=peer, revision=revision, digest=digest)]
 
-    def _ack(self, number: int, subject: str, updates: tuple[MemberUpdate, ...]) -> Ack:
+    def _ack(
+        self,
+        number: int,
+        subject: str,
+        updates: tuple[MemberUpdate, ...],
+        look_at: tuple[str, ...] = (),
+    ) -> Ack:
         return Ack(
             number=number,
             subject=subject,
             config_revision=self._config_revision,
             config_digest=self._config_digest,
             updates=updates,
+            look_at=look_at,
         )
 
     def _updates(self, first: tuple[MemberUpdate, ...]) -> tuple[MemberUpdate, ...]:
@@ -104,7 +121,7 @@
         )
 
     def _fill_up(self, updates: tuple[MemberUpdate, ...]) -> tuple[MemberUpdate, ...]:
-        """Add the latest changes, as many as fit, for one that knows little."""
+        """Add the latest changes, as many as fit, for one that missed some."""
         chosen = {update.name: update for update in updates}
         room = self._room - sum(update_size(update) for update in updates)
         for member in sorted(self._table, key=_changed_at, reverse=True):
