--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,185 @@
+from dataclasses import dataclass
+from unittest import TestCase
+
+from curio import TaskGroup, run, timeout_after
+from msgspec.json import decode
+
+from savorypond.standin_backend_server import Faults
+from tests.sites import HANG, SHARDS, RunningSite, until
+
+ALL_SHARDS = len(SHARDS)
+
+
+def in_site(instances):
+    """Run a coroutine method inside a running, ready site."""
+
+    def wrap(method):
+        def test(self):
+            async def main():
+                async with timeout_after(HANG), RunningSite(instances=instances) as it:
+                    await it.publish()
+                    await it.ready()
+                    await method(self, it)
+
+            run(main)
+
+        return test
+
+    return wrap
+
+
+@dataclass(frozen=True)
+class FaultCase:
+    name: str
+    faults: dict
+    covered: int = ALL_SHARDS
+
+
+ONE_REPLICA_FAULTS = [
+    FaultCase("lost replica", {"boats-1-a": Faults(lost=True)}),
+    FaultCase("shed", {"boats-1-a": Faults(shed=True)}),
+    FaultCase("draining", {"boats-1-a": Faults(draining=True)}),
+    FaultCase(
+        "draining, health lies", {"boats-1-a": Faults(draining=True, health_lies=True)}
+    ),
+    FaultCase("wrong snapshot", {"boats-1-a": Faults(wrong_snapshot=True)}),
+    FaultCase("wrong request id", {"boats-1-a": Faults(wrong_request_id=True)}),
+    FaultCase("truncated", {"boats-1-a": Faults(truncated=True)}),
+    FaultCase("silent connections", {"boats-1-a": Faults(silent=True)}),
+    FaultCase(
+        "two faults together",
+        {"boats-1-a": Faults(lost=True), "boats-2-b": Faults(truncated=True)},
+    ),
+    FaultCase(
+        "both replicas lost",
+        {"boats-1-a": Faults(lost=True), "boats-1-b": Faults(lost=True)},
+        covered=ALL_SHARDS - 1,
+    ),
+]
+
+
+class QueryTests(TestCase):
+    @in_site(instances=2)
+    async def test_every_instance_answers_in_full_from_one_snapshot(self, site):
+        for name in site.daemons:
+            answer = await site.query(name)
+            self.assertEqual(answer["snapshot"], site.held.newest())
+            self.assertEqual(answer["coverage"]["covered"], ALL_SHARDS)
+            shards = {one["shard"] for one in answer["results"]}
+            self.assertEqual(shards, set(SHARDS))
+            for one in answer["results"]:
+                for result in one["results"]:
+                    self.assertIn(f"/{answer['snapshot']}/", result)
+
+    @in_site(instances=2)
+    async def test_faults_of_replicas(self, site):
+        for case in ONE_REPLICA_FAULTS:
+            with self.subTest(case.name):
+                await site.query("entry-1")
+                for server, faults in case.faults.items():
+                    site.servers[server].set_faults(faults)
+                for name in site.daemons:
+                    answer = await site.query(name)
+                    coverage = answer["coverage"]
+                    self.assertEqual(coverage["covered"], case.covered)
+                    self.assertEqual(
+                        coverage["covered"] + len(coverage["missing"]), ALL_SHARDS
+                    )
+                for server in case.faults:
+                    site.servers[server].set_faults(Faults())
+
+    @in_site(instances=2)
+    async def test_a_snapshot_that_is_dropped_is_never_mixed(self, site):
+        await site.query("entry-1")
+        site.held.numbers[:] = [200, 201]
+        answer = await site.query("entry-1")
+        self.assertEqual(answer["snapshot"], 201)
+        self.assertEqual(answer["coverage"]["covered"], ALL_SHARDS)
+
+    @in_site(instances=2)
+    async def test_a_killed_owner_is_replaced(self, site):
+        await site.kill("entry-2")
+        answer = await site.query("entry-1")
+        self.assertEqual(answer["coverage"]["covered"], ALL_SHARDS)
+
+    @in_site(instances=2)
+    async def test_a_change_is_in_force_everywhere(self, site):
+        await site.publish()
+        await until(
+            lambda: all(d.config.bundle.revision == 2 for d in site.daemons.values())
+        )
+
+    @in_site(instances=2)
+    async def test_a_planned_stop_cuts_no_request(self, site):
+        answers = []
+
+        async def ask():
+            answers.append(await site.query("entry-2"))
+
+        async with TaskGroup() as group:
+            stopping = await group.spawn(site.daemons["entry-2"].drain)
+            for _ in range(5):
+                await group.spawn(ask)
+            await stopping.join()
+        covered = [answer["coverage"]["covered"] for answer in answers]
+        self.assertEqual(covered, [ALL_SHARDS] * 5)
+
+
+class CallTests(TestCase):
+    async def ticket(self, site, name):
+        response = await site.post(name, "/v1/tickets", {})
+        return decode(response.body)["tickets"][0]
+
+    async def call(self, site, name, ticket):
+        body = {"ticket": ticket, "payload": {"boat": 7}}
+        return await site.post(name, "/v1/services/enquiries/calls", body)
+
+    def runs(self, site):
+        servers = site.servers.values()
+        return sum(count for s in servers for count in s.call_ids.values())
+
+    @in_site(instances=2)
+    async def test_a_call_resent_to_every_instance_runs_once(self, site):
+        ticket = await self.ticket(site, "entry-1")
+        bodies = []
+        for name in ("entry-1", "entry-2", "entry-1"):
+            response = await self.call(site, name, ticket)
+            self.assertEqual(response.status, 200)
+            bodies.append(response.body)
+        self.assertEqual(len(set(bodies)), 1)
+        self.assertEqual(self.runs(site), 1)
+
+    @in_site(instances=2)
+    async def test_a_lost_answer_is_unknown_and_never_sent_again(self, site):
+        for server in ("enquiries-a", "enquiries-b"):
+            site.servers[server].set_faults(Faults(late_by=5.0))
+        ticket = await self.ticket(site, "entry-1")
+        first = decode((await self.call(site, "entry-1", ticket)).body)
+        self.assertEqual(first["execution"], "unknown")
+        for server in ("enquiries-a", "enquiries-b"):
+            site.servers[server].set_faults(Faults())
+        again = decode((await self.call(site, "entry-2", ticket)).body)
+        self.assertEqual(again["execution"], "unknown")
+        self.assertEqual(self.runs(site), 1)
+
+    @in_site(instances=2)
+    async def test_shed_everywhere_is_not_run(self, site):
+        for server in ("enquiries-a", "enquiries-b"):
+            site.servers[server].set_faults(Faults(shed=True))
+        ticket = await self.ticket(site, "entry-1")
+        refusal = decode((await self.call(site, "entry-1", ticket)).body)
+        self.assertEqual(refusal["execution"], "not-run")
+        self.assertEqual(self.runs(site), 0)
+
+    @in_site(instances=2)
+    async def test_a_ticket_of_a_killed_instance_never_runs(self, site):
+        ticket = await self.ticket(site, "entry-2")
+        await site.kill("entry-2")
+        refusal = decode((await self.call(site, "entry-1", ticket)).body)
+        self.assertEqual(refusal["reason"], "instance-gone")
+        await site.start("entry-2")
+        await site.ready()
+        for name in site.daemons:
+            response = await self.call(site, name, ticket)
+            self.assertNotEqual(response.status, 200)
+        self.assertEqual(self.runs(site), 0)
