Bound the probes of doubtful data centres, and measure membership

Cause: an instance cut off from 18 data centres probed all 18 in each round, and hinted at the same first three of them.

Weighed: 3 or 8 data centres a round. Change: 8, chosen at random, as are the hints.

--- a/benchmarks/bench_members.py
+++ b/benchmarks/bench_members.py
@@ -1,8 +1,8 @@
 """Measure what membership and placement cost as the fleet grows.
 
 Prints four tables: the cost of one instance's membership, the cost of finding
-owners, how fast news reaches every instance, and how fast the loss of a data
-centre does. Run with ``python -m benchmarks.bench_members``.
+owners, how fast news reaches every instance, and what a cut between many data
+centres takes. Run with ``python -m benchmarks.bench_members``.
 """
 
 from collections.abc import Callable
@@ -50,6 +50,7 @@
 SPREAD_SIZES = (7, 30, 100)
 SEEDS = range(5)
 LOSS = 0.01
+CUT_SIZE = 220
 LIMIT = 60.0  # seconds
 ME = Address(host="127.0.0.1", port=1)
 
@@ -300,7 +301,55 @@
             )
 
 
+def print_cuts() -> None:
+    size = CUT_SIZE
+    print(f"\nCuts among {size} instances in {DATA_CENTRES} data centres")
+    print("cut off  event      seconds  messages/s  bytes/s each")
+    for count in (1, 4):
+        lost = {f"dc{number}" for number in range(count)}
+        fleet = MemberFleet(size=size, data_centres=DATA_CENTRES, seed=1, loss=LOSS)
+        fleet.run(60.0)
+
+        def crosses(sender, target, lost=lost) -> bool:
+            inside = sender.instance.data_centre in lost
+            return inside != (target.instance.data_centre in lost)
+
+        fleet.cut = crosses
+        print_event(count, "cut", fleet, lambda f=fleet, a=lost: split_seen(f, a))
+        print_event(count, "a minute", fleet, None)
+        fleet.cut = lambda sender, target: False
+        print_event(count, "heal", fleet, fleet.agree)
+
+
+def split_seen(fleet: MemberFleet, lost: set[str]) -> bool:
+    """Tell whether each instance sees just its own side of the cut."""
+    sides: dict[bool, set[str]] = {True: set(), False: set()}
+    for node in fleet.nodes.values():
+        sides[node.instance.data_centre in lost].add(node.instance.name)
+    return all(
+        fleet.knows(node) == sides[node.instance.data_centre in lost]
+        for node in fleet.nodes.values()
+    )
+
+
+def print_event(
+    count: int, name: str, fleet: MemberFleet, until: Callable[[], bool] | None
+) -> None:
+    counted = (fleet.now, fleet.sent, fleet.sent_bytes)
+    if until is None:
+        fleet.run(60.0)
+    else:
+        fleet.run_until(until, 2 * LIMIT)
+    seconds = max(TICK, fleet.now - counted[0])
+    share = seconds * len(fleet.nodes)
+    print(
+        f"{count:7}  {name:9} {seconds:8.1f} {(fleet.sent - counted[1]) / share:11.1f}"
+        f" {(fleet.sent_bytes - counted[2]) / share:13.0f}"
+    )
+
+
 if __name__ == "__main__":
     print_membership()
     print_owners()
     print_spread()
+    print_cuts()
--- a/src/savorypond/datacentres.py
+++ b/src/savorypond/datacentres.py
@@ -11,6 +11,7 @@
 from savorypond.memberwire import MAX_LOOK_AT
 from savorypond.probetargets import with_jitter
 
+PROBED_AT_ONCE = 8  # doubtful data centres probed in one round
 UNANSWERED_LIMIT = 3  # distinct members in a row that did not answer
 
 
@@ -116,24 +117,35 @@
             for name, data_centre in self._data_centres.items()
             if now - data_centre.changed_at < self._hint_time
         ]
-        return tuple(found[:MAX_LOOK_AT])
+        return tuple(self._some(found, MAX_LOOK_AT))
 
     def to_probe(self, now: float) -> list[str]:
-        """Return the data centres of which one more member is to be probed."""
-        return [n for n, d in self._data_centres.items() if self._is_due(d, now)]
+        """Return a few data centres of which one more member is to be probed."""
+        due = [n for n, d in self._data_centres.items() if self._is_due(d, now)]
+        chosen = self._some(due, PROBED_AT_ONCE)
+        for name in chosen:
+            self._delay_retry(self._data_centres[name], now)
+        return chosen
 
     def _is_due(self, data_centre: _DataCentre, now: float) -> bool:
-        if data_centre.lost_at is None:
-            return data_centre.hinted or bool(data_centre.unanswered)
         if data_centre.hinted:
-            data_centre.hinted = False
             return True
-        if now < data_centre.retry_at:
-            return False
+        if data_centre.lost_at is None:
+            return bool(data_centre.unanswered)
+        return now >= data_centre.retry_at
+
+    def _delay_retry(self, data_centre: _DataCentre, now: float) -> None:
+        if data_centre.lost_at is None:
+            return
+        data_centre.hinted = False
         doubled = 2 * data_centre.retry_delay
         data_centre.retry_delay = min(doubled, self._retry_delay_max)
         data_centre.retry_at = now + with_jitter(data_centre.retry_delay, self._rng)
-        return True
+
+    def _some(self, names: list[str], count: int) -> list[str]:
+        if len(names) <= count:
+            return names
+        return self._rng.sample(names, count)
 
     def _get(self, name: str) -> _DataCentre:
         if name not in self._data_centres:
