--- a/src/savorypond/callconnection.py
+++ b/src/savorypond/callconnection.py
@@ -26,7 +26,7 @@
 from savorypond.partials import is_shed
 from savorypond.pool import Release
 from savorypond.protocols import Purpose
-from savorypond.shardcalls import REQUEST_ID, TIME_LEFT, ConnectionSource
+from savorypond.shardcalls import ConnectionSource
 
 CALLS_PATH = "/v1/calls"
 _NO_PIN = Pin(snapshot=0, layout=0)
@@ -120,19 +120,18 @@
         assert self._lease is not None
         self._started = self._clock.now()
         stats = self._servers.stats(self._server)
-        stats.started()
+        stats.started(attempt=self, now=self._started)
         try:
             response = await self._lease.request(
                 self._to_http(time_left), seconds=time_left
             )
         except BackendServerError:
-            seconds = self._clock.now() - self._started
-            stats.finished(now=self._clock.now(), latency=seconds, ok=False)
+            stats.finished(attempt=self, now=self._clock.now(), ok=False)
             self._servers.record_failure(server=self._server)
             return Tick() if self._left() <= 0.0 else ConnectionLost()
         seconds = self._clock.now() - self._started
         ok = response.status == 200
-        stats.finished(now=self._clock.now(), latency=seconds, ok=ok)
+        stats.finished(attempt=self, now=self._clock.now(), ok=ok)
         return self._read(response, seconds)
 
     async def hand_back(self, how: Release) -> None:
@@ -167,12 +166,7 @@
                 "time_left_ms": milliseconds,
             }
         )
-        headers = (
-            _JSON,
-            Header(name=REQUEST_ID, value=request.request_id),
-            Header(name=TIME_LEFT, value=str(milliseconds)),
-        )
-        return HttpRequest(method="POST", path=CALLS_PATH, headers=headers, body=body)
+        return HttpRequest(method="POST", path=CALLS_PATH, headers=(_JSON,), body=body)
 
     async def _release_slot(self, outcome: Outcome) -> None:
         slot, self._slot = self._slot, None
