--- a/benchmarks/tail_view.py
+++ b/benchmarks/tail_view.py
@@ -9,7 +9,7 @@
 from savorypond.latency import LatencyConfig, LatencyTracker, PercentileHedge
 from savorypond.limiter import ServerGate
 from savorypond.model import Counters, Holding, Pin, Service
-from savorypond.outlier import OutlierDetector
+from savorypond.outlier import Ejection, OutlierDetector
 from savorypond.snapshots import PinChoice, SnapshotBook
 
 
@@ -97,21 +97,21 @@
         now = self._clock.now()
         name = self._service_of[server].name
         self._latencies.record(service=name, seconds=seconds, now=now)
-        self.record_time(server=server, seconds=seconds)
+        self._count(
+            self._outliers.record_success(server=server, latency=seconds, now=now)
+        )
 
-    def record_time(self, *, server: str, seconds: float) -> None:
-        """Learn how long ``server`` took, but not for the delay of hedges."""
-        ejection = self._outliers.record_success(
-            server=server, latency=seconds, now=self._clock.now()
+    def record_cancelled(self, *, server: str, seconds: float) -> None:
+        """Learn that an attempt was cancelled after ``seconds``."""
+        now = self._clock.now()
+        self._count(
+            self._outliers.record_cancelled(server=server, age=seconds, now=now)
         )
-        if ejection is not None:
-            self._counters.add("ejections", ejection.reason)
 
     def record_failure(self, *, server: str) -> None:
         """Learn that an attempt at ``server`` failed."""
-        ejection = self._outliers.record_failure(server=server, now=self._clock.now())
-        if ejection is not None:
-            self._counters.add("ejections", ejection.reason)
+        now = self._clock.now()
+        self._count(self._outliers.record_failure(server=server, now=now))
 
     def leaving(self, *, server: str) -> bool:
         """Return whether ``server`` must get no new work."""
@@ -142,6 +142,10 @@
             now=self._clock.now(),
         )
 
+    def _count(self, ejection: Ejection | None) -> None:
+        if ejection is not None:
+            self._counters.add("ejections", ejection.reason)
+
 
 class AllUsable:
     """A view of backend servers that knows nothing against any of them."""
--- a/benchmarks/tail_world.py
+++ b/benchmarks/tail_world.py
@@ -267,7 +267,8 @@
     def _dispatch(self, work: Work) -> None:
         work.dispatched_at = self._clock.now()
         name = work.attempt.server.name
-        self._known.board.get(server=name).started()
+        stats = self._known.board.get(server=name)
+        stats.started(attempt=work, now=work.dispatched_at)
         self._apply(
             work.fanout,
             work.query,
@@ -335,7 +336,8 @@
         if work.cancelled:
             return
         now = self._clock.now()
-        self._known.board.get(server=name).finished(now=now, latency=seconds, ok=True)
+        stats = self._known.board.get(server=name)
+        stats.finished(attempt=work, now=now, ok=True)
         partial = ServerPartial(shard=work.attempt.service.name, count=0, results=())
         answer = ServerAnswer(
             request_id=str(work.query),
@@ -355,12 +357,11 @@
         now = self._clock.now()
         if kind is FailureKind.CONNECTION_FAILED:
             name = work.attempt.server.name
-            seconds = self._release(work, Outcome.FAILED)
+            self._release(work, Outcome.FAILED)
             self._known.record_failure(server=name)
             if not work.cancelled:
-                self._known.board.get(server=name).finished(
-                    now=now, latency=seconds, ok=False
-                )
+                stats = self._known.board.get(server=name)
+                stats.finished(attempt=work, now=now, ok=False)
         if work.cancelled:
             return
         failure = AttemptFailure(kind=kind, not_run=True, retry_after=wait)
@@ -374,7 +375,8 @@
             if self._gated:
                 self._gate(name).cancel(waiter=work)
             return
-        self._known.board.get(server=name).cancelled()
+        stats = self._known.board.get(server=name)
+        stats.cancelled(attempt=work, now=self._clock.now())
         if self._cancel_mode is Cancel.STOP:
             self._after(LINK_TIME, lambda: self._stop(work))
 
@@ -394,4 +396,4 @@
         if self._servers[name].silent:
             self._known.record_failure(server=name)
         elif self._learn_cancelled:
-            self._known.record_time(server=name, seconds=seconds)
+            self._known.record_cancelled(server=name, seconds=seconds)
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -51,7 +51,7 @@
 
 
 def first_shard_only(attempt):
-    return ok(attempt, partials=make_answer(attempt).partials[:1])
+    return ok(attempt, after=0.011, partials=make_answer(attempt).partials[:1])
 
 
 def truncated(attempt):
@@ -150,6 +150,13 @@
             play(bench, {"a/0": first, "a/1": silent})
             self.assertEqual(len(bench.taken(SendAttempt)), attempts)
 
+    def test_shard_that_two_attempts_answer_is_used_once(self):
+        service = make_service("a", {1: {"a0": (0, 5), "a1": (5, 10)}})
+        bench = FanoutBench(services=[service])
+        answer, _ = play(bench, {"a/0": first_shard_only})
+        self.assertEqual([p.shard for p in answer.partials], ["a0", "a1"])
+        self.assertEqual(bench.counters.value("drops", "duplicate"), 1)
+
     def test_without_budget_no_hedge(self):
         bench = FanoutBench(services=[make_service("a")], grants=0)
         play(bench, {"a/0": SLOW})
--- a/tests/test_merge.py
+++ b/tests/test_merge.py
@@ -34,6 +34,17 @@
                 merge_answers(request_id="r", pin=PIN, answers=answers)
             self.assertEqual(caught.exception.field, field)
 
+    def test_first_partial_of_a_shard_is_used(self):
+        partials = [ShardPartial(shard="a", results=(n,)) for n in (1, 2)]
+        answer = build_answer(
+            request_id="r",
+            pin=PIN,
+            asked=frozenset("a"),
+            partials=partials,
+            missing={},
+        )
+        self.assertEqual(answer.partials, (partials[0],))
+
     def test_shards_of_an_owner_that_did_not_answer(self):
         merged = merge_answers(
             request_id="r",
