--- a/src/savorypond/callapi.py
+++ b/src/savorypond/callapi.py
@@ -9,7 +9,12 @@
 from savorypond.controllers.calls import Calls, refused
 from savorypond.exceptions import RequestRefused, TicketError
 from savorypond.httptypes import HttpRequest, HttpResponse, json_response
-from savorypond.linkwire import ForwardCall, ForwardRefusal, ForwardResult
+from savorypond.linkwire import (
+    ForwardCall,
+    ForwardRefusal,
+    ForwardResult,
+    ForwardRevoke,
+)
 from savorypond.logs import log_event
 from savorypond.metrics import Metrics
 from savorypond.model import Instance, Service, ServiceKind
@@ -19,6 +24,7 @@
 from savorypond.ticketroute import (
     Forward,
     InstanceLookup,
+    RunHere,
     route_ticket,
     unreachable_issuer,
 )
@@ -31,6 +37,7 @@
 MOST_TICKETS = 1000  # of one request
 LONGEST_TIME_LIMIT = 60_000.0  # milliseconds
 _MILLISECONDS = 1000.0  # per second
+REVOKE_TIME = 1.0  # seconds for an issuer to answer a revocation
 _FORWARD_MARGIN = 0.005  # seconds kept for the way back from another instance
 
 
@@ -120,13 +127,34 @@
         )
         return ForwardResult(ticket=message.ticket, result=result)
 
-    async def _run(self, body: CallBody, service: Service, deadline: float) -> bytes:
-        ticket = _read_ticket(body.ticket)
+    async def revoke(self, text: str) -> HttpResponse:
+        """Close a ticket for good, and tell what became of it."""
+        ticket = _read_ticket(text)
+        route = self._route(ticket)
+        if isinstance(route, Forward):
+            left = REVOKE_TIME
+            message = ForwardRevoke(ticket=text)
+            result = await self._ask_issuer(route.instance, ticket, message, left)
+        else:
+            result = self._calls.revoke(ticket)
+        return json_response({"ticket": text, "result": Raw(result)})
+
+    def revoke_forwarded(self, message: ForwardRevoke) -> ForwardResult:
+        """Close a ticket that was issued here, for a peer."""
+        result = self._calls.revoke(_read_ticket(message.ticket))
+        return ForwardResult(ticket=message.ticket, result=result)
+
+    def _route(self, ticket: Ticket) -> Forward | RunHere:
         route = route_ticket(
             ticket=ticket, fleet=self._fleet, myself=self._instance, peers=self._peers
         )
         if isinstance(route, Refuse):
             raise refused(route)
+        return route
+
+    async def _run(self, body: CallBody, service: Service, deadline: float) -> bytes:
+        ticket = _read_ticket(body.ticket)
+        route = self._route(ticket)
         if isinstance(route, Forward):
             return await self._forward(route.instance, ticket, body, service, deadline)
         return await self._calls.run(
@@ -148,9 +176,18 @@
             payload=body.payload,
             time_left=left - _FORWARD_MARGIN,
         )
+        return await self._ask_issuer(issuer, ticket, message, left)
+
+    async def _ask_issuer(
+        self,
+        issuer: Instance,
+        ticket: Ticket,
+        message: ForwardCall | ForwardRevoke,
+        seconds: float,
+    ) -> bytes:
         self._metrics.counters.add("tickets", "forwarded")
         try:
-            reply = await self._links.ask(issuer.peer_address, message, seconds=left)
+            reply = await self._links.ask(issuer.peer_address, message, seconds=seconds)
         except LinkLost as error:
             raise refused(unreachable_issuer(ticket)) from error
         if isinstance(reply, ForwardResult):
--- a/src/savorypond/callconnection.py
+++ b/src/savorypond/callconnection.py
@@ -103,6 +103,7 @@
             )
             self._lease = await connections.lease(seconds=self._left(), proven=True)
         except SlotRefused as refused:
+            await self._release_slot(Outcome.CANCELLED)
             return NotAcquired(server=server.name, retry_after=refused.retry_after)
         except BackendServerError:
             await self._release_slot(Outcome.FAILED)
@@ -141,6 +142,11 @@
             await lease.give_back(how)
         await self._release_slot(_OUTCOMES[how])
 
+    async def close(self) -> None:
+        """Close what is still in hand, as after a cancellation."""
+        if self._lease is not None or self._slot is not None:
+            await self.hand_back(Release.CLOSED)
+
     def _read(self, response: HttpResponse, seconds: float) -> Event:
         if response.status == 503 and is_shed(response.body):
             return SaidNotRun()
--- a/src/savorypond/callerapi.py
+++ b/src/savorypond/callerapi.py
@@ -70,13 +70,16 @@
         """Return the response to ``request``."""
         path = request.path.partition("?")[0]
         if path == QUERY_PATH:
-            _need_post(request)
+            _need_method(request, "POST")
             return await self._query(request)
         if path == TICKETS_PATH:
-            _need_post(request)
+            _need_method(request, "POST")
             return await self._calls.tickets(request)
+        if path.startswith(TICKETS_PATH + "/"):
+            _need_method(request, "DELETE")
+            return await self._calls.revoke(path[len(TICKETS_PATH) + 1 :])
         if path.startswith(SERVICES_PATH) and path.endswith(CALLS_SUFFIX):
-            _need_post(request)
+            _need_method(request, "POST")
             name = path[len(SERVICES_PATH) : -len(CALLS_SUFFIX)]
             return await self._calls.call(request, name)
         raise RequestRefused(
@@ -120,11 +123,11 @@
         )
 
 
-def _need_post(request: HttpRequest) -> None:
-    if request.method != "POST":
+def _need_method(request: HttpRequest, method: str) -> None:
+    if request.method != method:
         raise RequestRefused(
             reason=RefusalReason.METHOD_NOT_ALLOWED,
-            detail=f"{request.path} takes POST, not {request.method}",
+            detail=f"{request.path} takes {method}, not {request.method}",
         )
 
 
--- a/src/savorypond/controllers/calls.py
+++ b/src/savorypond/controllers/calls.py
@@ -72,8 +72,10 @@
         wall: WallClock,
         rng: Random,
         counters: Counters,
+        pause: PauseDetector,
     ) -> None:
         self._active = active
+        self._pause = pause
         self._servers = servers
         self._leaving = leaving
         self._connections = connections
@@ -94,12 +96,6 @@
         self._ledger = TicketLedger(
             incarnation=incarnation, seal=seal, limits=self._limits
         )
-        self._pause = PauseDetector(now=clock.now(), listeners=(self,))
-
-    @property
-    def pause(self) -> PauseDetector:
-        """Notices pauses of this process; observe it again and again."""
-        return self._pause
 
     @property
     def ledger(self) -> TicketLedger:
@@ -124,6 +120,20 @@
             lifetime=self._limits.lifetime,
         )
 
+    def revoke(self, ticket: Ticket) -> bytes:
+        """Close ``ticket`` so that it never runs.
+
+        Return the result of a call that ran before, encoded as JSON. Raises
+        RequestRefused otherwise; it says not-run where the work never ran.
+        """
+        claim = self._ledger.revoke(ticket, now=self._clock.now())
+        self._counters.add("tickets", "revoked")
+        if isinstance(claim, Replay):
+            return claim.result
+        if isinstance(claim, InProgress):
+            raise _in_progress()
+        raise refused(claim)
+
     async def run(
         self, ticket: Ticket, *, service: Service, payload: object, deadline: float
     ) -> bytes:
@@ -165,7 +175,11 @@
             connections=self._connections,
             clock=self._clock,
         )
-        outcome = await self._drive(run, connection)
+        try:
+            outcome = await self._drive(run, connection)
+        finally:
+            run.abandon()
+            await connection.close()
         if isinstance(outcome, Answered):
             self._counters.add("tickets", "ran")
             return outcome.result
--- a/src/savorypond/controllers/drain.py
+++ b/src/savorypond/controllers/drain.py
@@ -11,6 +11,7 @@
 from savorypond.httptypes import Handler, HttpRequest, HttpResponse
 from savorypond.logs import log_event
 from savorypond.model import Counters
+from savorypond.pause import Paused
 from savorypond.reasons import RefusalReason
 
 _TICK = 0.02  # seconds
@@ -49,6 +50,10 @@
         """Whether a planned stop has begun."""
         return self._plan.state is not DrainState.SERVING
 
+    def woke(self, paused: Paused) -> None:
+        """Give requests in flight a moment for answers that came during a pause."""
+        self._plan.woke(paused)
+
     def guard(self, handler: Handler) -> Handler:
         """Return ``handler`` behind the count of requests in flight."""
 
--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -31,7 +31,7 @@
 from savorypond.metrics import Metrics
 from savorypond.model import Address, Instance
 from savorypond.operatorapi import OperatorApi
-from savorypond.pause import HEARTBEAT_INTERVAL
+from savorypond.pause import HEARTBEAT_INTERVAL, Paused, PauseDetector
 from savorypond.peerapi import PeerApi
 from savorypond.peercontrol import ControlClient, ControlServer
 from savorypond.peerlink import PeerLinks, PeerServer
@@ -103,6 +103,14 @@
                 return member.instance
         return None
 
+    def woke(self, paused: Paused) -> None:
+        """Distrust what was believed before a pause of this process."""
+        self._counters.add("pauses", "noticed")
+        self._calls.woke(paused)
+        self._pools.distrust()
+        self._drain.woke(paused)
+        log_event("woke", gap=round(paused.gap, 3))
+
     async def _start(self) -> None:
         await self._start_membership()
         await self._start_config()
@@ -239,6 +247,7 @@
 
     def _build_calls(self) -> None:
         settings = self._settings
+        self._pause = PauseDetector(now=self._clock.now(), listeners=(self,))
         self._calls = Calls(
             instance=settings.name,
             fleet=settings.fleet,
@@ -250,6 +259,7 @@
             wall=time,
             rng=self._rng,
             counters=self._counters,
+            pause=self._pause,
         )
         self._call_api = CallApi(
             instance=settings.name,
@@ -387,11 +397,7 @@
     async def _beat(self) -> None:
         while True:
             await sleep(HEARTBEAT_INTERVAL)
-            paused = self._calls.pause.observe(self._clock.now())
-            if paused is not None:
-                log_event("woke", gap=round(paused.gap, 3))
-                self._counters.add("pauses", "noticed")
-                self._pools.distrust()
+            self._pause.observe(self._clock.now())
 
     def _link_delay(self, peer: str) -> float:
         between = self._settings.emulated_link_delay
--- a/src/savorypond/linkwire.py
+++ b/src/savorypond/linkwire.py
@@ -99,6 +99,12 @@
     time_left: float
 
 
+class ForwardRevoke(Struct, tag="revoke", frozen=True, kw_only=True):
+    """Hands the revocation of a ticket to the instance that issued it."""
+
+    ticket: str
+
+
 class ForwardResult(Struct, tag="result", frozen=True, kw_only=True):
     """The result of a forwarded call, encoded as JSON."""
 
@@ -130,6 +136,7 @@
     | HoldingsAsk
     | HoldingsAnswer
     | ForwardCall
+    | ForwardRevoke
     | ForwardResult
     | ForwardRefusal
     | CancelForward
--- a/src/savorypond/peerapi.py
+++ b/src/savorypond/peerapi.py
@@ -12,6 +12,7 @@
     ForwardAnswer,
     ForwardCall,
     ForwardQuery,
+    ForwardRevoke,
     HoldingsAsk,
     LinkMessage,
     WireMissing,
@@ -53,6 +54,8 @@
             return await self._holdings.answer(self._services(message.services))
         if isinstance(message, ForwardCall):
             return await self._calls.run_forwarded(message)
+        if isinstance(message, ForwardRevoke):
+            return self._calls.revoke_forwarded(message)
         raise RequestRefused(
             reason=RefusalReason.MALFORMED,
             detail=f"{type(message).__name__} is no request",
