State when no class starves, and count turns rightly in its property

Cause: the property of the wait queue failed under other examples. It counted a class's own turn as one that passed it over, and its shortened settings let two lower classes alternate and shut out a higher one, which the stated bound does not allow for.

Change: a queue refuses settings under which the bound cannot hold; the property counts only turns of other classes and keeps the bound as stated.

--- a/src/savorypond/waitqueue.py
+++ b/src/savorypond/waitqueue.py
@@ -42,11 +42,17 @@
     for each lower class, go to others.
 
     :param passed_over: turns in a row, by class, that may go to other classes.
+        Below the highest class each must be at least the number of the other
+        classes: else two lower classes could take turns and shut out a higher.
+    :raises ValueError: an entry of ``passed_over`` is too small.
     """
 
     __slots__ = ("_classes", "_places", "_sequence")
 
     def __init__(self, *, passed_over: Sequence[int]) -> None:
+        others = len(passed_over) - 1
+        if any(turns < others for turns in passed_over[1:]):
+            raise ValueError(f"lower classes must be passed over {others} times")
         self._classes = [_ClassQueue(passed_over=turns) for turns in passed_over]
         self._places: dict[WaiterId, tuple[_ClassQueue, _Waiter]] = {}
         self._sequence = 0
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -18,7 +18,7 @@
 
 GAPS = st.sampled_from([0.0, 0.001, 0.01, 0.1])
 URGENT, INTERACTIVE, BACKGROUND = Priority
-PASSED_OVER = (0, 1, 3)
+PASSED_OVER = (0, 2, 4)
 
 
 class GateMachine(RuleBasedStateMachine):
@@ -49,10 +49,9 @@
     def granted(self, priority):
         self.in_flight += 1
         assert self.in_flight <= self.slots
-        self.skipped[priority] = 0
         for other in Priority:
-            waits = other in self.waiting.values()
-            self.skipped[other] = self.skipped[other] + 1 if waits else 0
+            passed = other is not priority and other in self.waiting.values()
+            self.skipped[other] = self.skipped[other] + 1 if passed else 0
             # Each lower class that is due at the same moment may go first.
             lower_classes = BACKGROUND - other
             assert self.skipped[other] <= PASSED_OVER[other] + lower_classes
@@ -244,3 +243,7 @@
             self.release(gate)
         with self.assertRaises(ValueError):
             gate.disconnect()
+        for passed_over in [(0, 1, 19), (0, 3, 1)]:
+            config = GateConfig(passed_over=passed_over)
+            with self.assertRaises(ValueError):
+                ServerGate(slots=1, connections=1, config=config)
