Make the spread's fault tests fail without each of its mechanisms

Cause: with single lines of the decisions taken out, six of seventeen changes went unnoticed: readiness before peers answer, telling peers, the least time between reads, reading after failed pulls, asking other data centres, and a half-written revision counted as invalid.

--- a/tests/config_fakes.py
+++ b/tests/config_fakes.py
@@ -135,7 +135,8 @@
     """
 
     PING = 1.0  # seconds between the pings that carry digests
-    CALL = 0.005  # seconds of a call to a peer or the service
+    CALL = 0.005  # seconds of a call to the service
+    PULL = 0.02  # seconds of a call to a peer
 
     def __init__(self, *, service, data_centres=3, size=7, seed=1, watchers=2):
         self.service = service
@@ -143,6 +144,7 @@
         self.random = Random(seed)
         self.watchers = watchers
         self.link = lambda a, b: True
+        self.pulls_fail = False
         self.members = {}
         self._events, self._order, self._watches = [], count(), []
         for n in range(size):
@@ -226,7 +228,7 @@
 
     def perform(self, member, action):
         if isinstance(action, PullFrom):
-            self.at(self.now + self.CALL, lambda: self.pull(member, action))
+            self.at(self.now + self.PULL, lambda: self.pull(member, action))
             return
         self.service.reads.append(self.now)
         self.at(self.now + self.CALL, lambda: self.answer(member, action))
@@ -235,7 +237,7 @@
         peer = self.members[action.instance]
         if not self.alive(member):
             return
-        if peer.up and self.link(member, peer):
+        if peer.up and self.link(member, peer) and not self.pulls_fail:
             reply = peer.spread.on_request(action.request)
             member.spread.on_reply(self.now, action, reply)
             self.step(peer)
--- a/tests/test_confspread.py
+++ b/tests/test_confspread.py
@@ -117,6 +117,30 @@
         fleet.service.publish(Bundle(revision=3, services=HISTORY[2].services))
         self.assert_in_force(fleet, 3)
 
+    def test_nothing_published_is_read_for_at_ease(self):
+        fleet = Fleet(service=FakeService())
+        fleet.run(10.0)
+        reads = len(fleet.service.reads)
+        self.assertGreater(reads, 0)
+        self.assertLess(reads, 2 * 10 * len(fleet.members))
+        fleet.service.publish(HISTORY[0])
+        self.assert_in_force(fleet, 1)
+
+    def test_peers_that_cannot_be_pulled_from_are_not_waited_for(self):
+        fleet = settled_fleet(size=12)
+        fleet.pulls_fail = True
+        fleet.service.publish(HISTORY[1])
+        self.assert_in_force(fleet, 2, seconds=2 * IN_FORCE_TIME)
+
+    def test_watchers_without_the_service_ask_other_data_centres(self):
+        fleet = settled_fleet(size=12)
+        fleet.PING = 3600.0
+        fleet.run(2.0)
+        for member in fleet.members.values():
+            member.reached = member.instance.data_centre != "dc0"
+        fleet.service.publish(HISTORY[1])
+        self.assert_in_force(fleet, 2, seconds=60.0)
+
     def test_malformed_values_are_refused(self):
         fleet = settled_fleet()
         good = fleet.service.values[HEAD_KEY]
@@ -275,6 +299,15 @@
         self.assertEqual(fleet.revisions(), {2})
         self.assertLess(len(fleet.service.reads) - before, 20)
 
+    def test_most_hear_of_a_change_without_any_ping(self):
+        fleet = settled_fleet(size=190, data_centres=1)
+        fleet.PING = 3600.0
+        fleet.run(2.0)
+        fleet.service.publish(HISTORY[1])
+        fleet.run(IN_FORCE_TIME)
+        held = [m.store.stamp.revision for m in fleet.members.values()]
+        self.assertGreater(held.count(2), 190 / 2)
+
     def test_watchers_are_bounded_and_agreed_on(self):
         def choice(name, names):
             everyone = {n: instance(n) for n in names}
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -130,6 +130,7 @@
         store = ConfigStore(counters=Counters())
         drive(store, service)
         self.assertEqual(store.stamp, Stamp())
+        self.assertEqual(store._counters.counts, {})
         service.publish(HISTORY[1])
         drive(store, service)
         self.assertEqual(store.stamp, stamp_of(HISTORY[1]))
