--- a/src/savorypond/confstate.py
+++ b/src/savorypond/confstate.py
@@ -21,12 +21,15 @@
         self._size = size
         self._services: dict[bytes, Service] = {}
 
+    def __len__(self) -> int:
+        return len(self._services)
+
     def get(self, data: bytes) -> Service:
         """Return the service that ``data`` encodes."""
         service = self._services.pop(data, None)
         if service is None:
             service = decode_entry(data)
-        elif len(self._services) >= self._size:
+        if len(self._services) >= self._size:
             del self._services[next(iter(self._services))]
         self._services[data] = service
         return service
--- a/tests/test_confstore.py
+++ b/tests/test_confstore.py
@@ -8,6 +8,7 @@
 from savorypond.configentry import decode_entry, encode_entry
 from savorypond.configwire import Stamp
 from savorypond.confpull import Pull, ReplyCutter
+from savorypond.confstate import ServiceCache
 from savorypond.confstore import Change, ConfigStore, Outcome
 from savorypond.model import Bundle, Counters
 from savorypond.reasons import ConfigReason
@@ -97,6 +98,16 @@
             self.assertEqual(store.stamp, stamp_of(higher))
             self.assertEqual(count(store, ConfigReason.CONFLICT), 1)
 
+    def test_cache_keeps_the_services_last_used(self):
+        cache = ServiceCache(size=2)
+        entries = [encode_entry(make_service(n)) for n in range(3)]
+        first = cache.get(entries[0])
+        cache.get(entries[1])
+        self.assertIs(cache.get(entries[0]), first)
+        cache.get(entries[2])
+        self.assertEqual(len(cache), 2)
+        self.assertIs(cache.get(entries[0]), first)
+
     def test_entries_survive_encoding(self):
         service = make_service(1)
         self.assertEqual(decode_entry(encode_entry(service)), service)
