--- a/src/savorypond/confreview.py
+++ b/src/savorypond/confreview.py
@@ -9,6 +9,8 @@
 from savorypond.model import Service
 from savorypond.servicerules import service_problems
 
+MAX_ENTRY_BYTES = 64 * 1024  # one encoded service, well within a peer's reply
+
 
 class BrokenBundle(ValueError):  # noqa: N818
     """Offered configuration breaks a rule."""
@@ -57,6 +59,9 @@
         :raises ValueError: where the change breaks a rule.
         """
         for name, data in self._changed.items():
+            if data is not None and len(data) > MAX_ENTRY_BYTES:
+                text = f"{len(data)} bytes are more than {MAX_ENTRY_BYTES}"
+                raise BrokenBundle(f"service {name!r}: {text}")
             new = decode_entry(data) if data is not None else None
             old = self._old(name)
             self._check_service(new)
--- a/src/savorypond/settings.py
+++ b/src/savorypond/settings.py
@@ -9,7 +9,8 @@
 
 from savorypond.exceptions import SettingsError
 from savorypond.model import Address
-from savorypond.servicefile import Name, read_text, validation_problems
+from savorypond.servicefile import read_text
+from savorypond.servicesections import Name, validation_problems
 from savorypond.units import Duration, IPAddress, Size
 from savorypond.yamldocument import parse_document
 
--- a/tests/test_confstore.py
+++ b/tests/test_confstore.py
@@ -10,7 +10,7 @@
 from savorypond.confpull import Pull, ReplyCutter
 from savorypond.confstate import ServiceCache
 from savorypond.confstore import Change, ConfigStore, Outcome
-from savorypond.model import Bundle, Counters
+from savorypond.model import Bundle, Counters, ShardLayout, ShardRange
 from savorypond.reasons import ConfigReason
 from tests.config_fakes import (
     entries_of,
@@ -54,6 +54,11 @@
         twin = replace(make_service(3), backend_servers=make_service(1).backend_servers)
         overlap = replace(make_service(3), index="s1")
 
+        shards = tuple(
+            ShardRange(shard=f"shard-{n:05}", low=n, high=n + 1) for n in range(65536)
+        )
+        huge = replace(make_service(3), layouts=(ShardLayout(number=1, shards=shards),))
+
         def with_service(service):
             bundle = Bundle(revision=5, services=old.services | {"s3": service})
             return make_change(old, bundle)
@@ -67,6 +72,7 @@
              ConfigReason.INVALID),
             ("server taken", with_service(twin), ConfigReason.INVALID),
             ("overlap in index", with_service(overlap), ConfigReason.INVALID),
+            ("too large", with_service(huge), ConfigReason.INVALID),
             ("own rule", with_service(replace(make_service(3), time_limit=-1.0)),
              ConfigReason.INVALID),
             ("all removed", Change(base=stamp_of(old), held=Stamp(5, 0), entries=(),
