--- a/tests/test_confstore.py
+++ b/tests/test_confstore.py
@@ -8,8 +8,9 @@
 from savorypond.configentry import decode_entry, encode_entry
 from savorypond.configwire import Stamp
 from savorypond.confpull import Pull, ReplyCutter
+from savorypond.confstate import ServiceCache
 from savorypond.confstore import Change, ConfigStore, Outcome
-from savorypond.model import Bundle, Counters
+from savorypond.model import Bundle, Counters, ShardLayout, ShardRange
 from savorypond.reasons import ConfigReason
 from tests.config_fakes import (
     entries_of,
@@ -53,6 +54,11 @@
         twin = replace(make_service(3), backend_servers=make_service(1).backend_servers)
         overlap = replace(make_service(3), index="s1")
 
+        shards = tuple(
+            ShardRange(shard=f"shard-{n:05}", low=n, high=n + 1) for n in range(65536)
+        )
+        huge = replace(make_service(3), layouts=(ShardLayout(number=1, shards=shards),))
+
         def with_service(service):
             bundle = Bundle(revision=5, services=old.services | {"s3": service})
             return make_change(old, bundle)
@@ -66,6 +72,7 @@
              ConfigReason.INVALID),
             ("server taken", with_service(twin), ConfigReason.INVALID),
             ("overlap in index", with_service(overlap), ConfigReason.INVALID),
+            ("too large", with_service(huge), ConfigReason.INVALID),
             ("own rule", with_service(replace(make_service(3), time_limit=-1.0)),
              ConfigReason.INVALID),
             ("all removed", Change(base=stamp_of(old), held=Stamp(5, 0), entries=(),
@@ -97,6 +104,16 @@
             self.assertEqual(store.stamp, stamp_of(higher))
             self.assertEqual(count(store, ConfigReason.CONFLICT), 1)
 
+    def test_cache_keeps_the_services_last_used(self):
+        cache = ServiceCache(size=2)
+        entries = [encode_entry(make_service(n)) for n in range(3)]
+        first = cache.get(entries[0])
+        cache.get(entries[1])
+        self.assertIs(cache.get(entries[0]), first)
+        cache.get(entries[2])
+        self.assertEqual(len(cache), 2)
+        self.assertIs(cache.get(entries[0]), first)
+
     def test_entries_survive_encoding(self):
         service = make_service(1)
         self.assertEqual(decode_entry(encode_entry(service)), service)
