Take leaving backend servers from the platform's list, and start from peers

Cause: a server whose health lies kept its work although the list said leaving; a start asked peers before it knew any, and a peer that came up later was not tried again for gRPC's own back-off of up to two minutes. Change: the list names backend servers too and is read every three seconds, more rarely in a large fleet; a start waits for the list; reconnects within 2 s. Conclusion: any one trusted sign now suffices, also the lagging one.

--- a/src/savorypond/controllers/config.py
+++ b/src/savorypond/controllers/config.py
@@ -201,7 +201,7 @@
             async with timeout_after(PULL_TIME):
                 reply = await self._peers.pull(action.instance, action.request)
         except (TaskTimeout, SavorypondError) as error:
-            warning("no configuration from %s: %r", action.instance, error)
+            warning("no configuration from %s: %s", action.instance, error)
             self._spread.on_pull_failed(self._clock.now(), action)
             return
         self._spread.on_reply(self._clock.now(), action, reply)
@@ -210,7 +210,7 @@
         try:
             value = await self._fetch(call)
         except (TaskTimeout, SavorypondError) as error:
-            warning("configuration service: %r", error)
+            warning("configuration service: %s", error)
             self._spread.on_service_failed(self._clock.now())
             return
         data = value.data if value is not None else None
--- a/src/savorypond/controllers/membership.py
+++ b/src/savorypond/controllers/membership.py
@@ -6,8 +6,8 @@
 from types import TracebackType
 from typing import Protocol, Self
 
-from absl import logging
-from curio import TaskGroup, TaskTimeout, sleep, timeout_after
+from absl.logging import warning
+from curio import Event, TaskGroup, TaskTimeout, ignore_after, sleep, timeout_after
 from curio.socket import AF_INET, AF_INET6, SOCK_DGRAM, socket
 
 from savorypond.clock import Clock
@@ -73,12 +73,15 @@
     :param tick_interval: from one look at what has fallen due to the next.
     :param list_interval: from one reading of the platform's list to the next,
         on average.
+    :param list_spacing: from one reading of the list to the next, over the whole
+        fleet, at least.
     :param list_retry: the same after a failed reading.
     :param list_timeout: that one reading may take.
     """
 
     tick_interval: float = 0.1
-    list_interval: float = 30.0
+    list_interval: float = 3.0
+    list_spacing: float = 0.01
     list_retry: float = 2.0
     list_timeout: float = 5.0
 
@@ -122,6 +125,7 @@
         self._settings = settings
         self._times = times or MembershipTimes()
         self._tasks = TaskGroup()
+        self._listed = Event()
 
     @property
     def membership(self) -> Membership:
@@ -169,6 +173,11 @@
         await self._tasks.cancel_remaining()
         await self._socket.close()
 
+    async def wait_listed(self, *, seconds: float) -> bool:
+        """Wait until the platform's list was read; return whether it was."""
+        await ignore_after(seconds, self._listed.wait)
+        return bool(self._listed.is_set())
+
     async def leave(self) -> None:
         """Tell peers that this instance is leaving."""
         await self._do(self._membership.leave(self._clock.now()))
@@ -236,9 +245,14 @@
     async def _read_lists(self) -> None:
         while True:
             read = await self._read_list()
-            pause = self._times.list_interval if read else self._times.list_retry
+            pause = self._list_pause() if read else self._times.list_retry
             await sleep(pause * self._rng.uniform(0.5, 1.5))
 
+    def _list_pause(self) -> float:
+        """Return seconds until the next reading, longer in a larger fleet."""
+        spaced = self._membership.fleet_size * self._times.list_spacing
+        return max(self._times.list_interval, spaced)
+
     async def _read_list(self) -> bool:
         try:
             async with timeout_after(self._times.list_timeout):
@@ -248,10 +262,11 @@
             return False
         except (SavorypondError, OSError) as error:
             self._counters.add(LIST_READS, ListReason.FAILED)
-            logging.warning("cannot read the list of instances: %s", error)
+            warning("cannot read the list of instances: %s", error)
             return False
         self._counters.add(LIST_READS, ListReason.READ)
         await self._do(self._membership.listed(instances, self._clock.now()))
+        await self._listed.set()
         return True
 
     async def _do(self, actions: Sequence[MemberAction]) -> None:
--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -44,6 +44,7 @@
 
 LINK_TIME = 0.003  # seconds that another data centre is expected to add
 _DIFFERENCE_INTERVAL = 0.05  # seconds
+_LIST_WAIT = 2.0  # seconds that a start waits for the platform's list
 _HAND_OVER_TIME = 1.0  # seconds
 
 
@@ -64,6 +65,14 @@
         self._tasks = TaskGroup()
         self._source_host = settings.caller_address.host
         self._incarnation = time_ns()
+        self._leaving = ServerDrain()
+        self._servers = BackendServers(
+            data_centre=settings.data_centre,
+            clock=self._clock,
+            rng=self._rng,
+            counters=self._counters,
+            link_time=LINK_TIME,
+        )
         self._differing: list[ConfigDiffers] = []
 
     @property
@@ -137,7 +146,9 @@
             incarnation=self._incarnation,
             fleet=settings.fleet,
             instance_list=HttpInstanceList(
-                address=settings.instance_list, source_host=self._source_host
+                address=settings.instance_list,
+                source_host=self._source_host,
+                on_server=self._note_listed_server,
             ),
             clock=self._clock,
             rng=self._rng,
@@ -149,6 +160,8 @@
         self._placement = make_placement(settings.placement, view)
 
     async def _start_config(self) -> None:
+        # A start must hear from its peers: they may know more than the service.
+        await self._membership.wait_listed(seconds=_LIST_WAIT)
         settings = self._settings
         control = ControlClient(fleet=settings.fleet, find=self._find_address)
         await self._enter(control)
@@ -174,13 +187,6 @@
         await self._enter(self._config)
 
     async def _start_backend_servers(self) -> None:
-        self._servers = BackendServers(
-            data_centre=self._settings.data_centre,
-            clock=self._clock,
-            rng=self._rng,
-            counters=self._counters,
-            link_time=LINK_TIME,
-        )
         self._pools = ConnectionPools(
             source_host=self._source_host,
             share=self._placement,
@@ -196,7 +202,6 @@
             pools=self._pools,
             clock=self._clock,
         )
-        self._leaving = ServerDrain()
         self._health = HealthPoller(
             servers=self._servers,
             pools=self._pools,
@@ -370,6 +375,11 @@
         peer = self.find(name)
         return peer.peer_address if peer is not None else None
 
+    def _note_listed_server(self, name: str, leaving: bool) -> None:
+        self._leaving.listed(server=name, leaving=leaving)
+        standing = self._leaving.is_leaving(name)
+        self._servers.set_leaving(server=name, leaving=standing)
+
     def _note_difference(self, differs: ConfigDiffers) -> None:
         self._differing.append(differs)
 
--- a/src/savorypond/peercontrol.py
+++ b/src/savorypond/peercontrol.py
@@ -37,7 +37,13 @@
 _THREADS = 4
 _ANSWER_TIME = 2.0  # seconds
 _STOP_GRACE = 0.5  # seconds
-_OPTIONS = (("grpc.so_reuseport", 0), ("grpc.enable_http_proxy", 0))
+_LONGEST_RECONNECT_MS = 2000
+_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", _LONGEST_RECONNECT_MS),
+)
 
 Answer = Callable[[PullRequest], Awaitable[PullReply]]
 
@@ -145,7 +151,8 @@
         try:
             data = future.result()
         except RpcError as error:
-            raise PeerControlError(peer=instance, problem=str(error)) from error
+            problem = future.code().name.lower().replace("_", " ")
+            raise PeerControlError(peer=instance, problem=problem) from error
         return decode_reply(data, fleet=self._fleet, sender=instance)
 
     def _channel(self, address: Address) -> Channel:
--- a/src/savorypond/platformclient.py
+++ b/src/savorypond/platformclient.py
@@ -1,5 +1,6 @@
 """Reads the platform's configuration service and instance list over HTTP."""
 
+from collections.abc import Callable
 from urllib.parse import quote
 
 from curio import TaskTimeout, timeout_after
@@ -100,8 +101,8 @@
 
 class _ListedInstance(Struct, frozen=True, kw_only=True):
     name: str
-    data_centre: str
-    peer_address: str
+    data_centre: str = ""
+    peer_address: str = ""
     operator_address: str = ""
     state: str = "live"
 
@@ -111,11 +112,22 @@
 
 
 class HttpInstanceList:
-    """Reads the platform's list of instances."""
+    """Reads the platform's list of instances and backend servers.
 
-    def __init__(self, *, address: Address, source_host: str) -> None:
+    :param on_server: told of each backend server in the list, and whether it is
+        leaving.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: Address,
+        source_host: str,
+        on_server: Callable[[str, bool], None] | None = None,
+    ) -> None:
         self._address = address
         self._source_host = source_host
+        self._on_server = on_server
         self._decoder = Decoder(_InstanceAnswer)
 
     async def fetch(self) -> tuple[Instance, ...]:
@@ -129,9 +141,20 @@
         )
         try:
             answer = self._decoder.decode(response.body)
-            return tuple(_to_instance(line) for line in answer.instances)
+            entries = tuple(
+                _to_instance(line) for line in answer.instances if line.peer_address
+            )
         except (DecodeError, ValueError) as error:
             raise PlatformError(service="instance list", problem=str(error)) from error
+        self._tell_servers(answer)
+        return entries
+
+    def _tell_servers(self, answer: "_InstanceAnswer") -> None:
+        if self._on_server is None:
+            return
+        for line in answer.instances:
+            if not line.peer_address:
+                self._on_server(line.name, line.state == InstanceState.LEAVING)
 
 
 def _to_instance(line: _ListedInstance) -> Instance:
--- a/src/savorypond/standin_platform.py
+++ b/src/savorypond/standin_platform.py
@@ -177,13 +177,13 @@
 
 
 class ListedInstance(BaseModel):
-    """One line of the instance list."""
+    """One line of the instance list; a backend server has no peer address."""
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     name: str
-    data_centre: str
-    peer_address: str
+    data_centre: str = ""
+    peer_address: str = ""
     operator_address: str = ""
     state: str = "live"
 
@@ -203,6 +203,11 @@
         self._now = now
         self._history: list[tuple[float, tuple[ListedInstance, ...]]] = []
 
+    @property
+    def listed(self) -> tuple[ListedInstance, ...]:
+        """The lines that readers see now."""
+        return self._visible()
+
     def replace(self, instances: tuple[ListedInstance, ...]) -> None:
         """Replace the list; readers see it after the lag, the first at once."""
         visible_at = self._now() + self._lag if self._history else self._now()
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,5 +1,8 @@
-"""Test settings: hypothesis runs the same examples every time."""
+"""Test settings: the same examples every time, and no logs."""
 
+from logging import ERROR, getLogger
+
+from absl.logging import FATAL, set_verbosity
 from hypothesis import HealthCheck, settings
 
 settings.register_profile(
@@ -10,3 +13,5 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 settings.load_profile("repeatable")
+set_verbosity(FATAL)
+getLogger("curio").setLevel(ERROR)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -5,6 +5,7 @@
 from msgspec.json import decode
 
 from savorypond.standin_backend_server import Faults
+from savorypond.standin_platform import ListedInstance, PlatformFaults, StoredValue
 from tests.sites import HANG, SHARDS, RunningSite, until
 
 ALL_SHARDS = len(SHARDS)
@@ -183,3 +184,50 @@
             response = await self.call(site, name, ticket)
             self.assertNotEqual(response.status, 200)
         self.assertEqual(self.runs(site), 0)
+
+
+class LeavingServerTests(TestCase):
+    @in_site(instances=2)
+    async def test_a_server_listed_as_leaving_gets_no_new_work(self, site):
+        lines = [
+            *site.listing.listed,
+            ListedInstance(name="boats-1-a", state="leaving"),
+        ]
+        site.listing.replace(tuple(lines))
+        site.servers["boats-1-a"].set_faults(Faults(health_lies=True))
+        await until(
+            lambda: all(site.is_leaving(d, "boats-1-a") for d in site.owners("boats-1"))
+        )
+        before = site.servers["boats-1-a"].counts["runs"]
+        for name in site.daemons:
+            answer = await site.query(name)
+            self.assertEqual(answer["coverage"]["covered"], ALL_SHARDS)
+        self.assertEqual(site.servers["boats-1-a"].counts["runs"], before)
+
+
+class ConfigTests(TestCase):
+    @in_site(instances=3)
+    async def test_a_restart_takes_the_higher_revision_from_its_peers(self, site):
+        site.config.set_faults(PlatformFaults(frozen=True))
+        await site.publish()
+        site.config.set_faults(PlatformFaults())
+        await until(
+            lambda: all(d.config.bundle.revision == 2 for d in site.daemons.values())
+        )
+        site.config.set_faults(PlatformFaults(down=True))
+        await site.kill("entry-3")
+        await site.start("entry-3")
+        await site.ready()
+        self.assertEqual(site.daemons["entry-3"].config.bundle.revision, 2)
+
+    @in_site(instances=2)
+    async def test_an_invalid_change_is_refused_and_the_last_good_one_stays(self, site):
+        value = StoredValue(
+            revision=9, value={"revision": 9, "digest": "x", "parts": 1}
+        )
+        await site.config.publish("head", value)
+        daemons = site.daemons.values()
+        await until(lambda: any(d.config.last_problem for d in daemons))
+        self.assertEqual({d.config.bundle.revision for d in daemons}, {1})
+        answer = await site.query("entry-1")
+        self.assertEqual(answer["coverage"]["covered"], ALL_SHARDS)
--- a/tests/test_latency.py
+++ b/tests/test_latency.py
@@ -13,7 +13,9 @@
 
 class LatencyTests(TestCase):
     def setUp(self):
-        self.tracker = LatencyTracker(config=LatencyConfig(window=10.0))
+        self.tracker = LatencyTracker(
+            config=LatencyConfig(window=10.0, percentile=95.0)
+        )
 
     def record(self, count, seconds, *, now):
         for _ in range(count):
