--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -10,11 +10,11 @@
 from savorypond.callapi import CallApi
 from savorypond.callerapi import CallerApi
 from savorypond.clock import SystemClock
-from savorypond.configwire import Stamp
 from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.calls import Calls
 from savorypond.controllers.config import ConfigController
+from savorypond.controllers.configfeed import ConfigFeed, ConfigInbox
 from savorypond.controllers.drain import DrainController
 from savorypond.controllers.health import HealthInterval, HealthPoller
 from savorypond.controllers.holdings import Holdings
@@ -27,7 +27,6 @@
 from savorypond.leaving import ServerDrain
 from savorypond.linkdelay import link_delay
 from savorypond.logs import log_event
-from savorypond.membersettings import ConfigDiffers
 from savorypond.metrics import Metrics
 from savorypond.model import Address, Instance
 from savorypond.operatorapi import OperatorApi
@@ -43,7 +42,6 @@
 from savorypond.wiring import caller_limits, make_chain, make_placement
 
 LINK_TIME = 0.003  # seconds that another data centre is expected to add
-_DIFFERENCE_INTERVAL = 0.05  # seconds
 _LIST_WAIT = 2.0  # seconds that a start waits for the platform's list
 _HAND_OVER_TIME = 1.0  # seconds
 
@@ -73,7 +71,7 @@
             counters=self._counters,
             link_time=LINK_TIME,
         )
-        self._differing: list[ConfigDiffers] = []
+        self._inbox = ConfigInbox()
 
     @property
     def config(self) -> ConfigController:
@@ -127,8 +125,15 @@
         await self._start_queries()
         self._build_calls()
         await self._start_interfaces()
-        for work in (self._follow_config, self._tell_differences, self._beat):
-            await self._tasks.spawn(work)
+        await self._enter(
+            ConfigFeed(
+                inbox=self._inbox,
+                membership=self._membership,
+                config=self._config,
+                active=self._active,
+            )
+        )
+        await self._tasks.spawn(self._beat)
 
     async def _stop(self) -> None:
         await self._tasks.cancel_remaining()
@@ -153,7 +158,7 @@
             clock=self._clock,
             rng=self._rng,
             counters=self._counters,
-            on_config=self._note_difference,
+            on_config=self._inbox.note,
         )
         await self._enter(self._membership)
         view = self._membership.membership
@@ -380,30 +385,6 @@
         standing = self._leaving.is_leaving(name)
         self._servers.set_leaving(server=name, leaving=standing)
 
-    def _note_difference(self, differs: ConfigDiffers) -> None:
-        self._differing.append(differs)
-
-    async def _tell_differences(self) -> None:
-        while True:
-            await sleep(_DIFFERENCE_INTERVAL)
-            differing, self._differing = self._differing, []
-            for one in differing:
-                stamp = Stamp(one.revision, one.digest)
-                await self._config.on_digest(one.peer.name, stamp)
-            await self._config.on_fleet_size(self._membership.membership.fleet_size)
-
-    async def _follow_config(self) -> None:
-        revision = 0
-        while True:
-            bundle = await self._config.wait_above(revision)
-            revision = bundle.revision
-            stamp = self._config.stamp
-            self._membership.membership.set_config(
-                revision=stamp.revision, digest=stamp.digest
-            )
-            log_event("config-in-force", revision=revision)
-            await self._active.config_changed()
-
     async def _beat(self) -> None:
         while True:
             await sleep(HEARTBEAT_INTERVAL)
