Measure the processor time of one shard call inside an entry

Only figures of whole fleets were known. benchmarks/bench_path.py runs queries of 5, 20 and 80 shards in one process against a caller that answers at once, and against stand-ins on loopback in another process, and prints the processor time of this process alone.

--- /dev/null
+++ b/benchmarks/bench_path.py
@@ -0,0 +1,282 @@
+"""Processor time of an entry instance per query and per shard call.
+
+The decision part is measured against a caller that answers at once, the whole
+path against stand-ins on loopback in another process. Only the processor time
+of this process counts.
+"""
+
+from collections.abc import Awaitable, Callable
+from cProfile import Profile
+from dataclasses import dataclass
+from itertools import count
+from multiprocessing import get_context
+from pathlib import Path
+from pstats import Stats
+from random import Random
+from tempfile import TemporaryDirectory
+from time import monotonic, process_time
+from typing import Any, cast
+
+from curio import run as run_curio, sleep
+from defopt import run
+
+from savorypond.attempts import Attempt
+from savorypond.clock import SystemClock
+from savorypond.controllers.active import ActiveServices
+from savorypond.controllers.backend_servers import BackendServers
+from savorypond.controllers.pools import ConnectionPools
+from savorypond.exceptions import BackendServerError
+from savorypond.fanoutpolicies import FanoutPolicies
+from savorypond.httpclient import HttpConnection
+from savorypond.model import (
+    Address,
+    Counters,
+    Instance,
+    Pin,
+    Preference,
+    Priority,
+    Query,
+    Service,
+)
+from savorypond.partials import ServerAnswer, ServerPartial
+from savorypond.placement import DirectPlacement
+from savorypond.queryrun import QueryRun, QueryTools
+from savorypond.servicefile import load_service_files
+from savorypond.shardcalls import AttemptEvents, RunningCall, ShardCaller
+from savorypond.standin import serve
+from savorypond.standin_site import SERVICES_DIRECTORY, Site, plan_site
+
+SHARDS = (5, 20, 80)
+PIN = Pin(snapshot=101, layout=1)
+TIME_LIMIT = 10.0  # seconds
+WARM_UP = 10  # queries
+MICROSECONDS = 1e6  # per second
+BODY = {"text": "boat with a cabin", "filters": {"length": [5, 12]}, "most": 20}
+SERVICE = """
+service: {name}
+kind: search
+index: {{name: boats, snapshot: newest-complete}}
+layouts:
+  - layout: 1
+    shards: [{{shard: {name}, keys: [{low}, {high}]}}]
+backend_servers:
+  - {{name: {name}-a, address: "127.0.0.1:20001", data_centre: split}}
+  - {{name: {name}-b, address: "127.0.0.1:20002", data_centre: split}}
+limits: {{slots: 2, connections: 25, connect_time: 1ms}}
+priority: interactive
+prefer: coverage
+time_limit: 2s
+least_coverage: 0.0
+"""
+
+
+class _View:
+    """A fleet of one instance."""
+
+    version = 0
+    fleet_size = 1
+
+    @property
+    def myself(self) -> Instance:
+        address = Address(host="127.0.0.1", port=1)
+        return Instance(
+            name="entry", data_centre="split", peer_address=address, incarnation=1
+        )
+
+    def live(self) -> tuple[Instance, ...]:
+        return (self.myself,)
+
+
+class _NoBundle:
+    bundle = None
+
+
+class _LateHedge:
+    """Sets a timer for each attempt; none falls due."""
+
+    def delay(self, *, service: str) -> float | None:
+        return TIME_LIMIT / 2
+
+
+class _InstantCaller:
+    """Answers every attempt inside the call that starts it."""
+
+    async def start(
+        self, attempt: Attempt, *, query: Query, deadline: float, events: AttemptEvents
+    ) -> RunningCall:
+        await events.dispatched(attempt)
+        partials = tuple(
+            ServerPartial(shard=shard, count=1, results=(shard,))
+            for shard in attempt.shards
+        )
+        answer = ServerAnswer(
+            request_id=query.request_id,
+            snapshot=attempt.pin.snapshot,
+            layout=attempt.pin.layout,
+            partials=partials,
+        )
+        await events.answered(attempt, answer)
+        return RunningCall(attempt=attempt)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Entry:
+    """The part of an entry instance that runs queries."""
+
+    tools: QueryTools
+    counters: Counters
+    services: tuple[Service, ...]
+
+    async def ask(self, number: int) -> None:
+        """Run one query, which every shard must answer."""
+        query = Query(
+            request_id=f"q{number}",
+            index="boats",
+            services=(),
+            body=BODY,
+            deadline=self.tools.clock.now() + TIME_LIMIT,
+            prefer=Preference.COVERAGE,
+            priority=Priority.INTERACTIVE,
+            least_coverage=0.0,
+        )
+        run = QueryRun(tools=self.tools, query=query, pin=PIN, services=self.services)
+        answer = await run.run()
+        if len(answer.coverage.covered) != len(self.services):
+            raise RuntimeError(f"missing: {answer.coverage.missing}")
+
+
+async def _with_entry(
+    services: tuple[Service, ...],
+    caller: _InstantCaller | None,
+    use: Callable[[Entry], Awaitable[None]],
+) -> None:
+    clock, rng, counters, view = SystemClock(), Random(1), Counters(), _View()
+    placement = DirectPlacement(view=view)
+    servers = BackendServers(
+        data_centre="split", clock=clock, rng=rng, counters=counters, link_time=0.0
+    )
+    pools = ConnectionPools(
+        source_host="", share=placement, clock=clock, rng=rng, counters=counters
+    )
+    active = ActiveServices(
+        config=cast(Any, _NoBundle()),
+        view=cast(Any, view),
+        placement=placement,
+        servers=servers,
+        pools=pools,
+        clock=clock,
+    )
+    real = ShardCaller(
+        servers=servers, connections=pools, clock=clock, counters=counters
+    )
+    policies = FanoutPolicies(
+        chooser=servers.chooser,
+        budget=servers.budget,
+        hedging=_LateHedge(),
+        counters=counters,
+        random=rng,
+    )
+    tools = QueryTools(
+        active=active,
+        servers=servers,
+        caller=cast(ShardCaller, caller or real),
+        clock=clock,
+        policies=policies,
+    )
+    async with pools, active, real:
+        await use(Entry(tools=tools, counters=counters, services=services))
+
+
+async def _measure(
+    name: str, services: tuple[Service, ...], queries: int, instant: bool
+) -> None:
+    async def use(entry: Entry) -> None:
+        numbers = count()
+        for _ in range(WARM_UP):
+            await entry.ask(next(numbers))
+        started = process_time()
+        for _ in range(queries):
+            await entry.ask(next(numbers))
+        per_query = (process_time() - started) / queries * MICROSECONDS
+        shards = len(services)
+        opened = entry.counters.value("connections_opened", "new")
+        print(
+            f"{name:8} {shards:6} {queries:7} {per_query:10.0f} "
+            f"{per_query / shards:13.0f} {opened:7}"
+        )
+
+    await _with_entry(services, _InstantCaller() if instant else None, use)
+
+
+def _plan(directory: Path, shards: int) -> Site:
+    source = directory / "source"
+    source.mkdir()
+    step = 65536 // shards
+    for number in range(shards):
+        name = f"boats-{number:03}"
+        high = 65536 if number == shards - 1 else (number + 1) * step
+        text = SERVICE.format(name=name, low=number * step, high=high)
+        (source / f"{name}.yaml").write_text(text)
+    return plan_site(
+        services=source,
+        directory=directory,
+        instances=1,
+        link_delay=0.0,
+        list_lag=0.0,
+        service_mean=0.001,
+        service_scv=0.1,
+        seed=1,
+        extra_settings={"placement": "direct"},
+    )
+
+
+async def _until_open(address: Address) -> None:
+    while True:
+        try:
+            async with HttpConnection(address=address):
+                return
+        except BackendServerError:
+            await sleep(0.05)
+
+
+def measure_shards(*, shards: int, queries: int) -> None:
+    """Print the two lines for queries of ``shards`` shards."""
+    with TemporaryDirectory() as name:
+        directory = Path(name)
+        _plan(directory, shards)
+        loaded = load_service_files(directory / SERVICES_DIRECTORY)
+        services = tuple(loaded.values())
+        run_curio(_measure, "decide", services, queries, True)
+        standins = get_context("spawn").Process(target=serve, args=(directory,))
+        standins.start()
+        try:
+            for service in services:
+                run_curio(_until_open, service.backend_servers[-1].address)
+            run_curio(_measure, "whole", services, queries, False)
+        finally:
+            standins.terminate()
+            standins.join()
+
+
+def main(*, shard_calls: int = 6000, profile: bool = False) -> None:
+    """Print the processor time of an entry per query and per shard call.
+
+    :param shard_calls: shard calls in each run
+    :param profile: show where the time goes
+    """
+    print("part     shards queries   us/query us/shard call  opened")
+    profiler = Profile(process_time) if profile else None
+    started = monotonic()
+    for shards in SHARDS:
+        if profiler is not None:
+            profiler.enable()
+        measure_shards(shards=shards, queries=shard_calls // shards)
+        if profiler is not None:
+            profiler.disable()
+    print(f"{monotonic() - started:.0f} s in all")
+    if profiler is not None:
+        Stats(profiler).sort_stats("tottime").print_stats(45)
+
+
+if __name__ == "__main__":
+    run(main)
