Print the slopes of state, queries and messages

Cause: the size that the tier grows towards can be judged only from what one member, service, change, query or message costs.

Change: bench_slopes prints them, at three sizes or more each.

--- /dev/null
+++ b/benchmarks/slopes_query.py
@@ -0,0 +1,191 @@
+"""Processor time of the decisions of one query, and of one call."""
+
+from dataclasses import replace
+from random import Random
+from time import process_time
+
+from benchmarks.bench_config import make_services
+from benchmarks.gateview import GateView
+from benchmarks.slopes_state import ManyInstances
+from benchmarks.slopes_wire import PIN, make_query
+from savorypond.attempts import Finish, SendAttempt
+from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
+from savorypond.budget import RetryBudget
+from savorypond.fanout import Fanout
+from savorypond.fanoutpolicies import FanoutPolicies
+from savorypond.forwarding import FinishForwarding, Forwarding, SendAsk
+from savorypond.issuer import TicketIssuer
+from savorypond.latency import LatencyTracker, PercentileHedge
+from savorypond.ledger import Run, TicketLedger
+from savorypond.limiter import ServerGate
+from savorypond.model import Answer, Counters, Coverage, Service, ShardPartial
+from savorypond.partials import ServerAnswer, ServerPartial
+from savorypond.placement import OwnerPlacement
+from savorypond.snapshots import SnapshotBook
+from savorypond.tickets import TicketLimits, TicketSeal
+
+QUERY_SIZES = (10, 60, 300, 650, 1300)  # services
+GROUPS = (0, 60)
+TICKET_SIZES = (100, 1_000, 10_000)
+RESULTS = tuple(f"hull-{number}" for number in range(10))
+EARLY, FINISH_AT = 0.0, 10.0  # seconds on a virtual clock
+
+
+def _policies(services: list[Service]) -> FanoutPolicies:
+    gates = {
+        server.name: ServerGate(slots=2, connections=7)
+        for service in services
+        for server in service.backend_servers
+    }
+    chooser = make_chooser(
+        rule=ChoiceRule.LEAST_EXPECTED_FINISH,
+        rng=Random(1),
+        links=LinkTimes(own="data-centre-00", other=0.003),
+        view=GateView(gates=gates),
+        board=ReplicaBoard(),
+    )
+    return FanoutPolicies(
+        chooser=chooser,
+        budget=RetryBudget(),
+        hedging=PercentileHedge(tracker=LatencyTracker()),
+        counters=Counters(),
+        random=Random(1),
+    )
+
+
+def _fan_out(services: list[Service], policies: FanoutPolicies) -> float:
+    """Return the seconds of all decisions of one query that goes well."""
+    begun = process_time()
+    fanout = Fanout(
+        query=make_query(FINISH_AT), pin=PIN, services=services, policies=policies
+    )
+    finished = False
+    for action in fanout.start(EARLY):
+        assert isinstance(action, SendAttempt)
+        attempt = action.attempt
+        fanout.dispatched(attempt, EARLY)
+        partials = tuple(
+            ServerPartial(shard=shard, count=len(RESULTS), results=RESULTS)
+            for shard in attempt.shards
+        )
+        answer = ServerAnswer(
+            request_id="r1",
+            snapshot=PIN.snapshot,
+            layout=PIN.layout,
+            partials=partials,
+        )
+        after = fanout.answered(attempt, answer, EARLY)
+        finished = any(isinstance(one, Finish) for one in after)
+    assert finished
+    return process_time() - begun
+
+
+def _forward(placement: OwnerPlacement, services: list[Service]) -> tuple[float, int]:
+    """Return the seconds of all decisions of one forwarded query, and its asks."""
+    begun = process_time()
+    forwarding = Forwarding(
+        query=make_query(FINISH_AT),
+        pin=PIN,
+        routes=placement.routes(services=services, now=EARLY),
+        hedging=PercentileHedge(tracker=LatencyTracker()),
+        budget=RetryBudget(),
+        counters=Counters(),
+        finish_at=FINISH_AT,
+    )
+    asks = forwarding.start(EARLY)
+    finished = False
+    for action in asks:
+        assert isinstance(action, SendAsk)
+        after = forwarding.answered(action.ask, _owner_answer(action), EARLY)
+        finished = any(isinstance(one, FinishForwarding) for one in after)
+    assert finished
+    return process_time() - begun, len(asks)
+
+
+def _owner_answer(send: SendAsk) -> Answer:
+    names = frozenset(service.name for service in send.ask.services)
+    return Answer(
+        request_id="r1",
+        snapshot=PIN.snapshot,
+        layout=PIN.layout,
+        partials=tuple(ShardPartial(shard=name, results=RESULTS) for name in names),
+        coverage=Coverage(asked=names, covered=names),
+    )
+
+
+def _pin(services: list[Service]) -> tuple[float, float]:
+    """Return the seconds of the first pin of a set of services, and of a later."""
+    book = SnapshotBook()
+    for service in services:
+        for server in service.backend_servers:
+            book.record_answer(
+                index=service.index,
+                server=server.name,
+                pin=PIN,
+                shards=[service.name],
+                now=EARLY,
+            )
+    asked = tuple(services)
+    spent = []
+    for _ in range(2):
+        begun = process_time()
+        choice = book.pin(
+            services=asked, now=EARLY, usable=lambda _: True, usable_version=1
+        )
+        spent.append(process_time() - begun)
+        assert choice is not None and choice.complete
+    return spent[0], spent[1]
+
+
+def one_index(count: int) -> list[Service]:
+    """Return ``count`` services of one index."""
+    made = make_services(count).values()
+    return [replace(service, index="catalogue-0000") for service in made]
+
+
+def print_queries() -> None:
+    print("\nDecisions of one query (microseconds; 4200 instances)")
+    print(
+        "services  fan-out  a service  first pin  later pin  | by service: asks"
+        "  forwarding  | in 60 groups: asks  forwarding"
+    )
+    view = ManyInstances()
+    for size in QUERY_SIZES:
+        services = one_index(size)
+        policies = _policies(services)
+        fan_out = min(_fan_out(services, policies) for _ in range(3)) * 1e6
+        first, later = (seconds * 1e6 for seconds in _pin(services))
+        cells = []
+        for groups in GROUPS:
+            placement = OwnerPlacement(view=view, groups=groups)
+            _forward(placement, services)
+            seconds, asks = min(_forward(placement, services) for _ in range(3))
+            cells.append(f"{asks:8} {seconds * 1e6:11.0f}")
+        decided = f"{size:8} {fan_out:8.0f} {fan_out / size:10.1f}"
+        print(f"{decided} {first:10.0f} {later:10.0f} {cells[0]} {cells[1]}")
+
+
+def print_tickets() -> None:
+    print("\nTickets (microseconds each)")
+    print(" tickets  issue  claim, dispatch and finish")
+    for size in TICKET_SIZES:
+        limits = TicketLimits()
+        seal = TicketSeal(key=bytes(32))
+        issuer = TicketIssuer(
+            instance="entry-00000",
+            incarnation=1,
+            fleet="baric",
+            seal=seal,
+            limits=limits,
+        )
+        ledger = TicketLedger(incarnation=1, seal=seal, limits=limits)
+        begun = process_time()
+        tickets = [issuer.issue(now=EARLY)[0] for _ in range(size)]
+        issued = process_time() - begun
+        begun = process_time()
+        for ticket in tickets:
+            assert isinstance(ledger.claim(ticket, now=EARLY), Run)
+            assert ledger.dispatched(ticket, now=EARLY) is None
+            ledger.finished(ticket, b"{}")
+        ran = process_time() - begun
+        print(f"{size:8} {issued / size * 1e6:6.1f} {ran / size * 1e6:10.1f}")
--- /dev/null
+++ b/benchmarks/slopes_state.py
@@ -0,0 +1,202 @@
+"""Memory of what an instance keeps for each service it works with."""
+
+from collections.abc import Callable
+from gc import collect
+from random import Random
+from time import process_time
+from tracemalloc import get_traced_memory, start, stop
+
+from curio import run
+
+from benchmarks.bench_config import make_services
+from benchmarks.bench_members import DATA_CENTRES, update_of
+from savorypond.balancer import ReplicaBoard
+from savorypond.budget import RetryBudget
+from savorypond.clock import SystemClock
+from savorypond.controllers.active import ActiveServices
+from savorypond.controllers.backend_servers import BackendServers
+from savorypond.controllers.pools import ConnectionPools
+from savorypond.latency import LatencyTracker
+from savorypond.limiter import ServerGate
+from savorypond.model import Bundle, Counters, Instance, Pin, Service
+from savorypond.outlier import OutlierDetector
+from savorypond.placement import OwnerPlacement
+from savorypond.pool import ConnectionPool, PoolLimits
+from savorypond.snapshots import SnapshotBook
+
+ACTIVE_SIZES = (20, 200, 2000)  # services
+SWEEP_SIZES = (1_000, 10_000, 43_500)  # services
+FLEET = 4200
+NEWEST, OLDER = Pin(snapshot=2, layout=1), Pin(snapshot=1, layout=1)
+
+
+def held_bytes(make: Callable[[], object]) -> int:
+    """Return the memory that what ``make`` returns holds."""
+    collect()
+    start()
+    kept = make()
+    collect()
+    held, _ = get_traced_memory()
+    stop()
+    del kept
+    return held
+
+
+class ManyInstances:
+    """A view of a whole fleet, of which this instance is the first."""
+
+    def __init__(self, *, size: int = FLEET) -> None:
+        self._live = tuple(update_of(n, 1).to_instance() for n in range(size))
+        self.version = 1
+
+    @property
+    def myself(self) -> Instance:
+        return self._live[0]
+
+    @property
+    def fleet_size(self) -> int:
+        return len(self._live)
+
+    def live(self) -> tuple[Instance, ...]:
+        return self._live
+
+
+class BundleInForce:
+    """A configuration in force that does not change."""
+
+    def __init__(self, *, services: dict[str, Service]) -> None:
+        self.bundle = Bundle(revision=1, services=services)
+
+
+class ActiveParts:
+    """The active services of one instance of a large fleet."""
+
+    def __init__(self, *, services: dict[str, Service], view: ManyInstances) -> None:
+        clock, counters, rng = SystemClock(), Counters(), Random(1)
+        placement = OwnerPlacement(view=view)
+        self.servers = BackendServers(
+            data_centre="data-centre-00",
+            clock=clock,
+            rng=rng,
+            counters=counters,
+            link_time=0.003,
+        )
+        self.pools = ConnectionPools(
+            source_host="", share=placement, clock=clock, rng=rng, counters=counters
+        )
+        self.active = ActiveServices(
+            config=BundleInForce(services=services),
+            view=view,
+            placement=placement,
+            servers=self.servers,
+            pools=self.pools,
+            clock=clock,
+        )
+
+
+def _activated(services: dict[str, Service], view: ManyInstances) -> ActiveParts:
+    parts = ActiveParts(services=services, view=view)
+    run(parts.active.ensure, list(services.values()))
+    return parts
+
+
+def _facts(services: dict[str, Service], count: int) -> SnapshotBook:
+    book = SnapshotBook()
+    for number, service in enumerate(services.values()):
+        for server in service.backend_servers:
+            for pin in (OLDER, NEWEST)[:count]:
+                book.record_answer(
+                    index=service.index,
+                    server=server.name,
+                    pin=pin,
+                    shards=[service.name],
+                    now=float(number),
+                )
+    return book
+
+
+def _latencies(names: list[str]) -> LatencyTracker:
+    tracker = LatencyTracker()
+    for name in names:
+        for number in range(100):
+            tracker.record(service=name, seconds=0.005 + number * 1e-4, now=1.0)
+    return tracker
+
+
+def _budget(names: list[str]) -> RetryBudget:
+    budget = RetryBudget()
+    for name in names:
+        budget.record_first(server=name, now=1.0)
+    return budget
+
+
+def _outliers(services: dict[str, Service]) -> OutlierDetector:
+    detector = OutlierDetector()
+    for service in services.values():
+        names = [server.name for server in service.backend_servers]
+        detector.set_usable(service=service.name, servers=names, now=0.0)
+        for name in names:
+            detector.record_success(server=name, latency=0.01, now=1.0)
+    return detector
+
+
+def _board(names: list[str]) -> ReplicaBoard:
+    board = ReplicaBoard()
+    for name in names:
+        stats = board.get(server=name)
+        stats.started(attempt=1, now=1.0)
+        stats.finished(attempt=1, now=1.01, ok=True)
+    return board
+
+
+def print_active() -> None:
+    view, rng = ManyInstances(), Random(1)
+    print("\nMemory of what is kept for each service in use (bytes)")
+    print(
+        "services  active service  latencies  facts, 1 snapshot  2 snapshots"
+        "  | a server: gate  pool  budget  outlier  statistics"
+    )
+    for size in ACTIVE_SIZES:
+        services = make_services(size)
+        names = [s.name for v in services.values() for s in v.backend_servers]
+        # What is loaded or cached once must not count as memory of the first.
+        _activated(make_services(1), view)
+        kinds: list[tuple[Callable[[], object], int]] = [
+            (lambda s=services: _activated(s, view), size),
+            (lambda s=services: _latencies(list(s)), size),
+            (lambda s=services: _facts(s, 1), size),
+            (lambda s=services: _facts(s, 2), size),
+            (lambda n=names: [ServerGate(slots=2, connections=7) for _ in n], 2 * size),
+            (
+                lambda n=names: [
+                    ConnectionPool(limits=PoolLimits(cap=7), random=rng) for _ in n
+                ],
+                2 * size,
+            ),
+            (lambda n=names: _budget(n), 2 * size),
+            (lambda s=services: _outliers(s), 2 * size),
+            (lambda n=names: _board(n), 2 * size),
+        ]
+        figures = [held_bytes(make) / count for make, count in kinds]
+        print(f"{size:8} " + " ".join(f"{figure:12.0f}" for figure in figures))
+
+
+def print_sweep() -> None:
+    print(f"\nActivation at {FLEET} instances in {DATA_CENTRES} data centres")
+    print("services  owned  first look us each  later look us each  ms a look at all")
+    view = ManyInstances()
+    for size in SWEEP_SIZES:
+        services = make_services(size)
+        parts = ActiveParts(services=services, view=view)
+        listed = list(services.values())
+        begun = process_time()
+        owned = sum(parts.active.owns(service) for service in listed)
+        first = process_time() - begun
+        begun = process_time()
+        for service in listed:
+            parts.active.owns(service)
+        later = process_time() - begun
+        print(
+            f"{size:8} {owned:6} {first / size * 1e6:19.1f} {later / size * 1e6:19.2f}"
+            f" {later * 1e3:17.1f}"
+        )
