--- a/benchmarks/bench_overload.py
+++ b/benchmarks/bench_overload.py
@@ -15,6 +15,7 @@
 from hdrh.histogram import HdrHistogram
 
 from benchmarks.gateview import GateView, make_gates, make_service
+from benchmarks.gatewatch import GateWatch
 from benchmarks.virtual import Arrival, EventLoop, Traffic, record
 from savorypond.admission import (
     Admission,
@@ -136,7 +137,7 @@
         self._gates = {}
         for service in self._services:
             self._gates |= make_gates(service)
-        self._due: dict[str, float] = {}
+        self._watch = GateWatch(loop=loop, gates=self._gates, apply=self._apply)
         self._board = ReplicaBoard()
         self._chooser = make_chooser(
             rule=ChoiceRule.LEAST_EXPECTED_FINISH,
@@ -185,7 +186,7 @@
                 self._start(part)
                 return True
             if isinstance(verdict, Queued):
-                self._watch(server.name)
+                self._watch.watch(server.name)
                 return True
             tried |= {server.name}
         part.done = True
@@ -245,19 +246,7 @@
             self._give_up(waiter.request, self._result.expired)
         for waiter in change.granted:
             self._start(waiter)
-        self._watch(server)
-
-    def _watch(self, server: str) -> None:
-        """See to it that the gate is asked again when its next event is due."""
-        due = self._gates[server].next_event()
-        if due is None or self._due.get(server, float("inf")) <= due:
-            return
-        self._due[server] = due
-        self._loop.at(due, partial(self._advance, server))
-
-    def _advance(self, server: str) -> None:
-        self._due.pop(server, None)
-        self._apply(server, self._gates[server].advance(now=self._loop.now))
+        self._watch.watch(server)
 
 
 class GateOnlyPolicy(GatedPolicy):
--- a/benchmarks/sender.py
+++ b/benchmarks/sender.py
@@ -11,6 +11,7 @@
 from hdrh.histogram import HdrHistogram
 
 from benchmarks.gateview import GateView, make_gates
+from benchmarks.gatewatch import GateWatch
 from benchmarks.virtual import Arrival, EventLoop
 from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
 from savorypond.limiter import (
@@ -76,7 +77,7 @@
         self._ends = ends
         self._latencies = latencies
         self._gates = make_gates(service, config=config)
-        self._due: dict[str, float] = {}
+        self._watch = GateWatch(loop=loop, gates=self._gates, apply=self._apply)
         self._board = ReplicaBoard()
         self._chooser = make_chooser(
             rule=rule,
@@ -109,7 +110,7 @@
                 self._start(call)
                 return
             if isinstance(verdict, Queued):
-                self._watch(server.name)
+                self._watch.watch(server.name)
                 return
             tried |= {server.name}
         self._ends[End.REFUSED] += 1
@@ -153,16 +154,4 @@
         self._ends[End.EXPIRED] += len(change.expired)
         for call in change.granted:
             self._start(call)
-        self._watch(server)
-
-    def _watch(self, server: str) -> None:
-        """See to it that the gate is asked again when its next event is due."""
-        due = self._gates[server].next_event()
-        if due is None or self._due.get(server, float("inf")) <= due:
-            return
-        self._due[server] = due
-        self._loop.at(due, partial(self._advance, server))
-
-    def _advance(self, server: str) -> None:
-        self._due.pop(server, None)
-        self._apply(server, self._gates[server].advance(now=self._loop.now))
+        self._watch.watch(server)
