--- a/tests/sites.py
+++ b/tests/sites.py
@@ -151,7 +151,12 @@
         return found[name]
 
     async def post(self, name: str, path: str, content: object) -> HttpResponse:
-        request = HttpRequest(method="POST", path=path, body=encode(content))
+        return await self.send(name, "POST", path, encode(content))
+
+    async def send(
+        self, name: str, method: str, path: str, body: bytes = b""
+    ) -> HttpResponse:
+        request = HttpRequest(method=method, path=path, body=body)
         async with HttpConnection(address=self.address(name)) as connection:
             return await connection.request(request)
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -4,6 +4,7 @@
 from curio import TaskGroup, run, timeout_after
 from msgspec.json import decode
 
+from savorypond.pause import Paused
 from savorypond.standin_backend_server import Faults
 from savorypond.standin_platform import ListedInstance, PlatformFaults, StoredValue
 from tests.sites import HANG, SHARDS, RunningSite, until
@@ -186,6 +187,37 @@
         self.assertEqual(self.runs(site), 0)
 
 
+class PauseTests(TestCase):
+    @in_site(instances=2)
+    async def test_what_was_not_sent_before_a_pause_never_runs_after_it(self, site):
+        response = await site.post("entry-1", "/v1/tickets", {"count": 2})
+        used, unused = decode(response.body)["tickets"]
+        body = {"ticket": used, "payload": None}
+        path = "/v1/services/enquiries/calls"
+        first = await site.post("entry-1", path, body)
+        site.daemons["entry-1"].woke(Paused(since=0.0, now=30.0))
+        again = await site.post("entry-2", path, body)
+        self.assertEqual(again.body, first.body)
+        body["ticket"] = unused
+        refusal = decode((await site.post("entry-2", path, body)).body)
+        self.assertEqual(refusal["execution"], "not-run")
+        answer = await site.query("entry-1")
+        self.assertEqual(answer["coverage"]["covered"], ALL_SHARDS)
+
+    @in_site(instances=2)
+    async def test_a_revoked_ticket_never_runs(self, site):
+        response = await site.post("entry-1", "/v1/tickets", {})
+        (ticket,) = decode(response.body)["tickets"]
+        for name in ("entry-2", "entry-1"):
+            closed = await site.send(name, "DELETE", f"/v1/tickets/{ticket}")
+            self.assertEqual(decode(closed.body)["execution"], "not-run")
+        body = {"ticket": ticket, "payload": None}
+        late = await site.post("entry-1", "/v1/services/enquiries/calls", body)
+        self.assertNotEqual(late.status, 200)
+        runs = [sum(s.call_ids.values()) for s in site.servers.values()]
+        self.assertEqual(sum(runs), 0)
+
+
 class LeavingServerTests(TestCase):
     @in_site(instances=2)
     async def test_a_server_listed_as_leaving_gets_no_new_work(self, site):
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,35 @@
+from unittest import TestCase
+
+from hypothesis import given, strategies as st
+from prometheus_client.parser import text_string_to_metric_families
+
+from savorypond.metrics import Latency, Metrics
+
+
+class LatencyTests(TestCase):
+    @given(st.lists(st.floats(min_value=1e-5, max_value=50.0), min_size=1))
+    def test_percentiles_are_within_two_digits_of_a_recorded_value(self, values):
+        latency = Latency()
+        for value in values:
+            latency.record(value)
+        found = latency.percentile(100.0)
+        self.assertAlmostEqual(found / max(values), 1.0, delta=0.1)
+        self.assertEqual(latency.count, len(values))
+
+    def test_nothing_recorded_reads_as_zero(self):
+        self.assertEqual(Latency().percentile(99.0), 0.0)
+
+
+class ExpositionTests(TestCase):
+    def test_counters_and_latencies_can_be_scraped(self):
+        metrics = Metrics()
+        metrics.counters.add("retries", "shed", 2)
+        metrics.latency("query").record(0.02)
+        text = metrics.exposition().decode()
+        samples = {
+            (s.name, s.labels.get("reason")): s.value
+            for family in text_string_to_metric_families(text)
+            for s in family.samples
+        }
+        self.assertEqual(samples["savorypond_retries_total", "shed"], 2.0)
+        self.assertEqual(samples["savorypond_query_seconds_count", None], 1.0)
