Send an owner's answers in two parts, and compare placements with real processes

Cause: an owner answers once, when all services of a batch are covered or its time is over. Where one of them is slow the answer leaves some 3 ms before it is needed, and one turn of a busy event loop makes the whole batch late, though the other services were done long before. Traced at 100 queries/s over 7 instances on loopback, 51 of 89 shards lost after the start belonged to such answers; 27 were single slow shards in an answer that came in time.

Weighed: ending the owner's work sooner. 66 of 7825 answers came in the last 4 ms, each with a slow shard that would then be lost, so that costs about what it gains. Hedging owners sooner: the 95th percentile of an owner is 35 to 40 ms of 53, too late for a second hop, but sooner the budget covers few of them.

Change: 15 ms before its deadline an owner sends what it has, and the rest when it is there. Services covered by the first part are not hedged. Hedges of several owners that are due at once go to one backup in one message; they went in one each, which a property of the decisions found.

--- /dev/null
+++ b/benchmarks/fleet_report.py
@@ -0,0 +1,104 @@
+"""Prints the figures of scripts/bench_fleet.sh side by side."""
+
+from pathlib import Path
+from sys import exit as sys_exit, stdin
+
+from defopt import run as run_command
+from msgspec import Struct
+from msgspec.json import Decoder
+
+from benchmarks.fleet_probe import Observation
+
+_FULL_FOR = 1.0  # seconds without a gap after which coverage counts as back
+
+
+class _Servers(Struct, frozen=True):
+    extra_share: float
+    sheds: int
+    peak_connections: int
+    over_cap: int
+
+
+class _Figures(Struct, frozen=True):
+    sent: int
+    answered: int
+    full: int
+    latency_ms: dict[str, float]
+    mean_coverage: float
+    least_coverage: float
+    refusals: dict[str, int]
+    missing: dict[str, int]
+    servers: _Servers
+
+
+_figures = Decoder(_Figures)
+_observations = Decoder(Observation)
+
+
+def head() -> int:
+    """Print the head of the table of runs."""
+    print(
+        f"{'run':<28} {'p50':>6} {'p99':>6} {'p99.9':>6} {'mean cov':>8} {'least':>5} "
+        f"{'full':>6} {'refused':>7} {'sheds':>5} {'extra':>7} {'conns':>5} {'over':>4}"
+    )
+    return 0
+
+
+def row(label: str, *, probed: bool = False) -> int:
+    """Print one run, read as the JSON of savorypond-load from standard input.
+
+    :param label: name of the run.
+    :param probed: a probe sent queries too, so that extra work is not known.
+    """
+    found = _figures.decode(stdin.buffer.read())
+    refused = sum(found.refusals.values())
+    times = " ".join(f"{found.latency_ms[p]:6.1f}" for p in ("p50", "p99", "p99.9"))
+    full = found.full / found.sent if found.sent else 0.0
+    servers = found.servers
+    extra = "-" if probed else f"{servers.extra_share:+.2%}"
+    print(
+        f"{label:<28} {times} {found.mean_coverage:8.5f} {found.least_coverage:5.2f} "
+        f"{full:6.2%} {refused:7} {servers.sheds:5} {extra:>7} "
+        f"{servers.peak_connections:5} {servers.over_cap:4}",
+        flush=True,
+    )
+    reasons = [f"{name} {count}" for name, count in found.missing.items()]
+    reasons += [f"refused {name} {count}" for name, count in found.refusals.items()]
+    if reasons:
+        print(f"{'':<28} {'; '.join(reasons)}", flush=True)
+    return 0
+
+
+def recovery(label: str, file: Path, *, since: float) -> int:
+    """Print how long coverage stayed below full after an event.
+
+    :param label: name of the run.
+    :param file: JSON lines that the probe wrote.
+    :param since: seconds of the wall clock at which the event was.
+    """
+    lines = file.read_bytes().splitlines()
+    seen = sorted((_observations.decode(one) for one in lines), key=_sent_at)
+    after = [one for one in seen if one.sent_at >= since]
+    gaps = [one.sent_at - since for one in after if not _is_full(one)]
+    back = 0.0
+    for gap in gaps:
+        if gap - back > _FULL_FOR:
+            break
+        back = gap
+    print(
+        f"{label:<28} full again {back:.2f} s after; "
+        f"{len(gaps)} of {len(after)} answers not full"
+    )
+    return 0
+
+
+def _sent_at(one: Observation) -> float:
+    return one.sent_at
+
+
+def _is_full(one: Observation) -> bool:
+    return one.status == 200 and one.covered == one.asked
+
+
+if __name__ == "__main__":
+    sys_exit(run_command([head, row, recovery]))
--- a/src/savorypond/fanout.py
+++ b/src/savorypond/fanout.py
@@ -69,6 +69,10 @@
         """How many attempts are queued or running."""
         return self._run.in_flight
 
+    def answer_so_far(self) -> Answer:
+        """Return what the answer would be if the query ended now."""
+        return self._run.build_answer()
+
     def next_timer(self) -> float | None:
         """Return the monotonic seconds at which to tick, or None once finished."""
         if self._finished:
--- a/src/savorypond/forwarding.py
+++ b/src/savorypond/forwarding.py
@@ -6,13 +6,14 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from savorypond.layouts import asked_shards
 from savorypond.merge import merge_answers
 from savorypond.model import (
     Answer,
     Counters,
+    Coverage,
     Instance,
     Pin,
     Preference,
@@ -158,6 +159,21 @@
             actions += self._ask_next(again, now)
         return self._close(actions, now)
 
+    def answered_partly(
+        self, ask: Ask, answer: Answer, now: float
+    ) -> list[ForwardAction]:
+        """Take a part of the answer to ``ask``; the rest may follow."""
+        if ask.number not in self._asks or self._finished:
+            return []
+        covered = answer.coverage.covered
+        # Why the rest is missing is not known before the last answer.
+        coverage = Coverage(asked=covered, covered=covered)
+        self._answers.append(replace(answer, coverage=coverage))
+        for state in self._open_states(ask):
+            if covered >= self._shards(state):
+                self._settle(state)
+        return self._close(self._cancel_useless(), now)
+
     def lost(self, ask: Ask, now: float) -> list[ForwardAction]:
         """Note that no answer to ``ask`` will come."""
         if not self._forget(ask) or self._finished:
@@ -170,12 +186,12 @@
 
     def tick(self, now: float) -> list[ForwardAction]:
         """Hedge slow owners, or finish."""
-        actions: list[ForwardAction] = []
+        late: list[_ServiceState] = []
         for number, due in list(self._hedges.items()):
             if due <= now:
                 del self._hedges[number]
-                actions += self._hedge(self._asks[number], now)
-        return self._close(actions, now)
+                late += self._to_hedge(self._asks[number], now)
+        return self._close(self._ask_next(late, now), now)
 
     def cancel(self) -> list[ForwardAction]:
         """Stop without an answer, since nobody waits for it."""
@@ -202,9 +218,12 @@
             return False
         if self._finish_at - now < LEAST_ASK_TIME:
             return False
+        shards = self._shards(state)
+        return any(missing.get(shard) in _WORTH_ANOTHER for shard in shards)
+
+    def _shards(self, state: _ServiceState) -> frozenset[str]:
         layout = state.service.layout(self._pin.layout)
-        shards = layout.shards if layout else ()
-        return any(missing.get(shard.shard) in _WORTH_ANOTHER for shard in shards)
+        return frozenset([shard.shard for shard in layout.shards] if layout else [])
 
     def _ask_next(self, states: list[_ServiceState], now: float) -> list[ForwardAction]:
         """Ask whom each service goes to next, one request for each."""
@@ -233,14 +252,15 @@
                 self._hedges[ask.number] = now + delay
         return SendAsk(ask=ask, deadline=self._finish_at)
 
-    def _hedge(self, ask: Ask, now: float) -> list[ForwardAction]:
+    def _to_hedge(self, ask: Ask, now: float) -> list[_ServiceState]:
+        """Return what to ask another instance for, paid for out of the budget."""
         states = [state for state in self._open_states(ask) if state.steps]
         if not states or ask.owner is None:
             return []
         if not self._budget.try_spend(server=owner_key(ask.owner), now=now):
             return []
         self._counters.add("hedges", HedgeReason.SLOW_OWNER)
-        return self._ask_next(states, now)
+        return states
 
     def _settle(self, state: _ServiceState) -> None:
         if not state.done:
--- a/src/savorypond/forwardrun.py
+++ b/src/savorypond/forwardrun.py
@@ -198,9 +198,17 @@
         # The owner ends its part a margin before this, as this instance does.
         time_left = self._query.deadline - started - 2.0 * link_time - WAY_BACK_TIME
         message = self._message(ask, time_left)
+
+        async def early(reply: ForwardAnswer) -> None:
+            if self._fault(reply) is None:
+                part = self._to_answer(ask, owner, reply)
+                await self._events.put(
+                    lambda way, now: way.answered_partly(ask, part, now)
+                )
+
         try:
             reply = await self._tools.links.ask(
-                owner.peer_address, message, seconds=deadline - started
+                owner.peer_address, message, seconds=deadline - started, early=early
             )
         except LinkLost:
             self._tools.reports.owner_lost(owner=owner)
--- a/src/savorypond/linkwire.py
+++ b/src/savorypond/linkwire.py
@@ -61,6 +61,7 @@
     """An owner's merged partial answers, all of the pinned snapshot.
 
     :param held: the snapshots that all the services asked can be answered from.
+    :param final: whether this is the last answer to its frame.
     """
 
     request_id: str
@@ -69,6 +70,7 @@
     partials: tuple[WirePartial, ...]
     missing: tuple[WireMissing, ...]
     held: tuple[WireHeld, ...] = ()
+    final: bool = True
 
 
 class HoldingsAsk(Struct, tag="holdings", frozen=True, kw_only=True):
--- a/src/savorypond/peerapi.py
+++ b/src/savorypond/peerapi.py
@@ -18,10 +18,13 @@
     WirePartial,
 )
 from savorypond.model import Answer, Pin, Query, Service
+from savorypond.peerlink import EarlyReply
 from savorypond.protocols import ConfigView
-from savorypond.queryrun import QueryRun, QueryTools
+from savorypond.queryrun import EarlyAnswer, QueryRun, QueryTools
 from savorypond.reasons import RefusalReason
 
+EARLY_TIME = 0.015  # seconds before its deadline at which an owner sends what it has
+
 
 class PeerApi:
     """Runs forwarded queries as their owner, and calls as the issuer."""
@@ -45,10 +48,13 @@
         self._tools = tools
         self._clock = clock
 
-    async def handle(self, message: LinkMessage) -> LinkMessage:
-        """Return the reply to ``message``; raise RequestRefused."""
+    async def handle(self, message: LinkMessage, early: EarlyReply) -> LinkMessage:
+        """Return the reply to ``message``; raise RequestRefused.
+
+        :param early: sends a part of the reply ahead of the rest.
+        """
         if isinstance(message, ForwardQuery):
-            return await self._query(message)
+            return await self._query(message, early)
         if isinstance(message, HoldingsAsk):
             return await self._holdings.answer(self._services(message.services))
         if isinstance(message, ForwardCall):
@@ -58,17 +64,23 @@
             detail=f"{type(message).__name__} is no request",
         )
 
-    async def _query(self, message: ForwardQuery) -> ForwardAnswer:
+    async def _query(self, message: ForwardQuery, early: EarlyReply) -> ForwardAnswer:
         services = self._services(message.services)
-        pin = Pin(snapshot=message.snapshot, layout=message.layout)
+        query = self._to_query(message)
+
+        async def send_early(answer: Answer) -> None:
+            answer = replace(answer, request_id=message.request_id)
+            await early(self._to_reply(answer, services, final=False))
+
         run = QueryRun(
             tools=self._tools,
-            query=self._to_query(message),
-            pin=pin,
+            query=query,
+            pin=Pin(snapshot=message.snapshot, layout=message.layout),
             services=services,
+            early=EarlyAnswer(at=query.deadline - EARLY_TIME, send=send_early),
         )
         answer = replace(await run.run(), request_id=message.request_id)
-        return self._to_reply(answer, services)
+        return self._to_reply(answer, services, final=True)
 
     def _services(self, names: tuple[str, ...]) -> list[Service]:
         bundle = self._config.bundle
@@ -98,7 +110,9 @@
             deadline=self._clock.now() + message.time_left,
         )
 
-    def _to_reply(self, answer: Answer, services: list[Service]) -> ForwardAnswer:
+    def _to_reply(
+        self, answer: Answer, services: list[Service], *, final: bool
+    ) -> ForwardAnswer:
         return ForwardAnswer(
             request_id=answer.request_id,
             snapshot=answer.snapshot,
@@ -108,4 +122,5 @@
                 WireMissing(m.shard, m.reason) for m in answer.coverage.missing
             ),
             held=wire_held(self._servers, services),
+            final=final,
         )
--- a/src/savorypond/peerlink.py
+++ b/src/savorypond/peerlink.py
@@ -25,30 +25,38 @@
 from curio.socket import AF_INET, SOCK_STREAM, socket
 
 from savorypond.exceptions import RequestRefused, WireError
+from savorypond.linkstream import FrameStream
 from savorypond.linkwire import (
-    LENGTH_BYTES,
-    LINK_VERSION,
     CancelForward,
+    ForwardAnswer,
     ForwardRefusal,
     Frame,
     LinkMessage,
-    decode_frame,
-    encode_frame,
-    frame_length,
 )
 from savorypond.model import Address
 from savorypond.reasons import Execution, RefusalReason
 
-_RECEIVE_BYTES = 262144
 _CONNECT_TIME = 0.5  # seconds to open a link
 _BACKLOG = 256
 
 
+class EarlyReply(Protocol):
+    """Takes a reply that is not the last one to its request."""
+
+    def __call__(self, reply: ForwardAnswer) -> Awaitable[None]:
+        """Send or note ``reply``; the last reply follows."""
+
+
 class LinkHandler(Protocol):
     """Answers forwarded requests."""
 
-    def __call__(self, message: LinkMessage) -> Awaitable[LinkMessage]:
-        """Return the reply to ``message``; may raise RequestRefused."""
+    def __call__(
+        self, message: LinkMessage, early: EarlyReply
+    ) -> Awaitable[LinkMessage]:
+        """Return the reply to ``message``; may raise RequestRefused.
+
+        :param early: sends a reply ahead of the last one.
+        """
 
 
 class LinkDelay(Protocol):
@@ -69,51 +77,6 @@
         self.sent = sent
 
 
-class _FrameStream:
-    """Reads and writes frames on one socket."""
-
-    def __init__(self, *, sock: Any, peer: str, fleet: str) -> None:
-        self._sock = sock
-        self._peer = peer
-        self._fleet = fleet
-        self._buffer = bytearray()
-        self._write_lock = Lock()
-
-    async def send(self, number: int, message: LinkMessage) -> None:
-        """Write one message."""
-        frame = Frame(
-            version=LINK_VERSION, fleet=self._fleet, number=number, message=message
-        )
-        data = encode_frame(frame)
-        async with self._write_lock:
-            await self._sock.sendall(data)
-
-    async def receive(self) -> Frame | None:
-        """Return the next frame, or None at the end of the stream."""
-        head = await self._take(LENGTH_BYTES)
-        if head is None:
-            return None
-        length = frame_length(head, sender=self._peer)
-        data = await self._take(length)
-        if data is None:
-            return None
-        return decode_frame(data, sender=self._peer, fleet=self._fleet)
-
-    async def _take(self, size: int) -> bytes | None:
-        while len(self._buffer) < size:
-            data = await self._sock.recv(_RECEIVE_BYTES)
-            if not data:
-                return None
-            self._buffer += data
-        taken = bytes(self._buffer[:size])
-        del self._buffer[:size]
-        return taken
-
-    async def close(self) -> None:
-        """Close the socket."""
-        await self._sock.close()
-
-
 class PeerServer:
     """Accepts links and answers the requests that come over them."""
 
@@ -163,7 +126,7 @@
     async def _serve(self, sock: Any, peer: str) -> None:
         task = await current_task()
         self._tasks.add(task)
-        stream = _FrameStream(sock=sock, peer=peer, fleet=self._fleet)
+        stream = FrameStream(sock=sock, peer=peer, fleet=self._fleet)
         running: dict[int, Any] = {}
         try:
             await self._serve_frames(stream, peer, running)
@@ -178,7 +141,7 @@
             await stream.close()
 
     async def _serve_frames(
-        self, stream: _FrameStream, peer: str, running: dict[int, Any]
+        self, stream: FrameStream, peer: str, running: dict[int, Any]
     ) -> None:
         while (frame := await stream.receive()) is not None:
             if isinstance(frame.message, CancelForward):
@@ -191,24 +154,32 @@
             )
 
     async def _answer(
-        self, stream: _FrameStream, peer: str, frame: Frame, running: dict[int, Any]
+        self, stream: FrameStream, peer: str, frame: Frame, running: dict[int, Any]
     ) -> None:
         delay = self._delay(peer) if self._delay else 0.0
         try:
             if delay:
                 await sleep(delay)
-            reply = await self._reply(frame.message)
-            if delay:
-                await sleep(delay)
-            await stream.send(frame.number, reply)
-        except OSError:
-            pass  # the peer has gone
+
+            async def early(reply: ForwardAnswer) -> None:
+                await spawn(self._send, stream, delay, frame.number, reply, daemon=True)
+
+            reply = await self._reply(frame.message, early)
+            await self._send(stream, delay, frame.number, reply)
         finally:
             running.pop(frame.number, None)
 
-    async def _reply(self, message: LinkMessage) -> LinkMessage:
+    async def _send(
+        self, stream: FrameStream, delay: float, number: int, reply: LinkMessage
+    ) -> None:
+        if delay:
+            await sleep(delay)
+        with suppress(OSError):  # the peer has gone
+            await stream.send(number, reply)
+
+    async def _reply(self, message: LinkMessage, early: EarlyReply) -> LinkMessage:
         try:
-            return await self._handler(message)
+            return await self._handler(message, early)
         except RequestRefused as refusal:
             return ForwardRefusal(
                 reason=refusal.reason,
@@ -230,8 +201,9 @@
 class _Pending:
     """A request that waits for its reply."""
 
-    def __init__(self) -> None:
+    def __init__(self, early: EarlyReply | None) -> None:
         self.done = Event()
+        self.early = early
         self.reply: LinkMessage | None = None
 
 
@@ -243,7 +215,7 @@
         self._fleet = fleet
         self._source_host = source_host
         self._numbers = count(1)
-        self._stream: _FrameStream | None = None
+        self._stream: FrameStream | None = None
         self._reader: Any = None
         self._pending: dict[int, _Pending] = {}
         self._open_lock = Lock()
@@ -255,14 +227,22 @@
     async def __aexit__(self, *reason: object) -> None:
         await self.reset()
 
-    async def ask(self, message: LinkMessage, *, seconds: float) -> LinkMessage:
-        """Send ``message`` and return its reply.
+    async def ask(
+        self,
+        message: LinkMessage,
+        *,
+        seconds: float,
+        early: EarlyReply | None = None,
+    ) -> LinkMessage:
+        """Send ``message`` and return its last reply.
 
         Raises LinkLost where none comes within ``seconds``.
+
+        :param early: takes the replies ahead of the last one.
         """
         stream = await self._connected()
         number = next(self._numbers)
-        pending = _Pending()
+        pending = _Pending(early)
         self._pending[number] = pending
         received_before = self._frames_received
         try:
@@ -294,7 +274,7 @@
             await reader.cancel(blocking=False)
         await self._fail_pending()
 
-    async def _connected(self) -> _FrameStream:
+    async def _connected(self) -> FrameStream:
         if self._stream is not None:
             return self._stream
         async with self._open_lock:
@@ -303,7 +283,7 @@
                 self._reader = await spawn(self._read, self._stream, daemon=True)
             return self._stream
 
-    async def _open(self) -> _FrameStream:
+    async def _open(self) -> FrameStream:
         sock = socket(AF_INET, SOCK_STREAM)
         try:
             sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
@@ -317,28 +297,38 @@
         except BaseException:
             await sock.close()
             raise
-        return _FrameStream(sock=sock, peer=str(self._peer), fleet=self._fleet)
+        return FrameStream(sock=sock, peer=str(self._peer), fleet=self._fleet)
 
-    async def _read(self, stream: _FrameStream) -> None:
+    async def _read(self, stream: FrameStream) -> None:
         with suppress(OSError, WireError):
             while (frame := await stream.receive()) is not None:
                 self._frames_received += 1
-                pending = self._pending.pop(frame.number, None)
-                if pending is not None:
-                    pending.reply = frame.message
-                    await pending.done.set()
+                await self._take_reply(frame)
         if self._stream is stream:
             await self.reset()
 
+    async def _take_reply(self, frame: Frame) -> None:
+        pending = self._pending.get(frame.number)
+        if pending is None:
+            return
+        reply = frame.message
+        if isinstance(reply, ForwardAnswer) and not reply.final:
+            if pending.early is not None:
+                await pending.early(reply)
+            return
+        del self._pending[frame.number]
+        pending.reply = reply
+        await pending.done.set()
+
     async def _give_up(
-        self, stream: _FrameStream, number: int, received_before: int
+        self, stream: FrameStream, number: int, received_before: int
     ) -> None:
         if self._frames_received == received_before and self._stream is stream:
             await self.reset()  # nothing came at all: the link may be silent
         else:
             await self._cancel(stream, number)
 
-    async def _cancel(self, stream: _FrameStream, number: int) -> None:
+    async def _cancel(self, stream: FrameStream, number: int) -> None:
         if self._stream is stream:
             with suppress(OSError):
                 await stream.send(number, CancelForward(number=number))
@@ -365,14 +355,22 @@
             await link.reset()
 
     async def ask(
-        self, peer: Address, message: LinkMessage, *, seconds: float
+        self,
+        peer: Address,
+        message: LinkMessage,
+        *,
+        seconds: float,
+        early: EarlyReply | None = None,
     ) -> LinkMessage:
-        """Send ``message`` to ``peer`` and return its reply, or raise LinkLost."""
+        """Send ``message`` to ``peer`` and return its reply, or raise LinkLost.
+
+        :param early: takes the replies ahead of the last one.
+        """
         link = self._links.get(peer)
         if link is None:
             link = PeerLink(peer=peer, fleet=self._fleet, source_host=self._source_host)
             self._links[peer] = link
-        return await link.ask(message, seconds=seconds)
+        return await link.ask(message, seconds=seconds, early=early)
 
     async def forget(self, peer: Address) -> None:
         """Close the link to a peer that has left."""
--- a/src/savorypond/queryrun.py
+++ b/src/savorypond/queryrun.py
@@ -1,7 +1,7 @@
 """Runs the fan-out of one query at the instance that sends its attempts."""
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
 from curio import CancelledError, Event, ignore_after
@@ -39,12 +39,30 @@
     policies: FanoutPolicies
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EarlyAnswer:
+    """Where to send what has come while some services are still open.
+
+    :param at: monotonic seconds at which to send it.
+    """
+
+    at: float
+    send: Callable[[Answer], Awaitable[None]]
+
+
 class QueryRun:
     """One query's fan-out: feeds its decisions and carries out their actions."""
 
     def __init__(
-        self, *, tools: QueryTools, query: Query, pin: Pin, services: Sequence[Service]
+        self,
+        *,
+        tools: QueryTools,
+        query: Query,
+        pin: Pin,
+        services: Sequence[Service],
+        early: EarlyAnswer | None = None,
     ) -> None:
+        self._early = early
         self._tools = tools
         self._query = query
         self._services = services
@@ -107,13 +125,26 @@
             await self._take_events()
             if self._answer is None:
                 await self._apply(self._fanout.tick(self._now()))
+            if self._answer is None:
+                await self._send_early()
         return self._answer
 
+    async def _send_early(self) -> None:
+        early = self._early
+        if early is None or self._now() < early.at:
+            return
+        self._early = None
+        answer = self._fanout.answer_so_far()
+        if answer.partials:
+            await early.send(answer)
+
     async def _wait(self) -> None:
         if self._events:
             return
         self._arrived.clear()
         timer = self._fanout.next_timer() or self._query.deadline
+        if self._early is not None:
+            timer = min(timer, self._early.at)
         await ignore_after(max(timer - self._now(), 0.0), self._arrived.wait)
 
     async def _take_events(self) -> None:
