--- a/src/savorypond/controllers/membership.py
+++ b/src/savorypond/controllers/membership.py
@@ -27,7 +27,6 @@
 DATAGRAM_BYTES = "member_datagram_bytes"  # counter of bytes sent and received
 LIST_READS = "instance_list_reads"  # counter, by ListReason
 DATAGRAMS_PER_TURN = 32  # received before other tasks get a turn
-LISTED_RATE = 15.0  # listed instances read a second, in the long run
 RECEIVE_PAUSE = 0.1  # seconds without receiving after a socket error
 
 
@@ -73,26 +72,19 @@
 
     :param tick_interval: from one look at what has fallen due to the next.
     :param list_interval: from one reading of the platform's list to the next,
-        on average, while it is short.
+        on average.
+    :param list_spacing: from one reading of the list to the next, over the whole
+        fleet, at least.
     :param list_retry: the same after a failed reading.
     :param list_timeout: that one reading may take.
     """
 
     tick_interval: float = 0.1
     list_interval: float = 3.0
+    list_spacing: float = 0.01
     list_retry: float = 2.0
     list_timeout: float = 5.0
 
-    def until_next_list(self, *, listed: int) -> float:
-        """Return the seconds until the platform's list is read again.
-
-        A long list is read less often, so that it takes no more bytes a second
-        than ``LISTED_RATE`` lines; peers tell each other what it would.
-
-        :param listed: instances on the list that was read.
-        """
-        return max(self.list_interval, listed / LISTED_RATE)
-
 
 class MembershipController:
     """Owns the datagram socket of one instance and its membership decisions.
@@ -252,28 +244,30 @@
 
     async def _read_lists(self) -> None:
         while True:
-            listed = await self._read_list()
-            pause = self._times.list_retry
-            if listed is not None:
-                pause = self._times.until_next_list(listed=listed)
+            read = await self._read_list()
+            pause = self._list_pause() if read else self._times.list_retry
             await sleep(pause * self._rng.uniform(0.5, 1.5))
 
-    async def _read_list(self) -> int | None:
-        """Return how many instances the list names, or None where it failed."""
+    def _list_pause(self) -> float:
+        """Return seconds until the next reading, longer in a larger fleet."""
+        spaced = self._membership.fleet_size * self._times.list_spacing
+        return max(self._times.list_interval, spaced)
+
+    async def _read_list(self) -> bool:
         try:
             async with timeout_after(self._times.list_timeout):
                 instances = await self._instance_list.fetch()
         except TaskTimeout:
             self._counters.add(LIST_READS, ListReason.TIMED_OUT)
-            return None
+            return False
         except (SavorypondError, OSError) as error:
             self._counters.add(LIST_READS, ListReason.FAILED)
             warning("cannot read the list of instances: %s", error)
-            return None
+            return False
         self._counters.add(LIST_READS, ListReason.READ)
         await self._do(self._membership.listed(instances, self._clock.now()))
         await self._listed.set()
-        return len(instances)
+        return True
 
     async def _do(self, actions: Sequence[MemberAction]) -> None:
         for action in actions:
