--- a/src/savorypond/forwarding.py
+++ b/src/savorypond/forwarding.py
@@ -153,7 +153,7 @@
                 again.append(state)
             else:
                 self._settle(state)
-        actions = self._cancel_useless()
+        actions = self._cancel_useless(ask)
         if again:
             self._counters.add("retries", RetryReason.OWNER_UNREACHABLE)
             actions += self._ask_next(again, now)
@@ -172,7 +172,7 @@
         for state in self._open_states(ask):
             if covered >= self._shards(state):
                 self._settle(state)
-        return self._close(self._cancel_useless(), now)
+        return self._close(self._cancel_useless(ask), now)
 
     def lost(self, ask: Ask, now: float) -> list[ForwardAction]:
         """Note that no answer to ``ask`` will come."""
@@ -267,8 +267,16 @@
             state.done = True
             self._unsettled -= 1
 
-    def _cancel_useless(self) -> list[ForwardAction]:
-        useless = [ask for ask in self._asks.values() if not self._open_states(ask)]
+    def _cancel_useless(self, answered: Ask) -> list[ForwardAction]:
+        """Cancel the asks that wait only for services that ``answered`` settled."""
+        # Only asks that share a service with the answered one can have lost.
+        numbers = {
+            number
+            for service in answered.services
+            for number in self._states[service.name].running
+        }
+        rivals = [self._asks[number] for number in sorted(numbers)]
+        useless = [ask for ask in rivals if not self._open_states(ask)]
         for ask in useless:
             self._forget(ask)
             self._counters.add("cancels", CancelReason.LOST_RACE)
