Pass silent owners by until they answer again

Cause: while an owner is paused its links stay open, so that queries wait for it until their deadline, some 3 s long until membership notices. Its requests were cancelled at the deadline and never counted as lost, and the budget covers few hedges. With one of 7 instances paused for 5 s at 40 queries/s, 68.2 % of the answers were full.

Weighed: a larger hedge budget for owners, which adds load where owners are slow since all are busy; a shorter probe period of membership.

--- a/src/savorypond/forwardrun.py
+++ b/src/savorypond/forwardrun.py
@@ -31,9 +31,9 @@
     ShardPartial,
 )
 from savorypond.peerlink import LinkLost, PeerLinks
-from savorypond.protocols import ExtraWorkBudget, HedgePolicy, Placement
+from savorypond.protocols import ExtraWorkBudget, HedgePolicy, Placement, Route
 from savorypond.queryrun import QueryRun, QueryTools
-from savorypond.reasons import DropReason
+from savorypond.reasons import CancelReason, DropReason
 
 WAY_BACK_TIME = 0.004  # seconds that an owner's answer needs besides the link
 COMPOSE_TIME = 0.001  # seconds that merging and sending the whole answer take
@@ -50,6 +50,12 @@
     def owner_lost(self, *, owner: Instance) -> None:
         """Count one request to ``owner`` that got no answer."""
 
+    def owner_answered_partly(self, *, owner: Instance) -> None:
+        """Note that ``owner`` sent a part of its answer."""
+
+    def avoids(self, *, owner: Instance) -> bool:
+        """Tell whether ``owner`` has fallen silent, so that its backup is asked."""
+
     def owner_holds(self, *, services: Sequence[Service], pins: Sequence[Pin]) -> None:
         """Note which snapshots the backend servers of ``services`` hold."""
 
@@ -105,13 +111,24 @@
         self._forwarding = Forwarding(
             query=query,
             pin=pin,
-            routes=routes,
+            routes=self._pass_by_silent(routes),
             hedging=tools.hedging,
             budget=tools.budget,
             counters=tools.counters,
             finish_at=query.deadline - COMPOSE_TIME,
         )
 
+    def _pass_by_silent(self, routes: Sequence[Route]) -> list[Route]:
+        owners = {r.owner.name: r.owner for r in routes if r.owner is not None}
+        reports = self._tools.reports
+        silent = {name for name, one in owners.items() if reports.avoids(owner=one)}
+        return [
+            replace(route, owner=route.backup, backup=None)
+            if route.owner is not None and route.owner.name in silent
+            else route
+            for route in routes
+        ]
+
     async def run(self) -> Answer:
         """Return the answer; it comes by the query's deadline."""
         try:
@@ -155,6 +172,8 @@
                 task = await spawn(self._ask, action, daemon=True)
                 self._tasks[action.ask.number] = task
             elif isinstance(action, CancelAsk):
+                if action.reason is CancelReason.DEADLINE and action.ask.owner:
+                    self._tools.reports.owner_lost(owner=action.ask.owner)
                 task = self._tasks.pop(action.ask.number, None)
                 if task is not None:
                     await task.cancel(blocking=False)
@@ -201,6 +220,7 @@
 
         async def early(reply: ForwardAnswer) -> None:
             if self._fault(reply) is None:
+                self._tools.reports.owner_answered_partly(owner=owner)
                 part = self._to_answer(ask, owner, reply)
                 await self._events.put(
                     lambda way, now: way.answered_partly(ask, part, now)
