Never call a repeated call not-run before its ledger was asked

Cause: a call that ran and ended as unknown got not-run when it was repeated at a stopping instance, or where its service was not in force yet; a caller who believed that would do the work twice. Some refusals were not counted; a planned stop could cut requests with longer limits than drain_time. Conclusion: not-run is said of a call only by the record of its ticket.

--- a/src/savorypond/callapi.py
+++ b/src/savorypond/callapi.py
@@ -5,6 +5,7 @@
 from msgspec import Raw
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from savorypond.callpaths import before_ledger
 from savorypond.clock import Clock
 from savorypond.controllers.calls import Calls, refused
 from savorypond.exceptions import RequestRefused, TicketError
@@ -31,9 +32,6 @@
 from savorypond.tickets import Refuse, Ticket, decode_ticket
 from savorypond.validation import body_refusal
 
-TICKETS_PATH = "/v1/tickets"
-SERVICES_PATH = "/v1/services/"
-CALLS_SUFFIX = "/calls"
 MOST_TICKETS = 1000  # of one request
 LONGEST_TIME_LIMIT = 60_000.0  # milliseconds
 _MILLISECONDS = 1000.0  # per second
@@ -104,7 +102,7 @@
             body = CallBody.model_validate_json(request.body)
         except ValidationError as error:
             raise body_refusal(error) from error
-        service = self._service(service_name)
+        service = self._service_for_ticket(service_name)
         limit = service.time_limit
         if body.time_limit_ms is not None:
             limit = body.time_limit_ms / _MILLISECONDS
@@ -217,8 +215,14 @@
             )
         return service
 
+    def _service_for_ticket(self, name: str) -> Service:
+        """Return the service; a refusal says nothing of what the ticket did before."""
+        try:
+            return self._service(name)
+        except RequestRefused as refusal:
+            raise before_ledger(refusal) from refusal
+
     def _note_refusal(self, refusal: RequestRefused, service: str) -> None:
-        self._metrics.counters.add("refusals", refusal.reason)
         log_event(
             "call-refused",
             service=service,
--- a/src/savorypond/callerapi.py
+++ b/src/savorypond/callerapi.py
@@ -5,7 +5,8 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from savorypond.callapi import CALLS_SUFFIX, SERVICES_PATH, TICKETS_PATH, CallApi
+from savorypond.callapi import CallApi
+from savorypond.callpaths import CALLS_SUFFIX, SERVICES_PATH, TICKETS_PATH, is_call
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused
 from savorypond.filters.chain import Chain, Exchange
@@ -15,7 +16,15 @@
     json_response,
     problem_response,
 )
-from savorypond.model import Answer, Bundle, Preference, Priority, Query, Service
+from savorypond.model import (
+    Answer,
+    Bundle,
+    Counters,
+    Preference,
+    Priority,
+    Query,
+    Service,
+)
 from savorypond.protocols import ConfigView
 from savorypond.reasons import RefusalReason
 from savorypond.validation import body_refusal
@@ -57,6 +66,7 @@
         calls: CallApi,
         config: ConfigView,
         clock: Clock,
+        counters: Counters,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
@@ -64,6 +74,7 @@
         self._calls = calls
         self._config = config
         self._clock = clock
+        self._counters = counters
         self._numbers = count(1)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -78,7 +89,7 @@
         if path.startswith(TICKETS_PATH + "/"):
             _need_method(request, "DELETE")
             return await self._calls.revoke(path[len(TICKETS_PATH) + 1 :])
-        if path.startswith(SERVICES_PATH) and path.endswith(CALLS_SUFFIX):
+        if is_call(path):
             _need_method(request, "POST")
             name = path[len(SERVICES_PATH) : -len(CALLS_SUFFIX)]
             return await self._calls.call(request, name)
@@ -92,6 +103,10 @@
         request_id = f"{self._instance}-{self._incarnation:x}-{number:x}"
         try:
             query = self._read_query(request, request_id, arrived)
+        except RequestRefused as refusal:
+            self._counters.add("refusals", refusal.reason)
+            return problem_response(refusal, request_id=request_id)
+        try:
             answer = await self._chain.run(Exchange(query=query, arrived=arrived))
         except RequestRefused as refusal:
             return problem_response(refusal, request_id=request_id)
--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -132,7 +132,7 @@
         except (BackendServerError, TaskTimeout) as error:
             self._pool.failed(number, self._clock.now())
             await self._released.set()
-            self._counters.add("connects_failed", type(error).__name__)
+            self._counters.add("connects_failed", _connect_problem(error))
             raise BackendServerError(
                 server=self._name, problem="connect failed", sent=False
             ) from error
@@ -247,3 +247,7 @@
             raise BackendServerError(
                 server=self._owner.name, problem="timed out", sent=True
             ) from error
+
+
+def _connect_problem(error: Exception) -> str:
+    return "timed-out" if isinstance(error, TaskTimeout) else "refused"
--- a/src/savorypond/controllers/drain.py
+++ b/src/savorypond/controllers/drain.py
@@ -5,6 +5,7 @@
 
 from curio import sleep
 
+from savorypond.callpaths import before_ledger, is_call
 from savorypond.clock import Clock
 from savorypond.drain import DrainAction, DrainLimits, DrainPlan, DrainState
 from savorypond.exceptions import RequestRefused
@@ -18,6 +19,15 @@
 _RETRY_AFTER = 1.0  # seconds
 
 
+def _refusal(request: HttpRequest) -> RequestRefused:
+    refusal = RequestRefused(
+        reason=RefusalReason.DRAINING,
+        detail="the instance is stopping",
+        retry_after=_RETRY_AFTER,
+    )
+    return before_ledger(refusal) if is_call(request.path) else refusal
+
+
 class DrainController:
     """Counts requests in flight and carries out a planned stop.
 
@@ -59,12 +69,7 @@
 
         async def guarded(request: HttpRequest) -> HttpResponse:
             if not self._plan.try_enter():
-                self._counters.add("refusals", RefusalReason.DRAINING)
-                raise RequestRefused(
-                    reason=RefusalReason.DRAINING,
-                    detail="the instance is stopping",
-                    retry_after=_RETRY_AFTER,
-                )
+                raise _refusal(request)
             try:
                 response = await handler(request)
             finally:
--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -8,7 +8,7 @@
 from curio import TaskGroup, ignore_after, sleep
 
 from savorypond.callapi import CallApi
-from savorypond.callerapi import CallerApi
+from savorypond.callerapi import LONGEST_TIME_LIMIT, CallerApi
 from savorypond.clock import SystemClock
 from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
@@ -43,6 +43,7 @@
 
 LINK_TIME = 0.003  # seconds that another data centre is expected to add
 _LIST_WAIT = 2.0  # seconds that a start waits for the platform's list
+LONGEST_REQUEST = LONGEST_TIME_LIMIT / 1000.0  # seconds
 _HAND_OVER_TIME = 1.0  # seconds
 
 
@@ -282,7 +283,7 @@
             metrics=self._metrics,
         )
         self._drain = DrainController(
-            longest_deadline=settings.drain_time,
+            longest_deadline=max(settings.drain_time, LONGEST_REQUEST),
             announce=self._membership.leave,
             hand_over=self._hand_over,
             clock=self._clock,
@@ -299,6 +300,7 @@
             servers=self._servers,
             pools=self._pools,
             drain=self._drain,
+            leaving=self._leaving,
             clock=self._clock,
         )
         operators = OperatorApi(
@@ -374,6 +376,7 @@
             calls=self._call_api,
             config=self._config,
             clock=self._clock,
+            counters=self._counters,
         )
 
     def _find_address(self, name: str) -> Address | None:
--- a/src/savorypond/fanout.py
+++ b/src/savorypond/fanout.py
@@ -194,6 +194,6 @@
             self._counters.add("repins", RepinReason.FIRST_RUN_KEPT)
             answer = first
         for shard in answer.coverage.missing:
-            self._counters.add("missing", shard.reason)
+            self._counters.add("fanout_missing", shard.reason)
         actions = self._run.cancel_all(CancelReason.DEADLINE)
         return [*actions, Finish(answer=answer)]
--- a/src/savorypond/httpserver.py
+++ b/src/savorypond/httpserver.py
@@ -119,7 +119,8 @@
     Entering the context binds and starts accepting; leaving it closes every
     connection. ``drain`` lets requests in flight finish first.
 
-    :param on_refusal: called with the reason of each request refused here.
+    :param on_refusal: called with the reason of each request that is refused
+        here or by a RequestRefused of the handler.
     """
 
     def __init__(
@@ -267,9 +268,11 @@
         try:
             return await self._handler(request)
         except RequestRefused as refusal:
+            self._note(refusal.reason)
             return problem_response(refusal)
         except Exception:
             log_exception("handler failed on %s %s", request.method, request.path)
+            self._note(RefusalReason.INTERNAL)
             return problem_response(
                 RequestRefused(
                     reason=RefusalReason.INTERNAL,
@@ -278,9 +281,12 @@
                 )
             )
 
-    async def _refuse(self, channel: "_Channel", refusal: RequestRefused) -> None:
+    def _note(self, reason: RefusalReason) -> None:
         if self._on_refusal is not None:
-            self._on_refusal(refusal.reason)
+            self._on_refusal(reason)
+
+    async def _refuse(self, channel: "_Channel", refusal: RequestRefused) -> None:
+        self._note(refusal.reason)
         await channel.send(problem_response(refusal), close=True)
         await channel.linger()
 
--- a/src/savorypond/operatorapi.py
+++ b/src/savorypond/operatorapi.py
@@ -48,7 +48,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Status:
-    """What this instance believes."""
+    """What this instance believes.
+
+    :param leaving: names of backend servers that must get no new work.
+    :param servers: the backend servers that it works with itself.
+    """
 
     name: str
     fleet: str
@@ -57,6 +61,7 @@
     ready: bool
     draining: bool
     revision: int
+    leaving: tuple[str, ...]
     peers: tuple[PeerStatus, ...]
     servers: tuple[ServerStatus, ...]
 
--- a/src/savorypond/status.py
+++ b/src/savorypond/status.py
@@ -41,6 +41,9 @@
     :param json: print the answers as JSON
     :param ready: exit with 1 unless every instance is ready
     """
+    if not targets:
+        print("name at least one instance", file=stderr)
+        return EXIT_UNREACHABLE
     addresses = [_to_address(target) for target in targets]
     answers: list[Status | Unreachable] = run_curio(_ask_all, addresses)
     statuses = [answer for answer in answers if isinstance(answer, Status)]
@@ -65,7 +68,6 @@
     state = "draining" if one.draining else "ready" if one.ready else "not ready"
     peers = Counter(peer.state for peer in one.peers)
     owned = {server.service for server in one.servers if server.owner == one.name}
-    leaving = [server.name for server in one.servers if server.leaving]
     ejected = [server.name for server in one.servers if server.ejected]
     lines = [
         f"{one.name} ({one.data_centre}): {state}, revision {one.revision}, "
@@ -73,8 +75,8 @@
         "  peers: "
         + (", ".join(f"{n} {state}" for state, n in sorted(peers.items())) or "none"),
     ]
-    if leaving:
-        lines.append(f"  leaving backend servers: {', '.join(leaving)}")
+    if one.leaving:
+        lines.append(f"  leaving backend servers: {', '.join(one.leaving)}")
     if ejected:
         lines.append(f"  ejected backend servers: {', '.join(ejected)}")
     return lines
--- a/src/savorypond/statuspage.py
+++ b/src/savorypond/statuspage.py
@@ -5,6 +5,7 @@
 from savorypond.controllers.drain import DrainController
 from savorypond.controllers.membership import MembershipController
 from savorypond.controllers.pools import ConnectionPools
+from savorypond.leaving import ServerDrain
 from savorypond.operatorapi import PeerStatus, ServerStatus, Status
 from savorypond.protocols import ConfigView, Placement
 from savorypond.settings import Settings
@@ -23,6 +24,7 @@
         servers: BackendServers,
         pools: ConnectionPools,
         drain: DrainController,
+        leaving: ServerDrain,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -32,6 +34,7 @@
         self._servers = servers
         self._pools = pools
         self._drain = drain
+        self._leaving = leaving
         self._clock = clock
 
     def not_ready(self) -> str:
@@ -57,6 +60,7 @@
             ready=not self.not_ready(),
             draining=self._drain.draining,
             revision=bundle.revision if bundle is not None else 0,
+            leaving=self._leaving.leaving(),
             peers=tuple(
                 PeerStatus(
                     name=member.name,
--- a/src/savorypond/wiring.py
+++ b/src/savorypond/wiring.py
@@ -44,6 +44,13 @@
     )
 
 
+def _admission_config(most: int) -> AdmissionConfig:
+    usual = AdmissionConfig()
+    return AdmissionConfig(
+        initial=min(usual.initial, most), least=min(usual.least, most), most=most
+    )
+
+
 def make_chain(
     *,
     settings: Settings,
@@ -54,7 +61,7 @@
     clock: Clock,
 ) -> Chain:
     """Return the filters that a query walks, in order."""
-    admission = Admission(config=AdmissionConfig(most=settings.requests.in_flight))
+    admission = Admission(config=_admission_config(settings.requests.in_flight))
     return Chain(
         filters=(
             MetricsFilter(metrics=metrics, clock=clock),
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -133,18 +133,9 @@
             )
         )
 
-    def owners(self, service: str) -> list[Daemon]:
-        """Return the daemons that believe they own ``service``."""
-        return [
-            daemon
-            for name, daemon in self.daemons.items()
-            for server in daemon.status_page.status().servers
-            if server.service == service and server.owner == name
-        ]
-
-    def is_leaving(self, daemon: Daemon, server: str) -> bool:
-        servers = daemon.status_page.status().servers
-        return any(one.leaving for one in servers if one.name == server)
+    def all_know_as_leaving(self, server: str) -> bool:
+        pages = [daemon.status_page for daemon in self.daemons.values()]
+        return all(server in page.status().leaving for page in pages)
 
     def address(self, name: str) -> Address:
         found = {i.name: i.caller_address for i in self.site.instances}
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,4 +1,5 @@
 from dataclasses import dataclass
+from functools import wraps
 from unittest import TestCase
 
 from curio import TaskGroup, run, timeout_after
@@ -16,6 +17,7 @@
     """Run a coroutine method inside a running, ready site."""
 
     def wrap(method):
+        @wraps(method)
         def test(self):
             async def main():
                 async with timeout_after(HANG), RunningSite(instances=instances) as it:
@@ -227,9 +229,7 @@
         ]
         site.listing.replace(tuple(lines))
         site.servers["boats-1-a"].set_faults(Faults(health_lies=True))
-        await until(
-            lambda: all(site.is_leaving(d, "boats-1-a") for d in site.owners("boats-1"))
-        )
+        await until(lambda: site.all_know_as_leaving("boats-1-a"))
         before = site.servers["boats-1-a"].counts["runs"]
         for name in site.daemons:
             answer = await site.query(name)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -72,7 +72,7 @@
 
 SECTION_OF_REASONS = {
     RefusalReason: "refusals",
-    MissingReason: "missing_shards and missing",
+    MissingReason: "missing_shards and fanout_missing",
     RetryReason: "retries",
     HedgeReason: "hedges",
     DenialReason: "denials",
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -12,6 +12,7 @@
         incarnation=1,
         ready=ready,
         draining=False,
+        leaving=(),
         revision=revision,
         peers=tuple(
             PeerStatus(name=peer, data_centre="split", state=state, incarnation=1)
