Read a long instance list seldom, and keep few gRPC channels

Cause: at 4,200 instances the list alone would take 13.9 KB/s of the 13 KB/s for all control, and a channel for every peer of a data centre 33 MB. Change: 70 ms of spacing for each instance on the list (2.0 KB/s); 64 channels. Figures: worked out from 139 bytes a line and 176 KB a channel.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-BENCHES := calls choice config links members overload sheds tail
+BENCHES := calls choice config links members overload path sheds slopes tail
 
-.PHONY: all install demo test lint types check clean bench $(BENCHES:%=bench-%)
+.PHONY: all install demo test lint types check clean bench bench-fleet $(BENCHES:%=bench-%)
 
 all: check
 
@@ -33,6 +33,9 @@
 $(BENCHES:%=bench-%): bench-%: $(STAMP)
 	$(VENV)/bin/python -m benchmarks.bench_$*
 
+bench-fleet: $(STAMP)
+	scripts/bench_fleet.sh
+
 bench: $(BENCHES:%=bench-%)
 
 clean:
--- a/src/savorypond/controllers/membership.py
+++ b/src/savorypond/controllers/membership.py
@@ -81,7 +81,7 @@
 
     tick_interval: float = 0.1
     list_interval: float = 3.0
-    list_spacing: float = 0.01
+    list_spacing: float = 0.07
     list_retry: float = 2.0
     list_timeout: float = 5.0
 
--- a/src/savorypond/peercontrol.py
+++ b/src/savorypond/peercontrol.py
@@ -5,6 +5,7 @@
 few seconds can afford and a query cannot.
 """
 
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any, Self
@@ -31,6 +32,7 @@
 from savorypond.exceptions import SavorypondError, WireError
 from savorypond.model import Address
 
+MOST_CHANNELS = 64  # kept open, the latest used
 CONTROL_PORT_OFFSET = 1  # added to the peer port
 _SERVICE = "savorypond.Control"
 _METHOD = "Pull"
@@ -123,7 +125,7 @@
     def __init__(self, *, fleet: str, find: Callable[[str], Address | None]) -> None:
         self._fleet = fleet
         self._find = find
-        self._channels: dict[Address, Channel] = {}
+        self._channels: OrderedDict[Address, Channel] = OrderedDict()
 
     async def __aenter__(self) -> Self:
         return self
@@ -156,8 +158,11 @@
         return decode_reply(data, fleet=self._fleet, sender=instance)
 
     def _channel(self, address: Address) -> Channel:
-        channel = self._channels.get(address)
+        channel = self._channels.pop(address, None)
         if channel is None:
             channel = insecure_channel(str(address), options=_OPTIONS)
-            self._channels[address] = channel
+        self._channels[address] = channel
+        if len(self._channels) > MOST_CHANNELS:
+            _, oldest = self._channels.popitem(last=False)
+            oldest.close()
         return channel
