Spend less processor time on a shard call

A shard call cost an entry about twice a bare HTTP round trip. Each event of an attempt woke the task of its query, each lease of an idle connection set a timer, and h11 checked the same request head again for every call.

- Events go to the fan-out at once.
The task of the query is woken only where they led to actions or to an earlier timer; actions keep their order.
Where the query is cancelled, the cancels that still wait are carried out.
- An idle connection is leased without a timer.
- Checked request heads are kept (4096 of them) and used again.
- A query's body is encoded once, not for each call.

--- a/benchmarks/bench_path.py
+++ b/benchmarks/bench_path.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from itertools import count
 from multiprocessing import get_context
+from multiprocessing.context import SpawnProcess
 from pathlib import Path
 from pstats import Stats
 from random import Random
@@ -230,13 +231,14 @@
     )
 
 
-async def _until_open(address: Address) -> None:
-    while True:
+async def _until_open(address: Address, standins: SpawnProcess) -> None:
+    while standins.is_alive():
         try:
             async with HttpConnection(address=address):
                 return
         except BackendServerError:
             await sleep(0.05)
+    raise RuntimeError("the stand-ins ended")
 
 
 def measure_shards(*, shards: int, queries: int) -> None:
@@ -251,7 +253,8 @@
         standins.start()
         try:
             for service in services:
-                run_curio(_until_open, service.backend_servers[-1].address)
+                address = service.backend_servers[-1].address
+                run_curio(_until_open, address, standins)
             run_curio(_measure, "whole", services, queries, False)
         finally:
             standins.terminate()
--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -13,6 +13,7 @@
 from savorypond.model import Address, Counters
 from savorypond.pool import (
     ConnectionPool,
+    Decision,
     Open,
     PoolLimits,
     ProbeFirst,
@@ -81,17 +82,19 @@
 
         Raises BackendServerError, nothing sent, where none can be had.
         """
+        decision = self._pool.acquire(self._clock.now(), proven=proven)
+        if isinstance(decision, Use):  # the usual case needs no timer
+            return self._lease(decision.connection)
         try:
             async with timeout_after(seconds):
-                return await self._acquire(proven)
+                return await self._acquire(decision, proven)
         except TaskTimeout as error:
             raise BackendServerError(
                 server=self._name, problem="no connection in time", sent=False
             ) from error
 
-    async def _acquire(self, proven: bool) -> "ConnectionLease":
+    async def _acquire(self, decision: Decision, proven: bool) -> "ConnectionLease":
         while True:
-            decision = self._pool.acquire(self._clock.now(), proven=proven)
             if isinstance(decision, Use):
                 return self._lease(decision.connection)
             if isinstance(decision, Open):
@@ -99,13 +102,14 @@
             if isinstance(decision, ProbeFirst):
                 if await self._probe(decision.connection):
                     return self._lease(decision.connection)
-                continue
-            if isinstance(decision, Refuse):
+            elif isinstance(decision, Refuse):
                 raise BackendServerError(
                     server=self._name, problem="no connection can be had", sent=False
                 )
-            self._released.clear()
-            await self._released.wait()
+            else:
+                self._released.clear()
+                await self._released.wait()
+            decision = self._pool.acquire(self._clock.now(), proven=proven)
 
     async def give_back(self, number: int, outcome: Release) -> None:
         """Take a connection back after its request."""
--- a/src/savorypond/httpclient.py
+++ b/src/savorypond/httpclient.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 client connection on curio and h11."""
 
 from contextlib import suppress
+from functools import lru_cache
 from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_NODELAY
 from struct import pack
 from types import TracebackType
@@ -27,6 +28,7 @@
 
 _RECEIVE_BYTES = 65536
 _MOST_BODY_BYTES = 16 * 1024 * 1024
+_HEADS_KEPT = 4096  # request heads that were checked and may recur
 _RESET_ON_CLOSE = pack("ii", 1, 0)  # SO_LINGER: on, 0 s
 
 
@@ -123,11 +125,9 @@
         return response
 
     def _encode(self, request: HttpRequest) -> bytes:
-        headers = [("host", self._host)]
-        headers += [(h.name, h.value) for h in request.headers]
-        if request.body:
-            headers.append(("content-length", str(len(request.body))))
-        head = Request(method=request.method, target=request.path, headers=headers)
+        head = _build_head(
+            request.method, request.path, self._host, request.headers, len(request.body)
+        )
         data = self._http.send(head) or b""
         if request.body:
             data += self._http.send(Data(data=request.body)) or b""
@@ -161,6 +161,18 @@
         return not self._http.trailing_data[0]
 
 
+@lru_cache(maxsize=_HEADS_KEPT)
+def _build_head(
+    method: str, path: str, host: str, headers: tuple[Header, ...], body_bytes: int
+) -> Request:
+    """Return a checked request line and headers; most recur many times."""
+    fields = [("host", host)]
+    fields += [(header.name, header.value) for header in headers]
+    if body_bytes:
+        fields.append(("content-length", str(body_bytes)))
+    return Request(method=method, target=path, headers=fields)
+
+
 def _build_response(head: Response, body: bytes) -> HttpResponse:
     headers = tuple(
         Header(name=name.decode("ascii"), value=value.decode("latin-1"))
--- a/src/savorypond/pool.py
+++ b/src/savorypond/pool.py
@@ -77,6 +77,9 @@
     retry_after: float | None
 
 
+Decision = Use | ProbeFirst | Open | Wait | Refuse
+
+
 class Release(StrEnum):
     """How the use of a connection ended."""
 
@@ -151,9 +154,7 @@
         """Idle connections that must be probed or replaced before use."""
         return sum(c.suspect for c in self._connections.values())
 
-    def acquire(
-        self, now: float, *, proven: bool = False
-    ) -> Use | ProbeFirst | Open | Wait | Refuse:
+    def acquire(self, now: float, *, proven: bool = False) -> Decision:
         """Choose a connection and hand it out.
 
         :param proven: whether it must have answered a moment ago, as for a call
--- a/src/savorypond/queryrun.py
+++ b/src/savorypond/queryrun.py
@@ -1,10 +1,12 @@
 """Runs the fan-out of one query at the instance that sends its attempts."""
 
 from collections import deque
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
 
 from curio import CancelledError, Event, ignore_after
+from msgspec import Raw
+from msgspec.json import encode
 
 from savorypond.attempts import (
     Action,
@@ -25,8 +27,6 @@
 from savorypond.partials import ServerAnswer
 from savorypond.shardcalls import RunningCall, ShardCaller
 
-_Event = Callable[[Fanout, float], list[Action]]
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QueryTools:
@@ -46,9 +46,10 @@
         self, *, tools: QueryTools, query: Query, pin: Pin, services: Sequence[Service]
     ) -> None:
         self._tools = tools
-        self._query = query
+        self._query = replace(query, body=Raw(encode(query.body)))  # encode once
         self._services = services
-        self._events: deque[_Event] = deque()
+        self._actions: deque[list[Action]] = deque()
+        self._wakes_at = 0.0
         self._arrived = Event()
         self._answer: Answer | None = None
         self._calls: dict[int, RunningCall] = {}
@@ -66,7 +67,7 @@
         try:
             return await self._drive()
         except CancelledError:
-            await self._apply(self._fanout.caller_gone(self._now()))
+            await self._cancel_all()
             raise
         finally:
             self._over = True
@@ -76,50 +77,58 @@
 
         For whoever cannot wait until the task of this run has its next turn.
         """
-        await self._take_events()
+        await self._take_actions()
         if self._answer is None:
             await self._apply(self._fanout.tick(self._now()))
         return self._answer
 
     async def dispatched(self, attempt: Attempt) -> None:
         """Note that ``attempt`` has its slot and is about to be written."""
-        await self._put(lambda fanout, now: fanout.dispatched(attempt, now))
+        await self._put(self._fanout.dispatched(attempt, self._now()))
 
     async def answered(self, attempt: Attempt, answer: ServerAnswer) -> None:
         """Take the answer to ``attempt``."""
-        await self._put(lambda fanout, now: fanout.answered(attempt, answer, now))
+        await self._put(self._fanout.answered(attempt, answer, self._now()))
 
     async def failed(self, attempt: Attempt, failure: AttemptFailure) -> None:
         """Note that ``attempt`` ended without an answer."""
-        await self._put(lambda fanout, now: fanout.failed(attempt, failure, now))
+        await self._put(self._fanout.failed(attempt, failure, self._now()))
 
-    async def _put(self, event: _Event) -> None:
+    async def _put(self, actions: list[Action]) -> None:
+        """Leave ``actions`` to the task of this run; wake it only if need be."""
         if self._over:
-            event(self._fanout, self._now())  # counts what came too late
-        else:
-            self._events.append(event)
+            return
+        if actions:
+            self._actions.append(actions)
+        timer = self._fanout.next_timer()
+        if actions or (timer is not None and timer < self._wakes_at):
             await self._arrived.set()
 
     async def _drive(self) -> Answer:
         await self._apply(self._fanout.start(self._now()))
         while self._answer is None:
             await self._wait()
-            await self._take_events()
+            await self._take_actions()
             if self._answer is None:
                 await self._apply(self._fanout.tick(self._now()))
         return self._answer
 
+    async def _cancel_all(self) -> None:
+        left = [action for actions in self._actions for action in actions]
+        cancels: list[Action] = [a for a in left if isinstance(a, CancelAttempt)]
+        await self._apply(cancels + self._fanout.caller_gone(self._now()))
+
     async def _wait(self) -> None:
-        if self._events:
+        if self._actions:
             return
         self._arrived.clear()
-        timer = self._fanout.next_timer() or self._query.deadline
-        await ignore_after(max(timer - self._now(), 0.0), self._arrived.wait)
+        self._wakes_at = self._fanout.next_timer() or self._query.deadline
+        seconds = max(self._wakes_at - self._now(), 0.0)
+        await ignore_after(seconds, self._arrived.wait)
 
-    async def _take_events(self) -> None:
-        while self._events and self._answer is None:
-            event = self._events.popleft()
-            await self._apply(event(self._fanout, self._now()))
+    async def _take_actions(self) -> None:
+        while self._actions and self._answer is None:
+            await self._apply(self._actions.popleft())
 
     async def _apply(self, actions: list[Action]) -> None:
         for action in actions:
--- a/src/savorypond/shardcalls.py
+++ b/src/savorypond/shardcalls.py
@@ -5,6 +5,7 @@
 
 from absl.logging import exception as log_exception
 from curio import CancelledError, sleep, spawn
+from msgspec import Struct
 from msgspec.json import encode
 
 from savorypond.attempts import Attempt, AttemptFailure, FailureKind
@@ -28,6 +29,17 @@
 _DRAIN_POLL = 0.005  # seconds
 
 
+class _Search(Struct, kw_only=True):
+    """The body of a search request; ``query`` may be encoded already."""
+
+    request_id: str
+    snapshot: int
+    layout: int
+    shards: list[str]
+    query: object
+    time_left_ms: float
+
+
 class AttemptEvents(Protocol):
     """Takes what happens to attempts."""
 
@@ -259,14 +271,14 @@
 def _search_request(attempt: Attempt, query: Query, time_left: float) -> HttpRequest:
     milliseconds = round(time_left * _MILLISECONDS, 3)
     body = encode(
-        {
-            "request_id": query.request_id,
-            "snapshot": attempt.pin.snapshot,
-            "layout": attempt.pin.layout,
-            "shards": sorted(attempt.shards),
-            "query": query.body,
-            "time_left_ms": milliseconds,
-        }
+        _Search(
+            request_id=query.request_id,
+            snapshot=attempt.pin.snapshot,
+            layout=attempt.pin.layout,
+            shards=sorted(attempt.shards),
+            query=query.body,
+            time_left_ms=milliseconds,
+        )
     )
     return HttpRequest(method="POST", path=SEARCH_PATH, headers=(_JSON,), body=body)
 
