--- a/src/savorypond/httpserver.py
+++ b/src/savorypond/httpserver.py
@@ -337,6 +337,7 @@
                 self._http.receive_data(await self._sock.recv(_RECEIVE_BYTES))
             elif isinstance(event, Request):
                 head = event
+                _check_head_size(event, self._limits.header_bytes)
                 _check_declared_length(event, self._limits.body_bytes)
             elif isinstance(event, Data):
                 body += event.data
@@ -393,6 +394,16 @@
                     pass
 
 
+def _check_head_size(head: Request, most: int) -> None:
+    """Bound a head that came whole; h11 only bounds one that it waits for."""
+    size = len(head.method) + len(head.target)
+    size += sum(len(name) + len(value) for name, value in head.headers)
+    if size > most:
+        raise RequestRefused(
+            reason=RefusalReason.TOO_LARGE, detail=f"headers exceed {most} bytes"
+        )
+
+
 def _check_declared_length(head: Request, most: int) -> None:
     for name, value in head.headers:
         if name == b"content-length" and int(value) > most:
