Hedge after a fixed delay while a service's latencies are unknown

tests.test_daemon failed in test_faults_of_replicas [lost replica] (2 shards covered, not 3; in 6 of 6 runs, also before the last changes): the second instance had no latencies yet, so it had no hedge delay, and its attempt at the silent replica lasted until the deadline. FallbackHedge was written for this but nothing used it. BackendServers now follows it.

The bound of the test is as it was.

--- a/src/savorypond/controllers/backend_servers.py
+++ b/src/savorypond/controllers/backend_servers.py
@@ -14,6 +14,7 @@
 from savorypond.budget import RetryBudget
 from savorypond.clock import Clock
 from savorypond.controllers.slots import SlotGate
+from savorypond.hedging import FallbackHedge
 from savorypond.latency import LatencyTracker, PercentileHedge
 from savorypond.limiter import ServerGate
 from savorypond.model import (
@@ -24,7 +25,7 @@
     Service,
 )
 from savorypond.outlier import Ejection, OutlierDetector
-from savorypond.protocols import ReplicaChooser
+from savorypond.protocols import HedgePolicy, ReplicaChooser
 from savorypond.snapshots import PinChoice, SnapshotBook
 
 
@@ -60,7 +61,7 @@
         self._outliers = OutlierDetector()
         self._budget = RetryBudget()
         self._latencies = LatencyTracker()
-        self._hedging = PercentileHedge(tracker=self._latencies)
+        self._hedging = FallbackHedge(hedging=PercentileHedge(tracker=self._latencies))
         self._snapshots = SnapshotBook()
         self._usable_version = 0
         self._chooser = make_chooser(
@@ -82,7 +83,7 @@
         return self._budget
 
     @property
-    def hedging(self) -> PercentileHedge:
+    def hedging(self) -> HedgePolicy:
         """Tells when to hedge."""
         return self._hedging
 
