Take every sign that a backend server is leaving, and count slow losers

Cause: a refusal marked as drain and answers that close connections were known to the decisions and told to nobody; servers whose attempts always lost to hedges kept their good name. Change: each response is looked at for both; cancelled losers count as slow.

--- a/src/savorypond/callconnection.py
+++ b/src/savorypond/callconnection.py
@@ -133,6 +133,7 @@
         seconds = self._clock.now() - self._started
         ok = response.status == 200
         stats.finished(attempt=self, now=self._clock.now(), ok=ok)
+        self._servers.note_response(server=self._server, response=response)
         return self._read(response, seconds)
 
     async def hand_back(self, how: Release) -> None:
--- a/src/savorypond/controllers/backend_servers.py
+++ b/src/savorypond/controllers/backend_servers.py
@@ -15,7 +15,9 @@
 from savorypond.clock import Clock
 from savorypond.controllers.slots import SlotGate
 from savorypond.hedging import FallbackHedge
+from savorypond.httptypes import HttpResponse
 from savorypond.latency import LatencyTracker, PercentileHedge
+from savorypond.leaving import ServerDrain
 from savorypond.limiter import ServerGate
 from savorypond.model import (
     BackendServer,
@@ -25,6 +27,7 @@
     Service,
 )
 from savorypond.outlier import Ejection, OutlierDetector
+from savorypond.partials import is_draining
 from savorypond.protocols import HedgePolicy, ReplicaChooser
 from savorypond.snapshots import PinChoice, SnapshotBook
 
@@ -52,10 +55,12 @@
         rng: Random,
         counters: Counters,
         link_time: float,
+        signs: ServerDrain,
     ) -> None:
         self._clock = clock
         self._counters = counters
         self._known: dict[str, KnownServer] = {}
+        self._signs = signs
         self._leaving: set[str] = set()
         self._board = ReplicaBoard()
         self._outliers = OutlierDetector()
@@ -133,6 +138,17 @@
         if known is not None:
             self._update_usable(known.service)
 
+    def note_response(self, *, server: str, response: HttpResponse) -> None:
+        """Take from ``response`` the signs that ``server`` is leaving."""
+        now = self._clock.now()
+        if response.status == 503 and is_draining(response.body):
+            self._signs.refused_as_draining(server=server, now=now)
+        elif response.close:
+            self._signs.closed_connection(server=server, now=now)
+        else:
+            return
+        self.set_leaving(server=server, leaving=self._signs.is_leaving(server))
+
     def mark_cold(self, *, server: str) -> None:
         """Note that a backend server has just started."""
         self._outliers.mark_cold(server=server, now=self._clock.now())
--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -71,6 +71,7 @@
             rng=self._rng,
             counters=self._counters,
             link_time=LINK_TIME,
+            signs=self._leaving,
         )
         self._inbox = ConfigInbox()
 
--- a/src/savorypond/partials.py
+++ b/src/savorypond/partials.py
@@ -61,6 +61,7 @@
     """The body of a 503 answer that says the request did not run."""
 
     execution: Literal["not-run"]
+    reason: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -82,6 +83,8 @@
     drops: tuple[Drop, ...] = ()
 
 
+DRAINING = "draining"  # reason of a 503 answer of a server that is leaving
+
 _ANSWER = Decoder(ServerAnswer)
 _NOT_HELD = Decoder(NotHeldAnswer)
 _SHED = Decoder(ShedAnswer)
@@ -126,11 +129,20 @@
 
 def is_shed(body: bytes) -> bool:
     """Tell whether the body of a 503 answer says that the request did not run."""
+    return _decode_shed(body) is not None
+
+
+def is_draining(body: bytes) -> bool:
+    """Tell whether the body of a 503 answer says that the server is leaving."""
+    shed = _decode_shed(body)
+    return shed is not None and shed.reason == DRAINING
+
+
+def _decode_shed(body: bytes) -> ShedAnswer | None:
     try:
-        _SHED.decode(body)
+        return _SHED.decode(body)
     except (DecodeError, RecursionError):
-        return False
-    return True
+        return None
 
 
 def check_answer(
--- a/src/savorypond/shardcalls.py
+++ b/src/savorypond/shardcalls.py
@@ -196,8 +196,11 @@
         ok = response.status == 200
         stats.finished(attempt=call, now=self._clock.now(), ok=ok)
         slot.ended(_slot_outcome(call, response))
+        self._servers.note_response(server=attempt.server.name, response=response)
         if call.cancelled is None:
             await self._report(attempt, response, seconds, events)
+        elif call.cancelled is CancelReason.LOST_RACE:
+            self._servers.record_cancelled(server=attempt.server.name, seconds=seconds)
 
     async def _exchange(
         self,
