--- a/benchmarks/bench_path.py
+++ b/benchmarks/bench_path.py
@@ -29,6 +29,7 @@
 from savorypond.exceptions import BackendServerError
 from savorypond.fanoutpolicies import FanoutPolicies
 from savorypond.httpclient import HttpConnection
+from savorypond.leaving import ServerDrain
 from savorypond.model import (
     Address,
     Counters,
@@ -154,7 +155,12 @@
     clock, rng, counters, view = SystemClock(), Random(1), Counters(), _View()
     placement = DirectPlacement(view=view)
     servers = BackendServers(
-        data_centre="split", clock=clock, rng=rng, counters=counters, link_time=0.0
+        data_centre="split",
+        clock=clock,
+        rng=rng,
+        counters=counters,
+        link_time=0.0,
+        signs=ServerDrain(),
     )
     pools = ConnectionPools(
         source_host="", share=placement, clock=clock, rng=rng, counters=counters
--- a/benchmarks/slopes_state.py
+++ b/benchmarks/slopes_state.py
@@ -19,6 +19,7 @@
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.pools import ConnectionPools
 from savorypond.latency import LatencyTracker
+from savorypond.leaving import ServerDrain
 from savorypond.limiter import ServerGate
 from savorypond.model import Bundle, Counters, Instance, Pin, Service
 from savorypond.outlier import OutlierDetector
@@ -87,6 +88,7 @@
             rng=rng,
             counters=counters,
             link_time=0.003,
+            signs=ServerDrain(),
         )
         self.pools = ConnectionPools(
             source_host="", share=placement, clock=clock, rng=rng, counters=counters
--- a/benchmarks/slopes_wire.py
+++ b/benchmarks/slopes_wire.py
@@ -24,6 +24,7 @@
 from savorypond.httpclient import HttpConnection
 from savorypond.httpserver import HttpLimits, HttpServer
 from savorypond.httptypes import HttpRequest, HttpResponse
+from savorypond.leaving import ServerDrain
 from savorypond.linkwire import (
     ForwardAnswer,
     ForwardQuery,
@@ -193,6 +194,7 @@
         rng=rng,
         counters=counters,
         link_time=0.003,
+        signs=ServerDrain(),
     )
     pools = ConnectionPools(
         source_host="", share=_FullShare(), clock=clock, rng=rng, counters=counters
--- a/tests/test_sweeppace.py
+++ b/tests/test_sweeppace.py
@@ -11,6 +11,7 @@
 from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.pools import ConnectionPools
+from savorypond.leaving import ServerDrain
 from savorypond.model import Address, Bundle, Counters, Instance
 from savorypond.placement import OwnerPlacement
 from savorypond.sweeppace import SweepPace
@@ -91,7 +92,12 @@
         clock, counters, rng = SystemClock(), Counters(), Random(1)
         placement = OwnerPlacement(view=view)
         servers = BackendServers(
-            data_centre="split", clock=clock, rng=rng, counters=counters, link_time=0.0
+            data_centre="split",
+            clock=clock,
+            rng=rng,
+            counters=counters,
+            link_time=0.0,
+            signs=ServerDrain(),
         )
         pools = ConnectionPools(
             source_host="", share=placement, clock=clock, rng=rng, counters=counters
