--- a/src/savorypond/budget.py
+++ b/src/savorypond/budget.py
@@ -16,8 +16,8 @@
     """
 
     share: float = 0.05
-    floor: float = 2.0
-    burst: float = 5.0
+    floor: float = 0.2
+    burst: float = 3.0
 
 
 DEFAULT_BUDGET = BudgetConfig()
--- a/src/savorypond/controllers/active.py
+++ b/src/savorypond/controllers/active.py
@@ -100,6 +100,8 @@
             share = self._placement.share(service=service, server=server)
             self._servers.set_share(server=server.name, share=share)
             await self._pools.resize(service=service, server=server)
+        if self.owns(service):
+            await self._pools.open_ahead(service)
 
     async def _follow(self) -> None:
         while True:
--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -49,6 +49,7 @@
         self._pool = ConnectionPool(limits=limits, random=rng)
         self._open: dict[int, HttpConnection] = {}
         self._released = Event()
+        self._closed = False
 
     @property
     def name(self) -> str:
@@ -62,6 +63,7 @@
 
     async def close(self) -> None:
         """Close every connection."""
+        self._closed = True
         connections, self._open = list(self._open.values()), {}
         for connection in connections:
             await connection.close()
@@ -74,6 +76,11 @@
         """Close connections that have been idle for too long."""
         await self._close_all(self._pool.reap(self._clock.now()))
 
+    async def open_ahead(self, *, target: int) -> None:
+        """Open connections until ``target`` stand ready, as far as the cap goes."""
+        for decision in self._pool.open_ahead(self._clock.now(), target=target):
+            await spawn(self._open_idle, decision.connection, daemon=True)
+
     async def lease(self, *, seconds: float, proven: bool = False) -> "ConnectionLease":
         """Return a connection for one request.
 
@@ -126,6 +133,11 @@
         """Have every open connection probed before its next use."""
         self._pool.distrust()
 
+    async def _open_idle(self, number: int) -> None:
+        with suppress(BackendServerError):
+            lease = await self._open_one(number)
+            await lease.give_back(Release.ANSWERED)
+
     async def _open_one(self, number: int) -> "ConnectionLease":
         connection = HttpConnection(
             address=self._address, source_host=self._source_host
@@ -143,6 +155,11 @@
         except BaseException:
             self._pool.failed(number, self._clock.now())
             raise
+        if self._closed:
+            await connection.close()
+            raise BackendServerError(
+                server=self._name, problem="pool is closed", sent=False
+            )
         self._open[number] = connection
         self._pool.opened(number, self._clock.now())
         self._counters.add("connections_opened", "new")
--- a/src/savorypond/controllers/owners.py
+++ b/src/savorypond/controllers/owners.py
@@ -12,7 +12,7 @@
 from savorypond.ownersilence import OwnerSilence
 
 _HEDGE_SHARE = 0.05  # extra requests for each first one
-_HEDGE_FLOOR = 2.0  # extra requests a second where the share yields fewer
+_HEDGE_FLOOR = 0.2  # extra requests a second where the share yields fewer
 _LEAST_HEDGE_DELAY = 0.01  # seconds
 
 
--- a/src/savorypond/controllers/pools.py
+++ b/src/savorypond/controllers/pools.py
@@ -39,6 +39,7 @@
         self._counters = counters
         self._pools: dict[str, ServerConnections] = {}
         self._servers: dict[str, BackendServer] = {}
+        self._targets: dict[str, int] = {}
         self._reaper: Any = None
 
     async def __aenter__(self) -> Self:
@@ -69,6 +70,14 @@
         if pool is not None and pool.pool.cap != cap:
             await pool.resize(cap)
 
+    async def open_ahead(self, service: Service) -> None:
+        """Keep a connection for each slot of ``service`` standing ready."""
+        for server in service.backend_servers:
+            pool = self._pools.get(server.name)
+            if pool is not None:
+                self._targets[server.name] = service.limits.slots
+                await pool.open_ahead(target=service.limits.slots)
+
     def connections(self, server: str) -> ServerConnections | None:
         """Return the connections to ``server``, or None where it is not in force."""
         return self._pools.get(server)
@@ -81,6 +90,7 @@
     async def _close(self, name: str) -> None:
         pool = self._pools.pop(name, None)
         self._servers.pop(name, None)
+        self._targets.pop(name, None)
         if pool is not None:
             await pool.close()
 
@@ -103,5 +113,6 @@
     async def _reap(self) -> None:
         while True:
             await sleep(_REAP_INTERVAL)
-            for pool in list(self._pools.values()):
+            for name, pool in list(self._pools.items()):
                 await pool.reap()
+                await pool.open_ahead(target=self._targets.get(name, 0))
--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -28,11 +28,11 @@
 from savorypond.linkdelay import link_delay
 from savorypond.logs import log_event
 from savorypond.metrics import Metrics
-from savorypond.model import Address, Instance
 from savorypond.operatorapi import OperatorApi
 from savorypond.pause import HEARTBEAT_INTERVAL, Paused, PauseDetector
 from savorypond.peerapi import PeerApi
 from savorypond.peercontrol import ControlClient, ControlServer
+from savorypond.peerdirectory import PeerDirectory
 from savorypond.peerlink import PeerLinks, PeerServer
 from savorypond.platformclient import HttpConfigService, HttpInstanceList
 from savorypond.queryrun import QueryTools
@@ -105,13 +105,6 @@
         """Stop as planned: cut nothing, and hand the work of this instance on."""
         await self._drain.stop()
 
-    def find(self, name: str) -> Instance | None:
-        """Return the peer called ``name``, or None where it is not known."""
-        for member in self._membership.membership.members:
-            if member.name == name:
-                return member.instance
-        return None
-
     def woke(self, paused: Paused) -> None:
         """Distrust what was believed before a pause of this process."""
         self._counters.add("pauses", "noticed")
@@ -164,13 +157,14 @@
         )
         await self._enter(self._membership)
         view = self._membership.membership
+        self._directory = PeerDirectory(membership=view)
         self._placement = make_placement(settings.placement, view)
 
     async def _start_config(self) -> None:
         # A start must hear from its peers: they may know more than the service.
         await self._membership.wait_listed(seconds=_LIST_WAIT)
         settings = self._settings
-        control = ControlClient(fleet=settings.fleet, find=self._find_address)
+        control = ControlClient(fleet=settings.fleet, find=self._directory.find_address)
         await self._enter(control)
         self._config = ConfigController(
             view=self._membership.membership,
@@ -278,7 +272,7 @@
             calls=self._calls,
             config=self._config,
             fleet=settings.fleet,
-            peers=self,
+            peers=self._directory,
             links=self._links,
             clock=self._clock,
             metrics=self._metrics,
@@ -380,10 +374,6 @@
             counters=self._counters,
         )
 
-    def _find_address(self, name: str) -> Address | None:
-        peer = self.find(name)
-        return peer.peer_address if peer is not None else None
-
     def _note_listed_server(self, name: str, leaving: bool) -> None:
         self._leaving.listed(server=name, leaving=leaving)
         standing = self._leaving.is_leaving(name)
--- a/src/savorypond/httpserver.py
+++ b/src/savorypond/httpserver.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
-from socket import IPPROTO_TCP, TCP_NODELAY
-from types import TracebackType
 from typing import Any, Protocol, Self
 
 from absl.logging import exception as log_exception
@@ -13,8 +11,6 @@
     TaskTimeout,
     current_task,
     sleep,
-    spawn,
-    tcp_server_socket,
     timeout_after,
 )
 from h11 import (
@@ -29,6 +25,7 @@
     HttpResponse,
     problem_response,
 )
+from savorypond.listener import Listener
 from savorypond.model import Address
 from savorypond.reasons import Execution, RefusalReason
 
@@ -94,7 +91,6 @@
         on_refusal: Callable[[RefusalReason], None] | None = None,
         gate: ConnectionGate | None = None,
     ) -> None:
-        self._address = address
         self._handler = handler
         self._limits = limits
         self._gate = gate or PerPeerGate(most=limits.connections_per_peer)
@@ -102,15 +98,13 @@
         self._on_refusal = on_refusal
         self._draining = False
         self._busy = 0
-        self._tasks: set[Any] = set()
         self._idle_tasks: set[Any] = set()
-        self._listener: Any = None
-        self._accept_task: Any = None
+        self._listener = Listener(address=address, serve=self._serve_connection)
 
     @property
     def address(self) -> Address:
         """The bound address, with the port the system chose for port 0."""
-        return self._address
+        return self._listener.address
 
     @property
     def busy(self) -> int:
@@ -118,23 +112,11 @@
         return self._busy
 
     async def __aenter__(self) -> Self:
-        self._listener = tcp_server_socket(
-            self._address.host, self._address.port, backlog=_BACKLOG
-        )
-        host, port = self._listener.getsockname()[:2]
-        self._address = Address(host=host, port=port)
-        self._accept_task = await spawn(self._accept)
+        await self._listener.__aenter__()
         return self
 
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        await self._stop_accepting()
-        for task in list(self._tasks):
-            await task.cancel()
+    async def __aexit__(self, *reason: object) -> None:
+        await self._listener.__aexit__()
 
     async def drain(self, *, seconds: float) -> bool:
         """Answer what is in flight, refuse the rest, and wait.
@@ -151,30 +133,6 @@
                     await sleep(0.005)
         return self._busy == 0
 
-    async def _stop_accepting(self) -> None:
-        if self._accept_task is not None:
-            await self._accept_task.cancel()
-            self._accept_task = None
-        if self._listener is not None:
-            await self._listener.close()
-            self._listener = None
-
-    async def _accept(self) -> None:
-        while True:
-            sock, peer = await self._listener.accept()
-            with suppress(OSError):
-                sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-            task = await spawn(self._serve, sock, peer[0], daemon=True)
-            if not task.terminated:
-                self._tasks.add(task)
-
-    async def _serve(self, sock: Any, peer: str) -> None:
-        task = await current_task()
-        try:
-            await self._serve_connection(sock, peer)
-        finally:
-            self._tasks.discard(task)
-
     async def _serve_connection(self, sock: Any, peer: str) -> None:
         number = next(self._connections)
         channel = HttpChannel(sock=sock, peer=peer, number=number, limits=self._limits)
--- a/src/savorypond/peerlink.py
+++ b/src/savorypond/peerlink.py
@@ -19,7 +19,6 @@
     current_task,
     sleep,
     spawn,
-    tcp_server_socket,
     timeout_after,
 )
 from curio.socket import AF_INET, SOCK_STREAM, socket
@@ -33,11 +32,11 @@
     Frame,
     LinkMessage,
 )
+from savorypond.listener import Listener
 from savorypond.model import Address
 from savorypond.reasons import Execution, RefusalReason
 
 _CONNECT_TIME = 0.5  # seconds to open a link
-_BACKLOG = 256
 
 
 class EarlyReply(Protocol):
@@ -88,44 +87,24 @@
         handler: LinkHandler,
         delay: LinkDelay | None = None,
     ) -> None:
-        self._address = address
         self._fleet = fleet
         self._handler = handler
         self._delay = delay
-        self._listener: Any = None
-        self._accept_task: Any = None
-        self._tasks: set[Any] = set()
+        self._listener = Listener(address=address, serve=self._serve)
 
     @property
     def address(self) -> Address:
         """The bound address."""
-        return self._address
+        return self._listener.address
 
     async def __aenter__(self) -> Self:
-        self._listener = tcp_server_socket(
-            self._address.host, self._address.port, backlog=_BACKLOG
-        )
-        host, port = self._listener.getsockname()[:2]
-        self._address = Address(host=host, port=port)
-        self._accept_task = await spawn(self._accept)
+        await self._listener.__aenter__()
         return self
 
     async def __aexit__(self, *reason: object) -> None:
-        await self._accept_task.cancel()
-        await self._listener.close()
-        for task in list(self._tasks):
-            await task.cancel()
-
-    async def _accept(self) -> None:
-        while True:
-            sock, peer = await self._listener.accept()
-            with suppress(OSError):
-                sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-            await spawn(self._serve, sock, peer[0], daemon=True)
+        await self._listener.__aexit__()
 
     async def _serve(self, sock: Any, peer: str) -> None:
-        task = await current_task()
-        self._tasks.add(task)
         stream = FrameStream(sock=sock, peer=peer, fleet=self._fleet)
         running: dict[int, Any] = {}
         try:
@@ -135,7 +114,6 @@
         except OSError:
             pass  # the peer has gone; its requests are cancelled below
         finally:
-            self._tasks.discard(task)
             for one in list(running.values()):
                 await one.cancel()
             await stream.close()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -189,6 +189,19 @@
         self.assertEqual(self.runs(site), 0)
 
 
+class ConnectionTests(TestCase):
+    @in_site(instances=2)
+    async def test_owners_keep_a_connection_for_each_slot_ready(self, site):
+        pages = [daemon.status_page for daemon in site.daemons.values()]
+
+        def standing():
+            servers = [(p.status().name, s) for p in pages for s in p.status().servers]
+            owned = [s for name, s in servers if s.owner == name]
+            return owned and all(s.connections >= 2 for s in owned)
+
+        await until(standing)
+
+
 class PauseTests(TestCase):
     @in_site(instances=2)
     async def test_what_was_not_sent_before_a_pause_never_runs_after_it(self, site):
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,202 @@
+"""The contracts that docs/INTERFACES.md states, held by the stand-ins."""
+
+from random import Random
+from unittest import TestCase
+
+from curio import TaskGroup, run, sleep, timeout_after
+from msgspec.json import decode, encode
+
+from savorypond.httpclient import HttpConnection
+from savorypond.httptypes import HttpRequest
+from savorypond.model import Address
+from savorypond.standin_backend_server import (
+    Faults,
+    HeldSnapshots,
+    ServiceTime,
+    StandinBackendServer,
+)
+from savorypond.standin_platform import (
+    ListedInstance,
+    PlatformFaults,
+    StandinConfigService,
+    StandinInstanceList,
+    StoredValue,
+)
+from tests.fanout_fakes import make_service
+
+HANG = 30  # seconds after which a test that hangs is ended
+LOOPBACK = Address(host="127.0.0.1", port=0)
+SERVICE = make_service("boats")
+SHARD = SERVICE.layouts[0].shards[0].shard
+
+
+async def send(address, method, path, content=None):
+    body = encode(content) if content is not None else b""
+    request = HttpRequest(method=method, path=path, body=body)
+    async with HttpConnection(address=address) as connection:
+        response = await connection.request(request)
+    return response.status, decode(response.body) if response.body else None
+
+
+def search(snapshot=101, request_id="q1", time_left_ms=5000.0):
+    return {
+        "request_id": request_id,
+        "snapshot": snapshot,
+        "layout": 1,
+        "shards": [SHARD],
+        "query": {"text": "ketch"},
+        "time_left_ms": time_left_ms,
+    }
+
+
+def with_server(method):
+    def test(self):
+        async def main():
+            server = StandinBackendServer(
+                name="boats-a",
+                address=LOOPBACK,
+                service=SERVICE,
+                held=HeldSnapshots(),
+                random=Random(1),
+                service_time=ServiceTime(mean=0.001, scv=0.1),
+                now=lambda: 0.0,
+            )
+            async with timeout_after(HANG), server:
+                await method(self, server)
+
+        run(main)
+
+    return test
+
+
+class BackendServerTests(TestCase):
+    @with_server
+    async def test_a_search_echoes_what_was_asked(self, server):
+        status, answer = await send(server.address, "POST", "/v1/search", search())
+        self.assertEqual(status, 200)
+        self.assertEqual(answer["request_id"], "q1")
+        self.assertEqual((answer["snapshot"], answer["layout"]), (101, 1))
+        (partial,) = answer["partials"]
+        self.assertEqual(partial["shard"], SHARD)
+        self.assertEqual(partial["count"], len(partial["results"]))
+
+    @with_server
+    async def test_a_snapshot_not_held_is_409_with_what_is(self, server):
+        status, answer = await send(server.address, "POST", "/v1/search", search(7))
+        self.assertEqual(status, 409)
+        self.assertEqual(answer["reason"], "snapshot-not-held")
+        self.assertEqual([held["snapshot"] for held in answer["held"]], [100, 101])
+
+    @with_server
+    async def test_not_run_is_said_and_true(self, server):
+        for faults in (Faults(shed=True), Faults(draining=True)):
+            server.set_faults(faults)
+            body = {"request_id": "c1", "payload": 1, "time_left_ms": 1000.0}
+            status, answer = await send(server.address, "POST", "/v1/calls", body)
+            self.assertEqual(status, 503)
+            self.assertEqual(answer["execution"], "not-run")
+        self.assertEqual(server.call_ids["c1"], 0)
+
+    @with_server
+    async def test_a_cancelled_search_ends_and_frees_its_slot(self, server):
+        server.set_faults(Faults(slow_factor=1e6))
+        async with TaskGroup(wait=all) as group:
+            asking = await group.spawn(
+                send, server.address, "POST", "/v1/search", search()
+            )
+            while not server.counts["runs"]:
+                await sleep(0.001)
+            status, _ = await send(server.address, "DELETE", "/v1/requests/q1")
+            self.assertEqual(status, 204)
+        self.assertEqual(asking.result[0], 499)
+        self.assertEqual(server.counts["cancelled"], 1)
+
+    @with_server
+    async def test_health_tells_state_and_holdings_unless_it_lies(self, server):
+        _, answer = await send(server.address, "GET", "/v1/health")
+        self.assertEqual(answer["state"], "ready")
+        self.assertEqual([held["snapshot"] for held in answer["held"]], [100, 101])
+        server.set_faults(Faults(draining=True))
+        _, answer = await send(server.address, "GET", "/v1/health")
+        self.assertEqual(answer["state"], "draining")
+        server.set_faults(Faults(draining=True, health_lies=True))
+        _, answer = await send(server.address, "GET", "/v1/health")
+        self.assertEqual(answer["state"], "ready")
+
+    @with_server
+    async def test_bad_requests_are_4xx(self, server):
+        cases = [
+            ("POST", "/v1/search", {"nope": 1}, 400),
+            ("POST", "/v1/search", None, 400),
+            ("GET", "/nope", None, 404),
+        ]
+        for method, path, content, wanted in cases:
+            with self.subTest(path=path, content=content):
+                status, _ = await send(server.address, method, path, content)
+                self.assertEqual(status, wanted)
+
+
+class ConfigServiceTests(TestCase):
+    def test_values_can_be_read_and_watched(self):
+        async def main():
+            service = StandinConfigService(address=LOOPBACK)
+            async with timeout_after(HANG), service:
+                address = service.address
+                path = "/v1/values/change/7"
+                self.assertEqual((await send(address, "GET", path))[0], 404)
+                await service.publish("change/7", StoredValue(revision=7, value=[1]))
+                status, answer = await send(address, "GET", path)
+                self.assertEqual((status, answer["value"]), (200, [1]))
+                self.assertEqual(answer["revision"], 7)
+                watch = f"{path}?after=7&wait=0.05"
+                self.assertEqual((await send(address, "GET", watch))[0], 204)
+                async with TaskGroup(wait=all) as group:
+                    watch = f"{path}?after=7&wait=20"
+                    watching = await group.spawn(send, address, "GET", watch)
+                    reads = service.reads
+                    while service.reads == reads:
+                        await sleep(0.001)
+                    value = StoredValue(revision=8, value=[2])
+                    await service.publish("change/7", value)
+                self.assertEqual(watching.result[1]["revision"], 8)
+
+        run(main)
+
+    def test_a_frozen_service_shows_what_it_held(self):
+        async def main():
+            service = StandinConfigService(address=LOOPBACK)
+            async with timeout_after(HANG), service:
+                await service.publish("head", StoredValue(revision=1, value=1))
+                service.set_faults(PlatformFaults(frozen=True))
+                await service.publish("head", StoredValue(revision=2, value=2))
+                path = "/v1/values/head"
+                self.assertEqual(
+                    (await send(service.address, "GET", path))[1]["value"], 1
+                )
+                service.set_faults(PlatformFaults())
+                self.assertEqual(
+                    (await send(service.address, "GET", path))[1]["value"], 2
+                )
+
+        run(main)
+
+
+class InstanceListTests(TestCase):
+    def test_readers_are_behind_by_the_lag(self):
+        now = [0.0]
+
+        async def main():
+            listing = StandinInstanceList(
+                address=LOOPBACK, lag=60.0, now=lambda: now[0]
+            )
+            async with timeout_after(HANG), listing:
+                listing.replace((ListedInstance(name="one"),))
+                listing.replace((ListedInstance(name="two", state="leaving"),))
+                seen = []
+                for at in (0.0, 59.0, 60.0):
+                    now[0] = at
+                    _, answer = await send(listing.address, "GET", "/v1/instances")
+                    seen.append(answer["instances"][0]["name"])
+                self.assertEqual(seen, ["one", "one", "two"])
+
+        run(main)
