--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -85,7 +85,7 @@
                 for name in site.daemons:
                     answer = await site.query(name)
                     coverage = answer["coverage"]
-                    self.assertEqual(coverage["covered"], case.covered)
+                    self.assertEqual(coverage["covered"], case.covered, coverage)
                     self.assertEqual(
                         coverage["covered"] + len(coverage["missing"]), ALL_SHARDS
                     )
