Take an owner's lack of knowledge for what it is

Change: an empty answer changes no evidence; a shard that got no attempt for want of time is missing as timed-out.

--- a/src/savorypond/controllers/holdings.py
+++ b/src/savorypond/controllers/holdings.py
@@ -134,7 +134,7 @@
             return
         for line in reply.services:
             service = by_name.get(line.service)
-            if service is not None:
+            if service is not None and line.held:  # none means: not known yet
                 pins = [Pin(snapshot=h.snapshot, layout=h.layout) for h in line.held]
                 self.heard([service], pins)
 
--- a/src/savorypond/fanoutrun.py
+++ b/src/savorypond/fanoutrun.py
@@ -251,6 +251,8 @@
         if run.attempts >= self._most_attempts:
             return self._abandon(run, DenialReason.ATTEMPTS_SPENT)
         if not self._has_time_for(self._settings.least_attempt_time):
+            if not run.attempts:
+                run.reason = MissingReason.TIMED_OUT
             return self._abandon(run, DenialReason.NO_TIME)
         purpose = Purpose.RETRY if run.attempts else Purpose.FIRST
         server = self._choose(run, purpose)
