--- a/benchmarks/bench_choice.py
+++ b/benchmarks/bench_choice.py
@@ -1,7 +1,7 @@
 """Latency by rule of choice among the replicas of one service.
 
-Every instance sends by itself and knows only its own requests; the backend
-servers queue what exceeds their slots. With one instance this is the view of
+Every instance sends by itself and knows only its own requests; each
+backend server queues what exceeds its slots. With one instance this is the view of
 an owner. An arrival refused by a full gate counts as a minute.
 """
 
--- a/benchmarks/calls_model.py
+++ b/benchmarks/calls_model.py
@@ -294,7 +294,7 @@
             names = [n for n in self.members if n not in member.suspected]
             return self.members[max(names, key=lambda n: key_score(n, ticket.number))]
         route = route_ticket(
-            ticket=ticket, fleet="bench", myself=member.name, peers=_View(member)
+            ticket=ticket, fleet="bench", myself=member.name, peers=_View(member=member)
         )
         if isinstance(route, Forward):
             return self.members[route.instance.name]
@@ -352,7 +352,7 @@
 
 
 class _View:
-    def __init__(self, member: Member) -> None:
+    def __init__(self, *, member: Member) -> None:
         self._member = member
 
     def find(self, name: str) -> Instance | None:
--- a/src/savorypond/peerlink.py
+++ b/src/savorypond/peerlink.py
@@ -179,7 +179,7 @@
 class _Pending:
     """A request that waits for its reply."""
 
-    def __init__(self, early: EarlyReply | None) -> None:
+    def __init__(self, *, early: EarlyReply | None) -> None:
         self.done = Event()
         self.early = early
         self.reply: LinkMessage | None = None
@@ -220,7 +220,7 @@
         """
         stream = await self._connected()
         number = next(self._numbers)
-        pending = _Pending(early)
+        pending = _Pending(early=early)
         self._pending[number] = pending
         received_before = self._frames_received
         try:
--- a/tests/test_confstore.py
+++ b/tests/test_confstore.py
@@ -156,9 +156,9 @@
         store = make_store(HISTORY[have - 1] if have else None)
         cutter = ReplyCutter(store=peer, fleet="f", name="peer")
         pull = Pull(store=store, fleet="f", name="me")
-        request, todo = pull.request(), list(moves)
+        request, waiting = pull.request(), list(moves)
         while request is not None:
-            for _ in range(todo.pop() if todo else 0):
+            for _ in range(waiting.pop() if waiting else 0):
                 after = peer.stamp.revision
                 if after < len(HISTORY):
                     bundle = HISTORY[after]
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -97,20 +97,20 @@
         self, publish_before, start, lost
     ):
         """Reads see the values of different moments; the state is one of them."""
-        service, todo = FakeService(), list(HISTORY)
+        service, waiting = FakeService(), list(HISTORY)
         store = ConfigStore(counters=Counters())
         with patch("savorypond.publication.PART_BYTES", 600):
-            service.publish(todo.pop(0))
+            service.publish(waiting.pop(0))
             if start:
                 drive(store, service)
             for _ in range(start):
-                service.publish(todo.pop(0))
+                service.publish(waiting.pop(0))
             if lost:
                 service.values.pop(change_key(service.revision), None)
 
             def publish_next():
-                if publish_before and publish_before.pop() and todo:
-                    service.publish(todo.pop(0))
+                if publish_before and publish_before.pop() and waiting:
+                    service.publish(waiting.pop(0))
 
             for _ in range(len(HISTORY) + 2):
                 drive(store, service, publish_next)
