Let an instance go down to one query in flight, and start with fewer

Cause: seven instances that each keep at least four queries in flight hold more than the fleet's slots can answer in time, so at capacity half of the answers were thin rather than some refused. Change: a first limit of 16 and a least of 1 for each instance.

--- a/src/savorypond/wiring.py
+++ b/src/savorypond/wiring.py
@@ -24,6 +24,10 @@
 from savorypond.settings import PlacementMode, Settings
 
 
+FIRST_IN_FLIGHT = 16  # queries that an instance takes at once when it starts
+LEAST_IN_FLIGHT = 1  # a share of the fleet's capacity may be as small
+
+
 def make_placement(mode: PlacementMode, view: FleetView) -> SlotSharing:
     """Return the placement that ``mode`` names."""
     if mode is PlacementMode.DIRECT:
@@ -45,9 +49,8 @@
 
 
 def _admission_config(most: int) -> AdmissionConfig:
-    usual = AdmissionConfig()
     return AdmissionConfig(
-        initial=min(usual.initial, most), least=min(usual.least, most), most=most
+        initial=min(FIRST_IN_FLIGHT, most), least=LEAST_IN_FLIGHT, most=most
     )
 
 
