--- a/src/savorypond/wiring.py
+++ b/src/savorypond/wiring.py
@@ -23,7 +23,6 @@
 from savorypond.protocols import ConfigView
 from savorypond.settings import PlacementMode, Settings
 
-
 FIRST_IN_FLIGHT = 16  # queries that an instance takes at once when it starts
 LEAST_IN_FLIGHT = 1  # a share of the fleet's capacity may be as small
 
