Let an own part end while it is being concluded

Cause: reading: an own part may end in the turn in which the whole query takes what it has, and its entry would be removed twice. Change: the second removal does nothing.

--- a/src/savorypond/forwardrun.py
+++ b/src/savorypond/forwardrun.py
@@ -168,7 +168,7 @@
         for number, local in list(self._local.items()):
             answer = await local.run.conclude()
             if answer is not None:
-                del self._local[number]
+                self._local.pop(number, None)
                 await self._apply(
                     self._forwarding.answered(local.ask, answer, self._now())
                 )
