--- a/src/savorypond/exceptions.py
+++ b/src/savorypond/exceptions.py
@@ -117,3 +117,33 @@
     def __init__(self, *, problem: str) -> None:
         super().__init__(f"instance list: {problem}")
         self.problem = problem
+
+
+class PublishedError(SavorypondError):
+    """What is published could not be read.
+
+    :param source: whom it was read from.
+    """
+
+    def __init__(self, *, source: str, problem: str) -> None:
+        super().__init__(f"published state at {source}: {problem}")
+        self.source = source
+        self.problem = problem
+
+
+class HistoryLost(SavorypondError):  # noqa: N818
+    """The changes after a position are no longer to be had."""
+
+    def __init__(self, *, source: str, position: int) -> None:
+        super().__init__(f"{source} holds no changes after position {position}")
+        self.source = source
+        self.position = position
+
+
+class PoolExhausted(SavorypondError):  # noqa: N818
+    """No further connection to a backend server may be opened."""
+
+    def __init__(self, *, server: str, most: int) -> None:
+        super().__init__(f"backend server {server}: {most} connections are in use")
+        self.server = server
+        self.most = most
--- /dev/null
+++ b/src/savorypond/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Routes requests to registered backend servers, one server or many shards."""
--- /dev/null
+++ b/src/savorypond/gateway/attempts.py
@@ -0,0 +1,212 @@
+"""Sends one attempt to one backend server and classifies what comes back."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from curio import CancelledError, TaskTimeout, timeout_after
+
+from savorypond.clock import Clock
+from savorypond.exceptions import BackendServerError, PoolExhausted
+from savorypond.gateway.headers import CONNECTION_HEADERS, HeaderNames
+from savorypond.gateway.serverload import ServerLoads
+from savorypond.gateway.serverpool import ServerPools
+from savorypond.gateway.servers import RegisteredServer
+from savorypond.httptypes import Header, HttpRequest, HttpResponse
+from savorypond.model import Counters
+
+_MILLISECONDS = 1000.0  # in a second
+_MISDIRECTED = 421
+
+
+class AttemptOutcome(StrEnum):
+    """What became of an attempt."""
+
+    USABLE = "usable"
+    NOT_SENT = "not-sent"
+    REFUSED = "refused"
+    MISDIRECTED = "misdirected"
+    FAILED = "failed"
+    BROKEN = "broken"
+    SILENT = "silent"
+    FOREIGN = "foreign"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptResult:
+    """The outcome of one attempt.
+
+    :param problem: what went wrong, empty for a usable answer.
+    :param response: the server's response, where it is one to this request.
+    """
+
+    outcome: AttemptOutcome
+    server: RegisteredServer
+    problem: str = ""
+    response: HttpResponse | None = None
+
+    @property
+    def sent(self) -> bool:
+        """Whether the server may have got the request."""
+        return self.outcome is not AttemptOutcome.NOT_SENT
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the server may have run the request, or may still run it."""
+        return self.outcome not in (
+            AttemptOutcome.NOT_SENT,
+            AttemptOutcome.REFUSED,
+            AttemptOutcome.MISDIRECTED,
+        )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ForwardedRequest:
+    """A caller's request as every server gets it.
+
+    :param headers: headers that are the same for each attempt.
+    :param ends: monotonic seconds until which the caller waits.
+    """
+
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    request_id: str
+    ends: float
+    repeatable: bool
+
+
+def forward_headers(request: HttpRequest, names: HeaderNames) -> tuple[Header, ...]:
+    """Return the headers of ``request`` that a server gets unchanged."""
+    named = request.header("connection") or ""
+    dropped = {token.strip().lower() for token in named.split(",")}
+    dropped |= CONNECTION_HEADERS
+    dropped |= {"expect", names.time_left, names.expected_server}
+    if request.body:
+        dropped.add("content-length")
+    return tuple(h for h in request.headers if h.name not in dropped)
+
+
+class AttemptRunner:
+    """Makes attempts, and tells the loads of the servers what they showed."""
+
+    def __init__(
+        self,
+        *,
+        names: HeaderNames,
+        pools: ServerPools,
+        loads: ServerLoads,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._names = names
+        self._pools = pools
+        self._loads = loads
+        self._clock = clock
+        self._counters = counters
+
+    async def run(
+        self, request: ForwardedRequest, server: RegisteredServer, *, usual: float
+    ) -> AttemptResult:
+        """Send ``request`` to ``server`` and return what came of it.
+
+        :param usual: seconds that answers of the route usually take.
+        """
+        number = self._loads.begin(server, self._clock.now())
+        try:
+            async with timeout_after(max(0.0, request.ends - self._clock.now())):
+                result = await self._try(request, server)
+        except TaskTimeout:
+            result = AttemptResult(
+                outcome=AttemptOutcome.SILENT,
+                server=server,
+                problem="no answer in time",
+            )
+        except CancelledError:
+            now = self._clock.now()
+            self._loads.abandoned(server, number, usual=usual, now=now)
+            raise
+        self._note(result, number, usual)
+        if result.outcome is AttemptOutcome.MISDIRECTED:
+            await self._pools.forget(server)
+        return result
+
+    async def _try(
+        self, request: ForwardedRequest, server: RegisteredServer
+    ) -> AttemptResult:
+        try:
+            lease = await self._pools.lease(server, fresh=not request.repeatable)
+        except (BackendServerError, PoolExhausted) as error:
+            return AttemptResult(
+                outcome=AttemptOutcome.NOT_SENT, server=server, problem=str(error)
+            )
+        try:
+            async with lease as connection:
+                response = await connection.request(self._encode(request, server))
+                self._check_owner(request, response, server)
+        except BackendServerError as error:
+            outcome = AttemptOutcome.BROKEN if error.sent else AttemptOutcome.NOT_SENT
+            return AttemptResult(outcome=outcome, server=server, problem=error.problem)
+        return self._classify(response, server)
+
+    def _encode(
+        self, request: ForwardedRequest, server: RegisteredServer
+    ) -> HttpRequest:
+        left = max(1, int((request.ends - self._clock.now()) * _MILLISECONDS))
+        own = (
+            Header(name=self._names.time_left, value=str(left)),
+            Header(name=self._names.expected_server, value=server.name),
+        )
+        return HttpRequest(
+            method=request.method,
+            path=request.path,
+            headers=request.headers + own,
+            body=request.body,
+        )
+
+    def _check_owner(
+        self,
+        request: ForwardedRequest,
+        response: HttpResponse,
+        server: RegisteredServer,
+    ) -> None:
+        """Raise BackendServerError for the answer to another request."""
+        echoed = response.header(self._names.request_id)
+        if echoed is not None and echoed != request.request_id:
+            raise BackendServerError(
+                server=server.name, problem="answer to another request", sent=True
+            )
+
+    def _classify(
+        self, response: HttpResponse, server: RegisteredServer
+    ) -> AttemptResult:
+        signature = response.header(self._names.signature)
+        problem = f"status {response.status}"
+        if response.status == _MISDIRECTED:
+            outcome = AttemptOutcome.MISDIRECTED
+        elif response.header(self._names.not_run) is not None:
+            outcome = AttemptOutcome.REFUSED
+        elif not 200 <= response.status < 500:
+            outcome = AttemptOutcome.FAILED
+        elif signature is None:
+            outcome, problem = AttemptOutcome.FOREIGN, "answer without a signature"
+        else:
+            outcome, problem = AttemptOutcome.USABLE, ""
+        return AttemptResult(
+            outcome=outcome, server=server, problem=problem, response=response
+        )
+
+    def _note(self, result: AttemptResult, number: int, usual: float) -> None:
+        self._counters.add("gateway_attempts", result.outcome)
+        now = self._clock.now()
+        server = result.server
+        if result.outcome is AttemptOutcome.USABLE:
+            self._loads.answered(server, number, usual=usual, now=now)
+        elif result.outcome is AttemptOutcome.REFUSED:
+            self._loads.refused(server, number, now=now)
+        else:
+            gone = result.outcome in (
+                AttemptOutcome.NOT_SENT,
+                AttemptOutcome.MISDIRECTED,
+            )
+            self._loads.failed(server, number, gone=gone, now=now)
--- /dev/null
+++ b/src/savorypond/gateway/gatherplan.py
@@ -0,0 +1,277 @@
+"""Decides what to send for one request, and when to answer it.
+
+Answers stragglers: a shard whose server is slow, paused or failing is asked of
+another server within the budget; near the goal the answer holds what has arrived,
+as long as that is enough; what can no longer be served is given up at once.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from enum import StrEnum
+from math import inf
+from typing import Protocol
+
+from savorypond.gateway.servers import RegisteredServer
+
+_ROUNDING = 1e-9  # shares are compared as numbers of shards
+_UNSENT_TRIES = 3  # servers beyond the attempts, if nothing reached the others
+_DENIED_PAUSE = 0.02  # seconds until a hedge that was not allowed is tried again
+
+
+class ServerChooser(Protocol):
+    """Names the server for an attempt."""
+
+    def choose(
+        self, service: str, *, exclude: Collection[str], now: float
+    ) -> RegisteredServer | None:
+        """Return a server of ``service`` that is not in ``exclude``, or None."""
+
+
+class ExtraSends(Protocol):
+    """Allows sends beyond the first of each shard."""
+
+    def try_spend(self, *, service: str, now: float) -> bool:
+        """Take one extra send if there is one."""
+
+    def refund(self, *, service: str) -> None:
+        """Take back an extra send that never left."""
+
+
+class Verdict(StrEnum):
+    """How a request ends."""
+
+    ANSWER = "answer"
+    UNSERVABLE = "unservable"
+    TIMED_OUT = "timed-out"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Send:
+    """One attempt to be made.
+
+    :param number: of the attempt, unique within the request.
+    """
+
+    number: int
+    shard: int
+    server: RegisteredServer
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlanLimits:
+    """What bounds one request; times in monotonic seconds.
+
+    :param repeatable: whether the request may run more than once.
+    :param max_attempts: servers that may be sent the request, for each shard.
+    :param least_share: share of the shards that an answer must hold.
+    :param answer_at: from when an answer need not hold every shard.
+    :param end_at: when the request must have its final answer.
+    """
+
+    repeatable: bool
+    max_attempts: int
+    least_share: float
+    answer_at: float
+    end_at: float
+
+
+@dataclass(slots=True, kw_only=True)
+class _Shard:
+    service: str
+    tried: set[str] = field(default_factory=set)
+    running: set[int] = field(default_factory=set)
+    sent: int = 0
+    unsent: int = 0
+    hedge_at: float = inf
+    answered: bool = False
+
+    @property
+    def waiting(self) -> bool:
+        """Whether an answer may still come."""
+        return not self.answered and bool(self.running)
+
+
+class GatherPlan:
+    """The state of one request that goes to one server of each of its shards.
+
+    :param services: the service of each shard.
+    :param hedge_delay: seconds after which a shard is asked of another server.
+    """
+
+    def __init__(
+        self,
+        *,
+        services: tuple[str, ...],
+        limits: PlanLimits,
+        hedge_delay: float,
+        chooser: ServerChooser,
+        extras: ExtraSends,
+    ) -> None:
+        self._shards = [_Shard(service=service) for service in services]
+        self._limits = limits
+        self._hedge_delay = hedge_delay
+        self._chooser = chooser
+        self._extras = extras
+        self._shard_of: dict[int, int] = {}
+        self._paid: set[int] = set()
+        self._numbers = 0
+        self._answered = 0
+        self._hedges = 0
+        self._retries = 0
+        self._denied = 0
+        self._least = limits.least_share * len(services) - _ROUNDING
+
+    @property
+    def answered(self) -> int:
+        """Shards that have answered."""
+        return self._answered
+
+    @property
+    def hedges(self) -> int:
+        """Further sends while an attempt was running."""
+        return self._hedges
+
+    @property
+    def retries(self) -> int:
+        """Further sends after an attempt had failed."""
+        return self._retries
+
+    @property
+    def denied(self) -> int:
+        """Further sends that the budget did not allow."""
+        return self._denied
+
+    def missing(self) -> tuple[str, ...]:
+        """Return the services of the shards without an answer."""
+        return tuple(s.service for s in self._shards if not s.answered)
+
+    def start(self, now: float) -> list[Send]:
+        """Return the first attempts, none where they could not be enough."""
+        sends = []
+        for index in range(len(self._shards)):
+            send = self._send(index, now)
+            if send is not None:
+                sends.append(send)
+        if len(sends) < self._least or not sends:
+            self._withdraw(sends)
+            return []
+        return sends
+
+    def part(self, number: int) -> bool:
+        """Note a usable answer; return whether it is the first of its shard."""
+        shard = self._shards[self._shard_of[number]]
+        shard.running.discard(number)
+        if shard.answered:
+            return False
+        shard.answered = True
+        shard.hedge_at = inf
+        self._answered += 1
+        return True
+
+    def failed(self, number: int, now: float, *, may_have_run: bool) -> list[Send]:
+        """Note that an attempt failed; return the attempts to make instead.
+
+        :param may_have_run: whether the server may have run the request.
+        """
+        index = self._shard_of[number]
+        shard = self._shards[index]
+        shard.running.discard(number)
+        if may_have_run and not self._limits.repeatable:
+            shard.sent = max(shard.sent, self._limits.max_attempts)
+        if shard.answered or shard.running or now >= self._limits.end_at:
+            return []
+        return self._retry(index, now)
+
+    def unsent(self, number: int, now: float) -> list[Send]:
+        """Note that nothing of an attempt left; return the attempts to make."""
+        index = self._shard_of[number]
+        shard = self._shards[index]
+        shard.running.discard(number)
+        shard.sent -= 1
+        shard.unsent += 1
+        if number in self._paid:
+            self._paid.discard(number)
+            self._extras.refund(service=shard.service)
+        if shard.answered or shard.running or now >= self._limits.end_at:
+            return []
+        return self._retry(index, now)
+
+    def tick(self, now: float) -> list[Send]:
+        """Return the hedges that are due."""
+        sends = []
+        for index, shard in enumerate(self._shards):
+            if now >= shard.hedge_at and shard.waiting:
+                sends += self._hedge(index, now)
+        return sends
+
+    def next_wake(self) -> float:
+        """Return when ``tick`` or ``verdict`` may have something new."""
+        wake = self._limits.end_at
+        if self._answered >= self._least:
+            wake = min(wake, self._limits.answer_at)
+        for shard in self._shards:
+            if shard.waiting and shard.hedge_at < wake:
+                wake = shard.hedge_at
+        return wake
+
+    def verdict(self, now: float) -> Verdict | None:
+        """Return how the request ends, or None while it goes on."""
+        total = len(self._shards)
+        enough = self._answered >= self._least and self._answered > 0
+        if self._answered == total:
+            return Verdict.ANSWER
+        waiting = sum(shard.waiting for shard in self._shards)
+        if not waiting:
+            return Verdict.ANSWER if enough else Verdict.UNSERVABLE
+        if self._answered + waiting < self._least:
+            return Verdict.UNSERVABLE
+        if enough and now >= self._limits.answer_at:
+            return Verdict.ANSWER
+        if now >= self._limits.end_at:
+            return Verdict.TIMED_OUT
+        return None
+
+    def _retry(self, index: int, now: float) -> list[Send]:
+        shard = self._shards[index]
+        if shard.sent >= self._limits.max_attempts or shard.unsent > _UNSENT_TRIES:
+            return []
+        # A first send that never left is not repeated but made.
+        send = self._send(index, now, paid=shard.sent > 0)
+        if send is None:
+            return []
+        self._retries += 1
+        return [send]
+
+    def _hedge(self, index: int, now: float) -> list[Send]:
+        shard = self._shards[index]
+        shard.hedge_at = inf
+        if not self._limits.repeatable or shard.sent >= self._limits.max_attempts:
+            return []
+        send = self._send(index, now, paid=True)
+        if send is None:
+            shard.hedge_at = now + max(self._hedge_delay, _DENIED_PAUSE)
+            return []
+        self._hedges += 1
+        return [send]
+
+    def _send(self, index: int, now: float, *, paid: bool = False) -> Send | None:
+        shard = self._shards[index]
+        server = self._chooser.choose(shard.service, exclude=shard.tried, now=now)
+        if server is None:
+            return None
+        if paid and not self._extras.try_spend(service=shard.service, now=now):
+            self._denied += 1
+            return None
+        self._numbers += 1
+        self._shard_of[self._numbers] = index
+        if paid:
+            self._paid.add(self._numbers)
+        shard.tried.add(server.name)
+        shard.running.add(self._numbers)
+        shard.sent += 1
+        shard.hedge_at = now + self._hedge_delay
+        return Send(number=self._numbers, shard=index, server=server)
+
+    def _withdraw(self, sends: list[Send]) -> None:
+        for send in sends:
+            self._shards[send.shard].running.discard(send.number)
--- /dev/null
+++ b/src/savorypond/gateway/published.py
@@ -0,0 +1,54 @@
+"""What is published: the configuration and the registrations."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from savorypond.gateway.routes import RouteTable
+from savorypond.gateway.servers import RegisteredServer
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerChange:
+    """A registration that was written, or removed where ``server`` is None."""
+
+    name: str
+    server: RegisteredServer | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PublishedCopy:
+    """All that is published.
+
+    :param position: changes after this position may be missing in the copy.
+    :param table: the configuration, or None where there is none yet.
+    """
+
+    position: int
+    table: RouteTable | None
+    servers: tuple[RegisteredServer, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PublishedChanges:
+    """What changed, up to and with ``position``."""
+
+    position: int
+    table: RouteTable | None
+    servers: tuple[ServerChange, ...]
+
+
+class PublishedSource(Protocol):
+    """Somebody who can be asked for what is published."""
+
+    async def read_all(self) -> PublishedCopy:
+        """Return all that is published; raise PublishedError."""
+
+    async def changes(self, *, after: int, wait: float) -> PublishedChanges:
+        """Return what changed after a position, waiting ``wait`` seconds for it.
+
+        :raises HistoryLost: the source no longer knows these changes.
+        :raises PublishedError: the source cannot be read.
+        """
+
+    async def close(self) -> None:
+        """Release what is held between calls."""
--- /dev/null
+++ b/src/savorypond/gateway/routes.py
@@ -0,0 +1,102 @@
+"""Routes: which requests go to which services, and how."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from savorypond.httpchannel import HttpLimits
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WeightedService:
+    """One of the services that share the requests of a route."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """How the requests of one host and path prefix are handled.
+
+    :param idempotent: whether a request may run more than once.
+    :param time_limit: seconds after which every request has its final answer.
+    :param goal: seconds within which an answer has its full worth.
+    :param max_attempts: backend servers that one request may be sent to; for a
+        route with shards, the servers of each shard.
+    :param priority: rank; a lower number goes first.
+    :param split: services of a route without shards.
+    :param shards: services that each hold one shard; all are asked.
+    :param top: records of a merged answer.
+    :param least_share: share of the shards below which there is no answer.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    time_limit: float
+    goal: float
+    max_attempts: int = 1
+    priority: int = 0
+    split: tuple[WeightedService, ...] = ()
+    shards: tuple[str, ...] = ()
+    top: int = 0
+    least_share: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RoutedService:
+    """A service that routes name.
+
+    :param max_connections: connections that each of its servers accepts, from
+        all instances together.
+    """
+
+    name: str
+    health_path: str = ""
+    max_connections: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class RouteTable:
+    """One version of the configuration.
+
+    :param limits: what callers may send.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[RoutedService, ...] = ()
+    limits: HttpLimits = field(default_factory=HttpLimits)
+    _by_host: Mapping[str, tuple[Route, ...]] = field(init=False, repr=False)
+    _connections: Mapping[str, int] = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        longest_first = {
+            host: tuple(sorted(routes, key=lambda r: -len(r.prefix)))
+            for host, routes in by_host.items()
+        }
+        object.__setattr__(self, "_by_host", longest_first)
+        connections = {s.name: s.max_connections for s in self.services}
+        object.__setattr__(self, "_connections", connections)
+
+    def match(self, *, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path``, or None.
+
+        :param host: the Host header; a port in it does not count.
+        """
+        name = host.lower()
+        routes = self._by_host.get(name)
+        if routes is None:
+            routes = self._by_host.get(name.partition(":")[0], ())
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def max_connections(self, service: str) -> int:
+        """Return what each server of ``service`` accepts, 0 where unknown."""
+        return self._connections.get(service, 0)
--- a/src/savorypond/httpchannel.py
+++ b/src/savorypond/httpchannel.py
@@ -1,10 +1,12 @@
 """One accepted HTTP/1.1 connection: reads whole requests, writes responses."""
 
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
 from curio import (
+    Event,
     TaskTimeout,
     timeout_after,
 )
@@ -38,6 +40,7 @@
 from savorypond.reasons import RefusalReason
 
 _RECEIVE_BYTES = 65536
+_MOST_READ_AHEAD = 65536  # bytes that a caller may send before it has its answer
 _CLOSE_GRACE = 0.2  # seconds in which the other end may still read an error
 
 
@@ -60,16 +63,25 @@
 
 
 class HttpChannel:
-    """One accepted connection and its h11 state."""
+    """One accepted connection and its h11 state.
+
+    :param limits: returns the limits in force; they may change meanwhile.
+    """
 
     def __init__(
-        self, *, sock: Any, peer: str, number: int, limits: HttpLimits
+        self,
+        *,
+        sock: Any,
+        peer: str,
+        number: int,
+        limits: Callable[[], HttpLimits],
     ) -> None:
         self._sock = sock
         self._peer = peer
         self._number = number
         self._limits = limits
-        self._http = Connection(SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._bodiless = False
+        self._http = Connection(SERVER, max_incomplete_event_size=limits().header_bytes)
 
     async def wait_first_byte(self) -> bool:
         """Wait for the next request to begin; False where none will."""
@@ -78,30 +90,46 @@
         if self._http.trailing_data[0]:
             return True
         try:
-            async with timeout_after(self._limits.idle_time):
+            async with timeout_after(self._limits().idle_time):
                 data = await self._sock.recv(_RECEIVE_BYTES)
         except TaskTimeout:
             return False
         self._http.receive_data(data)
         return bool(data)
 
+    async def wait_departure(self) -> None:
+        """Return once the other end has closed the connection.
+
+        What it sends meanwhile is kept for the next request.
+        """
+        ahead = len(self._http.trailing_data[0])
+        with suppress(OSError):
+            while ahead <= _MOST_READ_AHEAD:
+                data = await self._sock.recv(_RECEIVE_BYTES)
+                self._http.receive_data(data)
+                if not data:
+                    return
+                ahead += len(data)
+            await Event().wait()
+
     async def receive(self) -> HttpRequest | None:
         """Return the next whole request, or None where the other end left.
 
         Raises RequestRefused where it breaks a limit or the protocol.
         """
+        limits = self._limits()
         try:
-            async with timeout_after(self._limits.receive_time):
-                return await self._receive_request()
+            async with timeout_after(limits.receive_time):
+                return await self._receive_request(limits)
         except TaskTimeout as error:
             raise RequestRefused(
                 reason=RefusalReason.TOO_SLOW,
-                detail=f"request not whole after {self._limits.receive_time} s",
+                detail=f"request not whole after {limits.receive_time} s",
             ) from error
         except RemoteProtocolError as error:
             raise _malformed(error) from error
 
-    async def _receive_request(self) -> HttpRequest | None:
+    async def _receive_request(self, limits: HttpLimits) -> HttpRequest | None:
         head: Request | None = None
         body = bytearray()
         while True:
@@ -111,12 +139,13 @@
                 self._http.receive_data(await self._sock.recv(_RECEIVE_BYTES))
             elif isinstance(event, Request):
                 head = event
-                _check_head_size(event, self._limits.header_bytes)
-                _check_declared_length(event, self._limits.body_bytes)
+                _check_head_size(event, limits.header_bytes)
+                _check_framing(event)
+                _check_declared_length(event, limits.body_bytes)
             elif isinstance(event, Data):
                 body += event.data
-                if len(body) > self._limits.body_bytes:
-                    raise _body_too_large(self._limits.body_bytes)
+                if len(body) > limits.body_bytes:
+                    raise _body_too_large(limits.body_bytes)
             elif isinstance(event, EndOfMessage) and head is not None:
                 return self._build_request(head, bytes(body))
             elif isinstance(event, ConnectionClosed) or event is PAUSED:
@@ -127,6 +156,7 @@
             HttpHeader(name=name.decode("ascii"), value=value.decode("latin-1"))
             for name, value in head.headers
         )
+        self._bodiless = head.method == b"HEAD"
         return HttpRequest(
             method=head.method.decode("ascii"),
             path=head.target.decode("latin-1"),
@@ -151,7 +181,8 @@
             headers.append(("connection", "close"))
         head = Response(status_code=response.status, headers=headers)
         data = self._http.send(head) or b""
-        data += self._http.send(Data(data=response.body)) or b""
+        if not self._bodiless:
+            data += self._http.send(Data(data=response.body)) or b""
         data += self._http.send(EndOfMessage()) or b""
         await self._sock.sendall(data)
         if self._http.states != {CLIENT: DONE, SERVER: DONE}:
@@ -184,6 +215,16 @@
             raise _body_too_large(most)
 
 
+def _check_framing(head: Request) -> None:
+    """Refuse what two readers may split into requests in two ways."""
+    names = {name for name, _ in head.headers}
+    if b"content-length" in names and b"transfer-encoding" in names:
+        raise RequestRefused(
+            reason=RefusalReason.MALFORMED,
+            detail="both content-length and transfer-encoding are given",
+        )
+
+
 def _body_too_large(most: int) -> RequestRefused:
     return RequestRefused(
         reason=RefusalReason.TOO_LARGE, detail=f"body is larger than {most} bytes"
--- a/src/savorypond/httpclient.py
+++ b/src/savorypond/httpclient.py
@@ -2,11 +2,13 @@
 
 from contextlib import suppress
 from functools import lru_cache
+from select import POLLIN, poll
 from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_NODELAY
 from struct import pack
 from types import TracebackType
 from typing import Any, Self
 
+from curio import TaskGroup, spawn
 from curio.socket import AF_INET, SOCK_STREAM, socket
 from h11 import (
     CLIENT,
@@ -27,6 +29,7 @@
 from savorypond.model import Address
 
 _RECEIVE_BYTES = 65536
+_SEND_AT_ONCE = 8192  # bytes; fewer fit into any socket's buffer
 _MOST_BODY_BYTES = 16 * 1024 * 1024
 _HEADS_KEPT = 4096  # request heads that were checked and may recur
 _RESET_ON_CLOSE = pack("ii", 1, 0)  # SO_LINGER: on, 0 s
@@ -45,8 +48,14 @@
         self._http = Connection(CLIENT)
         self._sent = False
         self._reusable = False
+        self._keep_alive: float | None = None
         self._host = f"{address.host}:{address.port}"
 
+    @property
+    def keep_alive(self) -> float | None:
+        """Seconds for which the other end keeps an idle connection, if it said so."""
+        return self._keep_alive
+
     @property
     def sent(self) -> bool:
         """Whether a byte of the last request may have left this process."""
@@ -103,6 +112,14 @@
                 sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
         await sock.close()
 
+    def is_stale(self) -> bool:
+        """Return whether an idle connection has ended, or holds bytes of nobody."""
+        if self._sock is None:
+            return True
+        readable = poll()
+        readable.register(self._sock.fileno(), POLLIN)
+        return bool(readable.poll(0))
+
     async def request(self, request: HttpRequest) -> HttpResponse:
         """Send ``request`` and return its whole response.
 
@@ -115,15 +132,35 @@
         data = self._encode(request)
         try:
             self._sent = True
-            await self._sock.sendall(data)
+            whole = await self._exchange(data)
             response = await self._receive()
         except (OSError, RemoteProtocolError) as error:
             raise BackendServerError(
                 server=self._host, problem=str(error) or repr(error), sent=True
             ) from error
-        self._reusable = self._ready_for_next(response)
+        self._reusable = whole and self._ready_for_next(response)
+        self._keep_alive = _keep_alive(response)
         return response
 
+    async def _exchange(self, data: bytes) -> bool:
+        """Send ``data``; return whether all of it left before an answer came.
+
+        An answer to a request that has not arrived in whole ends the sending: the
+        other end may take what would follow for another request.
+        """
+        if len(data) <= _SEND_AT_ONCE:
+            await self._sock.sendall(data)
+            return True
+        sender = await spawn(self._sock.sendall, data)
+        receiver = await spawn(self._sock.recv, _RECEIVE_BYTES)
+        async with TaskGroup([sender, receiver], wait=any) as both:
+            pass
+        if both.completed is sender:
+            _ = sender.result
+            return True
+        self._http.receive_data(receiver.result)
+        return False
+
     def _encode(self, request: HttpRequest) -> bytes:
         head = _build_head(
             request.method, request.path, self._host, request.headers, len(request.body)
@@ -166,8 +203,9 @@
     method: str, path: str, host: str, headers: tuple[Header, ...], body_bytes: int
 ) -> Request:
     """Return a checked request line and headers; most recur many times."""
-    fields = [("host", host)]
-    fields += [(header.name, header.value) for header in headers]
+    fields = [(header.name, header.value) for header in headers]
+    if not any(header.name == "host" for header in headers):
+        fields.insert(0, ("host", host))
     if body_bytes:
         fields.append(("content-length", str(body_bytes)))
     return Request(method=method, target=path, headers=fields)
@@ -182,3 +220,15 @@
     return HttpResponse(
         status=head.status_code, headers=headers, body=body, close=close
     )
+
+
+def _keep_alive(response: HttpResponse) -> float | None:
+    """Return the seconds in the header Keep-Alive, or None."""
+    value = response.header("keep-alive")
+    if value is None:
+        return None
+    for part in value.split(","):
+        name, _, number = part.strip().partition("=")
+        if name.lower() == "timeout" and number.isdigit():
+            return float(number)
+    return None
--- a/src/savorypond/httpserver.py
+++ b/src/savorypond/httpserver.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
-from typing import Any, Protocol, Self
+from typing import Any, Protocol, Self, cast
 
 from absl.logging import exception as log_exception
 from curio import (
     CancelledError,
+    TaskGroup,
     TaskTimeout,
     current_task,
     sleep,
@@ -78,8 +79,11 @@
     Entering the context binds and starts accepting; leaving it closes every
     connection. ``drain`` lets requests in flight finish first.
 
+    :param limits: limits, or a function that returns those in force.
     :param on_refusal: called with the reason of each request that is refused
         here or by a RequestRefused of the handler.
+    :param notice_departure: cancel the handler of a request whose caller closes
+        the connection.
     """
 
     def __init__(
@@ -87,13 +91,15 @@
         *,
         address: Address,
         handler: Handler,
-        limits: HttpLimits,
+        limits: HttpLimits | Callable[[], HttpLimits],
         on_refusal: Callable[[RefusalReason], None] | None = None,
         gate: ConnectionGate | None = None,
+        notice_departure: bool = False,
     ) -> None:
         self._handler = handler
-        self._limits = limits
-        self._gate = gate or PerPeerGate(most=limits.connections_per_peer)
+        self._limits = _constant(limits) if isinstance(limits, HttpLimits) else limits
+        self._gate = gate or PerPeerGate(most=self._limits().connections_per_peer)
+        self._notice_departure = notice_departure
         self._connections = count(1)
         self._on_refusal = on_refusal
         self._draining = False
@@ -118,6 +124,10 @@
     async def __aexit__(self, *reason: object) -> None:
         await self._listener.__aexit__()
 
+    def announce_stop(self) -> None:
+        """End each connection with its next response from now on."""
+        self._draining = True
+
     async def drain(self, *, seconds: float) -> bool:
         """Answer what is in flight, refuse the rest, and wait.
 
@@ -181,9 +191,25 @@
             return False
         if request is None:
             return False
-        response = await self._respond(request)
+        response = await self._await_response(channel, request)
+        if response is None:
+            return False
         return await channel.send(response, close=response.close or self._draining)
 
+    async def _await_response(
+        self, channel: HttpChannel, request: HttpRequest
+    ) -> HttpResponse | None:
+        """Return the response, or None where the caller has left."""
+        if not self._notice_departure:
+            return await self._respond(request)
+        async with TaskGroup(wait=any) as group:
+            handler = await group.spawn(self._respond, request)
+            await group.spawn(channel.wait_departure)
+        if group.completed is not handler:
+            self._note(RefusalReason.CALLER_GONE)
+            return None
+        return cast(HttpResponse, handler.result)
+
     async def _respond(self, request: HttpRequest) -> HttpResponse:
         try:
             return await self._handler(request)
@@ -209,3 +235,7 @@
         self._note(refusal.reason)
         await channel.send(problem_response(refusal), close=True)
         await channel.linger()
+
+
+def _constant(limits: HttpLimits) -> Callable[[], HttpLimits]:
+    return lambda: limits
--- a/src/savorypond/logs.py
+++ b/src/savorypond/logs.py
@@ -3,6 +3,7 @@
 Fields are documented in docs/OPERATIONS.md.
 """
 
+from io import TextIOBase
 from logging import ERROR, getLogger
 from typing import Any
 
@@ -63,8 +64,10 @@
         return f"{record.levelname[0]} {getattr(record, _EVENT)} {pairs}"
 
 
-def set_up_logs(*, log_format: LogFormat, instance: str) -> None:
-    """Send logs to standard error in ``log_format``."""
+def set_up_logs(
+    *, log_format: LogFormat, instance: str, stream: TextIOBase | None = None
+) -> None:
+    """Send logs to ``stream``, by default standard error, in ``log_format``."""
     FLAGS.mark_as_parsed()  # the command line is read by another library
     use_absl_handler()
     # The kernel warns whenever a timeout is a little late, which load explains.
@@ -73,6 +76,8 @@
     as_json = log_format is LogFormat.JSON
     formatter = JsonFormatter(instance=instance) if as_json else TextFormatter()
     get_absl_handler().setFormatter(formatter)
+    if stream is not None:
+        get_absl_handler().python_handler.setStream(stream)
 
 
 def log_event(event: str, **fields: object) -> None:
--- a/src/savorypond/operatorapi.py
+++ b/src/savorypond/operatorapi.py
@@ -1,7 +1,7 @@
 """The HTTP interface for operators: liveness, readiness, metrics and status."""
 
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 
 from savorypond.exceptions import RequestRefused
 from savorypond.httptypes import (
@@ -67,13 +67,16 @@
 
 
 class OperatorApi:
-    """Answers operators and the platform's balancer."""
+    """Answers operators and the platform's balancer.
+
+    :param status: returns a data class that tells what this instance believes.
+    """
 
     def __init__(
         self,
         *,
         metrics: Metrics,
-        status: Callable[[], Status],
+        status: Callable[[], object],
         not_ready: Callable[[], str],
     ) -> None:
         self._metrics = metrics
@@ -118,4 +121,4 @@
         )
 
     def _status_page(self) -> HttpResponse:
-        return json_response(asdict(self._status()))
+        return json_response(self._status())
--- /dev/null
+++ b/src/savorypond/platform/names.py
@@ -0,0 +1,16 @@
+"""The platform's header names and paths."""
+
+from savorypond.gateway.headers import HeaderNames
+
+READY_PATH = "/savorypond/readyz"
+SETTINGS_VARIABLE = "SAVORYPOND_NODE_FILE"
+
+HEADERS = HeaderNames(
+    request_id="savorypond-request-id",
+    time_left="savorypond-deadline-ms",
+    signature="savorypond-response-stamp",
+    expected_server="savorypond-target-instance",
+    not_run="savorypond-not-executed",
+    part_signatures="savorypond-part-stamps",
+    missing_parts="savorypond-missing-parts",
+)
--- /dev/null
+++ b/tests/gateway_world.py
@@ -0,0 +1,260 @@
+"""A store and backend servers on loopback, as the platform presents them."""
+
+from base64 import b64encode
+from json import dumps
+
+from curio import Event, ignore_after, sleep
+
+from savorypond.gateway.daemon import Gateway
+from savorypond.gateway.settings import GatewaySettings
+from savorypond.httpchannel import HttpLimits
+from savorypond.httpserver import HttpServer
+from savorypond.httptypes import Header, HttpResponse, json_response
+from savorypond.listener import Listener
+from savorypond.model import Address
+from savorypond.platform.names import HEADERS, READY_PATH
+from savorypond.platform.store import PlatformStore
+
+LOOPBACK = Address(host="127.0.0.1", port=0)
+
+
+class FakeStore:
+    """Holds items; answers reads as the platform's store does.
+
+    :param statuses: statuses that the next reads get in place of an answer.
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.events = []
+        self.revision = 1
+        self.forgotten = 0
+        self.statuses = []
+        self.asked = []
+        self._server = HttpServer(
+            address=LOOPBACK, handler=self.handle, limits=HttpLimits()
+        )
+
+    @property
+    def address(self):
+        return self._server.address
+
+    async def __aenter__(self):
+        await self._server.__aenter__()
+        return self
+
+    async def __aexit__(self, *reason):
+        await self._server.__aexit__(*reason)
+
+    def put(self, key, value):
+        self.put_bytes(key, dumps(value).encode())
+
+    def put_bytes(self, key, data):
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": b64encode(data).decode(),
+            "revision": self.revision,
+            "created": self.revision,
+            "lease": 0,
+        }
+        self.items[key] = item
+        self.events.append(item)
+
+    def remove(self, key):
+        self.revision += 1
+        del self.items[key]
+        mark = {"key": key, "revision": self.revision, "tombstone": True}
+        self.events.append(mark)
+
+    def forget(self):
+        self.forgotten = self.revision
+        self.events = []
+
+    async def handle(self, request):
+        path, _, query = request.path.partition("?")
+        asked = dict(part.split("=", 1) for part in query.split("&"))
+        self.asked.append(path)
+        if self.statuses:
+            return HttpResponse(status=self.statuses.pop(0))
+        if path.endswith("kv-key"):
+            item = self.items.get(asked["key"])
+            if item is None:
+                return HttpResponse(status=404)
+            return json_response({**item, "as_of": self.revision})
+        if path.endswith("kv-range"):
+            return self._range(asked)
+        return await self._watch(asked)
+
+    def _range(self, asked):
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(asked["prefix"]) and key > asked.get("after", "")
+        )
+        page = [self.items[key] for key in keys[:2]]
+        more = len(keys) > 2
+        answer = {"items": page, "has_more": more, "as_of": self.revision}
+        return json_response(answer)
+
+    async def _watch(self, asked):
+        after = int(asked["after"])
+        if after < self.forgotten:
+            return HttpResponse(status=410)
+        async with ignore_after(int(asked["wait_ms"]) / 1000):
+            while self.revision <= after:
+                await sleep(0.005)
+        events = [event for event in self.events if event["revision"] > after]
+        return json_response({"events": events, "as_of": self.revision})
+
+
+class FakeServer:
+    """One backend server.
+
+    :param behaviour: ``good``, ``failing`` (500), ``full`` (not run), ``silent``,
+        ``other`` (another server has the address), ``crossed`` (the answer to
+        another request).
+    """
+
+    def __init__(self, name, *, service, body=b"", behaviour="good"):
+        self.name = name
+        self.service = service
+        self.body = body
+        self.behaviour = behaviour
+        self.requests = []
+        self.left = Event()
+        self._server = HttpServer(
+            address=LOOPBACK,
+            handler=self.handle,
+            limits=HttpLimits(),
+            notice_departure=True,
+        )
+
+    async def __aenter__(self):
+        await self._server.__aenter__()
+        return self
+
+    async def __aexit__(self, *reason):
+        await self._server.__aexit__(*reason)
+
+    def entry(self, **changes):
+        return {
+            "backend": self.service,
+            "address": str(self._server.address),
+            "zone": "a",
+            "version": "v1",
+            "max_concurrency": 2,
+            "phase": "ready",
+            "warmup_left_ms": 0,
+            "sequence": 1,
+            "born": 1,
+            **changes,
+        }
+
+    async def handle(self, request):
+        self.requests.append(request)
+        if self.behaviour == "silent":
+            try:
+                await Event().wait()
+            finally:
+                await self.left.set()
+        request_id = request.header(HEADERS.request_id)
+        headers = {
+            HEADERS.request_id: request_id,
+            HEADERS.signature: f"{self.name}.{request_id}",
+        }
+        status = 200
+        if self.behaviour == "failing":
+            status = 500
+        elif self.behaviour == "full":
+            status = 503
+            headers = {HEADERS.not_run: "1"}
+        elif self.behaviour == "other":
+            status = 421
+            headers = {}
+        elif self.behaviour == "crossed":
+            headers[HEADERS.request_id] = "another"
+        return HttpResponse(
+            status=status,
+            headers=tuple(Header(name=n, value=v) for n, v in headers.items()),
+            body=self.body,
+        )
+
+
+class BreakingServer(FakeServer):
+    """Ends each connection as soon as a request has arrived."""
+
+    def __init__(self, name, *, service):
+        super().__init__(name, service=service)
+        self._server = Listener(address=LOOPBACK, serve=self._break)
+
+    async def _break(self, sock, peer):
+        async with sock:
+            if data := await sock.recv(65536):
+                self.requests.append(data)
+
+
+def route(name, prefix, **changes):
+    return {
+        "name": name,
+        "hostname": "shop.example",
+        "prefix": prefix,
+        "type": "safe",
+        "timeout_ms": 20000,
+        "target_latency_ms": 10000,
+        "priority": 1,
+        "max_attempts": 2,
+        **changes,
+    }
+
+
+def configuration(*routes, version=1):
+    services = {r["backend"] for r in routes if "backend" in r}
+    services.update(*(r.get("gather", ()) for r in routes))
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [
+            {
+                "name": name,
+                "health_path": "/healthz",
+                "max_connections": 100,
+                "protocol": "h1",
+                "tls": False,
+            }
+            for name in sorted(services)
+        ],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 65536,
+            "header_timeout_ms": 20000,
+            "idle_timeout_ms": 60000,
+        },
+    }
+
+
+def gateway_settings(store):
+    return GatewaySettings(
+        name="g1",
+        data_centre="a",
+        host="127.0.0.1",
+        caller_address=LOOPBACK,
+        ready_address=LOOPBACK,
+        operator_address=LOOPBACK,
+        peer_address=LOOPBACK,
+        seeds=(),
+        published=store.address,
+        stop_time=10.0,
+        extra_ratio=0.2,
+        extra_slack=100.0,
+        extra_window=10.0,
+        descriptors=1000,
+    )
+
+
+def make_gateway(store):
+    settings = gateway_settings(store)
+    source = PlatformStore(address=store.address, source_host=settings.host)
+    return Gateway(
+        settings=settings, names=HEADERS, source=source, ready_path=READY_PATH
+    )
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -23,6 +23,7 @@
 from savorypond.controllers.health import HealthAnswer
 from savorypond.entry import entry
 from savorypond.exceptions import RequestRefused
+from savorypond.gateway.program import gateway
 from savorypond.httptypes import problem_response, refusal_status
 from savorypond.linkwire import LinkMessage
 from savorypond.load import ask, call, compare, open_loop
@@ -66,6 +67,7 @@
     "savorypond-check": check,
     "savorypond-bundle": bundle,
     "savorypond-status": status,
+    "savorypond-gateway": gateway,
     "savorypond-load": [open_loop, compare, ask, call],
     "savorypond-standin": [plan, serve, put, publish],
 }
--- /dev/null
+++ b/tests/test_gateway_daemon.py
@@ -0,0 +1,292 @@
+"""Tests of savorypond.gateway.daemon over loopback."""
+
+from contextlib import AsyncExitStack
+from unittest import TestCase
+
+from curio import run, sleep, spawn, timeout_after
+
+from savorypond.httpclient import HttpConnection
+from savorypond.httptypes import Header, HttpRequest
+from savorypond.platform.names import HEADERS, READY_PATH
+from tests.gateway_world import (
+    BreakingServer,
+    FakeServer,
+    FakeStore,
+    configuration,
+    make_gateway,
+    route,
+)
+
+A_RECORD = b"a" * 16
+B_RECORD = b"b" * 16
+C_RECORD = b"c" * 16
+
+
+class World(AsyncExitStack):
+    """A store, backend servers and one gateway that has read it."""
+
+    def __init__(self, *routes, servers=()):
+        super().__init__()
+        self.routes = routes
+        self.servers = servers
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        self.store = await self.enter_async_context(FakeStore())
+        for server in self.servers:
+            await self.enter_async_context(server)
+            self.store.put(f"servers/{server.name}", server.entry())
+        if self.routes:
+            self.store.put("op/config", configuration(*self.routes))
+        self.gateway = await self.enter_async_context(make_gateway(self.store))
+        if self.routes:
+            await self.until(lambda: self.gateway.ready)
+        return self
+
+    async def until(self, holds):
+        async with timeout_after(60):
+            while not holds():
+                await sleep(0.005)
+
+    def request(self, path="/q/1", *, method="GET", body=b"", request_id="r1", **more):
+        headers = {
+            "host": "shop.example",
+            HEADERS.request_id: request_id,
+            HEADERS.time_left: "15000",
+            **more,
+        }
+        return HttpRequest(
+            method=method,
+            path=path,
+            headers=tuple(Header(name=n, value=v) for n, v in headers.items()),
+            body=body,
+        )
+
+    async def ask(self, *arguments, **more):
+        address = self.gateway.caller_address
+        async with HttpConnection(address=address) as connection:
+            return await connection.request(self.request(*arguments, **more))
+
+
+def in_world(*routes, servers=tuple):
+    """Run the test inside a world."""
+
+    def wrap(test):
+        def wrapped(self):
+            async def play():
+                async with World(*routes, servers=servers()) as world:
+                    await test(self, world)
+
+            run(play)
+
+        return wrapped
+
+    return wrap
+
+
+QUERY = route("q", "/q/", gather=["s1", "s2"], top_k=2, min_version=0.5)
+WRITE = route("w", "/w/", backend="s1", type="unsafe")
+READ = route("r", "/r/", backend="s1")
+
+
+def shards(first="good", second="good"):
+    return lambda: (
+        FakeServer("i1", service="s1", body=A_RECORD + C_RECORD, behaviour=first),
+        FakeServer("i2", service="s2", body=B_RECORD, behaviour=second),
+    )
+
+
+def replicas(first, second):
+    return lambda: (
+        FakeServer("i1", service="s1", behaviour=first, body=b"one"),
+        FakeServer("i2", service="s1", behaviour=second, body=b"two"),
+    )
+
+
+class QueryTests(TestCase):
+    @in_world(QUERY, servers=shards())
+    async def test_merges_the_greatest_records_of_all_shards(self, world):
+        response = await world.ask()
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.body, C_RECORD + B_RECORD)
+        signatures = response.header(HEADERS.part_signatures).split(", ")
+        self.assertEqual(set(signatures), {"i1.r1", "i2.r1"})
+        self.assertEqual(response.header(HEADERS.missing_parts), "0")
+
+    @in_world(QUERY, servers=shards())
+    async def test_servers_get_the_request_unchanged(self, world):
+        await world.ask("/q/x?y=%2F", **{"x-more": "z", "te": "trailers"})
+        (request,) = world.servers[0].requests
+        self.assertEqual((request.method, request.path), ("GET", "/q/x?y=%2F"))
+        self.assertEqual(request.header("host"), "shop.example")
+        self.assertEqual(request.header("x-more"), "z")
+        self.assertIsNone(request.header("te"))
+        self.assertEqual(request.header(HEADERS.request_id), "r1")
+        self.assertEqual(request.header(HEADERS.expected_server), "i1")
+        self.assertLessEqual(int(request.header(HEADERS.time_left)), 15000)
+
+    @in_world(QUERY, servers=shards(second="failing"))
+    async def test_a_failure_is_no_part(self, world):
+        response = await world.ask()
+        self.assertEqual(response.header(HEADERS.part_signatures), "i1.r1")
+        self.assertEqual(response.header(HEADERS.missing_parts), "1")
+
+    @in_world(QUERY, servers=shards(second="crossed"))
+    async def test_an_answer_to_another_request_is_no_part(self, world):
+        response = await world.ask()
+        self.assertEqual(response.header(HEADERS.missing_parts), "1")
+
+    @in_world(
+        route("q", "/q/", gather=["s1", "s2"], top_k=2, min_version=1.0),
+        servers=shards(second="failing"),
+    )
+    async def test_too_few_parts_are_refused_as_perhaps_run(self, world):
+        response = await world.ask()
+        self.assertEqual(response.status, 502)
+        self.assertIsNone(response.header(HEADERS.signature))
+
+    @in_world(
+        route("q", "/q/", gather=["s1", "s9"], top_k=2, min_version=1.0),
+        servers=shards(),
+    )
+    async def test_a_shard_without_servers_is_refused_before_anything_is_sent(
+        self, world
+    ):
+        response = await world.ask()
+        self.assertEqual(response.status, 503)
+        self.assertGreater(float(response.header("retry-after")), 0.0)
+        self.assertEqual(world.servers[0].requests, [])
+
+
+class PlainTests(TestCase):
+    @in_world(READ, servers=replicas("failing", "good"))
+    async def test_an_idempotent_request_is_tried_again(self, world):
+        for number in range(6):
+            response = await world.ask("/r/1", request_id=f"r{number}")
+            self.assertEqual((response.status, response.body), (200, b"two"))
+
+    @in_world(WRITE, servers=replicas("failing", "failing"))
+    async def test_a_failure_of_the_server_is_passed_on(self, world):
+        response = await world.ask("/w/1", method="POST", body=b"x")
+        self.assertEqual(response.status, 500)
+        self.assertIsNotNone(response.header(HEADERS.signature))
+        self.assertEqual(sum(len(s.requests) for s in world.servers), 1)
+
+    @in_world(WRITE, servers=replicas("full", "full"))
+    async def test_what_no_server_ran_is_refused_as_not_run(self, world):
+        response = await world.ask("/w/1", method="POST", body=b"x")
+        self.assertEqual(response.status, 503)
+        self.assertIsNotNone(response.header("retry-after"))
+        self.assertEqual(sum(len(s.requests) for s in world.servers), 2)
+
+    @in_world(WRITE, servers=replicas("other", "good"))
+    async def test_a_server_at_anothers_address_did_not_run_it(self, world):
+        response = await world.ask("/w/1", method="POST", body=b"x")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(world.servers[-1].requests[0].body, b"x")
+
+    @in_world(
+        WRITE,
+        servers=lambda: (
+            BreakingServer("i1", service="s1"),
+            BreakingServer("i2", service="s1"),
+        ),
+    )
+    async def test_what_may_have_run_is_neither_repeated_nor_denied(self, world):
+        response = await world.ask("/w/1", method="POST", body=b"x")
+        self.assertEqual(response.status, 502)
+        self.assertEqual(sum(len(s.requests) for s in world.servers), 1)
+
+    @in_world(READ, servers=replicas("silent", "silent"))
+    async def test_a_caller_that_leaves_ends_the_work(self, world):
+        address = world.gateway.caller_address
+        connection = HttpConnection(address=address)
+        await connection.open()
+        task = await spawn(connection.request, world.request("/r/1"), daemon=True)
+        await world.until(lambda: any(s.requests for s in world.servers))
+        await connection.close(abort=True)
+        (busy,) = (s for s in world.servers if s.requests)
+        async with timeout_after(60):
+            await busy.left.wait()
+        await task.cancel()
+
+
+class InterfaceTests(TestCase):
+    @in_world()
+    async def test_before_a_configuration_nothing_is_denied(self, world):
+        self.assertEqual((await world.ask()).status, 503)
+        address = world.gateway.ready_address
+        async with HttpConnection(address=address) as connection:
+            request = HttpRequest(method="GET", path=READY_PATH)
+            self.assertEqual((await connection.request(request)).status, 503)
+
+    @in_world(READ, servers=replicas("good", "good"))
+    async def test_unknown_hosts_and_paths_have_no_route(self, world):
+        self.assertEqual((await world.ask("/x/")).status, 404)
+        self.assertEqual((await world.ask("/r/", host="x.example")).status, 404)
+
+    @in_world(READ, servers=replicas("good", "good"))
+    async def test_a_request_without_id_or_with_bad_time_is_malformed(self, world):
+        self.assertEqual((await world.ask("/r/", request_id="")).status, 400)
+        bad = {HEADERS.time_left: "soon"}
+        self.assertEqual((await world.ask("/r/", **bad)).status, 400)
+
+    @in_world(READ, servers=replicas("good", "good"))
+    async def test_oversize_heads_and_bodies_are_refused(self, world):
+        response = await world.ask("/r/", **{"x-large": "x" * 8000})
+        self.assertEqual(response.status, 413)
+        response = await world.ask("/r/", method="POST", body=b"x" * 70000)
+        self.assertEqual(response.status, 413)
+
+    @in_world(READ, servers=replicas("good", "good"))
+    async def test_a_stop_answers_and_ends_connections(self, world):
+        address = world.gateway.caller_address
+        async with HttpConnection(address=address) as connection:
+            await connection.request(world.request("/r/"))
+            stopping = await spawn(world.gateway.stop)
+            await sleep(0)
+            response = await connection.request(world.request("/r/"))
+            self.assertEqual(response.status, 200)
+            self.assertTrue(response.close)
+            await stopping.join()
+
+
+class PublishedTests(TestCase):
+    @in_world(READ, servers=replicas("good", "good"))
+    async def test_a_leaving_server_gets_nothing_more(self, world):
+        first, second = world.servers
+        world.store.put(f"servers/{first.name}", first.entry(phase="draining"))
+        await world.until(lambda: len(world.gateway.servers("s1")) == 1)
+        before = len(first.requests)
+        for number in range(5):
+            await world.ask("/r/1", request_id=f"r{number}")
+        self.assertEqual(len(first.requests), before)
+        self.assertEqual(len(second.requests), 5 - before)
+
+    @in_world(READ, servers=replicas("good", "good"))
+    async def test_an_older_configuration_is_not_taken(self, world):
+        world.store.put("op/config", configuration(READ, version=9))
+        await world.until(lambda: world.gateway.version == 9)
+        world.store.put("op/config", configuration(version=8))
+        world.store.put("op/config", configuration(READ, WRITE, version=10))
+        await world.until(lambda: world.gateway.version == 10)
+
+    @in_world(READ, servers=replicas("good", "good"))
+    async def test_forgotten_history_and_refused_reads_are_overcome(self, world):
+        world.store.statuses = [429, 503, 500]
+        world.store.put("op/config", configuration(READ, version=9))
+        world.store.forget()
+        await world.until(lambda: world.gateway.version == 9)
+        self.assertEqual(len(world.gateway.servers("s1")), 2)
+
+    @in_world(READ, servers=replicas("good", "good"))
+    async def test_what_cannot_be_read_names_no_server(self, world):
+        first, _ = world.servers
+        store = world.store
+        store.put_bytes("servers/x1", b"\xff{")
+        store.put("servers/x2", first.entry(phase="sleeping"))
+        store.put("servers/x3", first.entry(address=7))
+        store.put("servers/x4", ["a list"])
+        store.put("servers/x5", first.entry())
+        await world.until(lambda: len(world.gateway.servers("s1")) == 3)
+        self.assertEqual((await world.ask("/r/1")).status, 200)
--- /dev/null
+++ b/tests/test_gateway_rankedmerge.py
@@ -0,0 +1,25 @@
+"""Tests of savorypond.gateway.rankedmerge."""
+
+from unittest import TestCase
+
+from hypothesis import given, settings, strategies as st
+
+from savorypond.gateway.rankedmerge import RECORD_BYTES, Part, merge_records
+
+RECORDS = st.lists(st.binary(min_size=RECORD_BYTES, max_size=RECORD_BYTES), max_size=9)
+
+
+class MergeTests(TestCase):
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(
+        st.lists(st.tuples(RECORDS, st.binary(max_size=15)), max_size=5),
+        st.integers(0, 12),
+    )
+    def test_holds_the_greatest_records_falling(self, shards, top):
+        parts = [Part(signature="", body=b"".join(r) + rest) for r, rest in shards]
+        every = sorted((one for r, _ in shards for one in r), reverse=True)
+        self.assertEqual(merge_records(parts, top=top), b"".join(every[:top]))
+
+    def test_equal_records_all_count(self):
+        part = Part(signature="", body=b"x" * RECORD_BYTES)
+        self.assertEqual(merge_records([part, part], top=5), b"x" * 2 * RECORD_BYTES)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,117 @@
+"""Tests of savorypond.platform."""
+
+from json import dumps
+from pathlib import Path
+from re import findall
+from unittest import TestCase
+
+from savorypond.exceptions import SettingsError
+from savorypond.model import Address
+from savorypond.platform.documents import read_registration, read_route_table
+from savorypond.platform.nodefile import parse_node_file
+from tests.gateway_world import configuration, route
+
+SOURCES = Path(__file__).parent.parent / "src" / "savorypond"
+# Names that only the platform uses; others are words of any product.
+PLATFORM_NAMES = (
+    "savorypond-(request-id|deadline|response-stamp|target-instance|not-executed)"
+    "|savorypond-(part-stamps|missing-parts)|kv-(key|range|watch)|op/config"
+    "|warmup_left_ms|min_version|target_latency_ms|traffic_split|max_concurrency"
+    "|listen_addrs|retry_budget_ratio|SAVORYPOND_NODE_FILE"
+)
+NODE_FILE = """
+node_name = "front-a-1"
+ip = "10.1.0.9"
+zone = "a"
+internal_ports = [7380,7395]
+seeds = ["10.1.0.9:8106","10.2.0.21:8106"]
+unknown = 1
+[listen_addrs]
+front = "10.1.0.9:8104"
+ready = "10.1.0.9:8108"
+[limits]
+max_fds = 4100
+[bounds]
+grace_s = 6
+retry_budget_ratio = 0.2
+retry_budget_slack = 54
+[platform]
+address = "10.200.1.7:8102"
+"""
+
+
+class BoundaryTests(TestCase):
+    def test_only_the_adapter_knows_the_platforms_names(self):
+        for path in SOURCES.rglob("*.py"):
+            if path.is_relative_to(SOURCES / "platform"):
+                continue
+            with self.subTest(path.name):
+                self.assertEqual(findall(PLATFORM_NAMES, path.read_text()), [])
+
+
+class DocumentTests(TestCase):
+    def test_routes_are_read(self):
+        table = read_route_table(
+            dumps(
+                configuration(
+                    route("q", "/q/", gather=["x", "y"], top_k=5, min_version=0.75),
+                    route(
+                        "w",
+                        "/w/",
+                        type="unsafe",
+                        traffic_split=[
+                            {"backend": "x", "weight": 1},
+                            {"backend": "y", "weight": 3},
+                        ],
+                    ),
+                    version=7,
+                )
+            ).encode()
+        )
+        query = table.match(host="shop.example", path="/q/1")
+        write = table.match(host="shop.example", path="/w/1")
+        self.assertEqual(table.version, 7)
+        self.assertEqual((query.shards, query.top), (("x", "y"), 5))
+        self.assertEqual((query.least_share, query.time_limit), (0.75, 20.0))
+        self.assertEqual([part.weight for part in write.split], [1.0, 3.0])
+        self.assertEqual((query.idempotent, write.idempotent), (True, False))
+        self.assertEqual(table.limits.idle_time, 60.0)
+        self.assertEqual(table.max_connections("x"), 100)
+
+    def test_a_configuration_of_another_form_is_an_error(self):
+        for data in (b"", b"[]", b'{"version":"x"}', b'{"version":1,"routes":[{}]}'):
+            with self.subTest(data), self.assertRaises(ValueError):
+                read_route_table(data)
+
+    def test_a_registration_is_read(self):
+        data = {
+            "backend": "s",
+            "address": "10.0.0.1:80",
+            "phase": "draining",
+            "zone": "a",
+            "warmup_left_ms": 1500,
+            "born": 12,
+        }
+        server = read_registration(name="i", data=dumps(data).encode())
+        self.assertEqual(server.address, Address(host="10.0.0.1", port=80))
+        self.assertTrue(server.leaving)
+        self.assertEqual((server.cold_for, server.started), (1.5, 12))
+
+
+class NodeFileTests(TestCase):
+    def test_settings_are_read(self):
+        settings = parse_node_file(NODE_FILE)
+        self.assertEqual(settings.caller_address, Address(host="10.1.0.9", port=8104))
+        self.assertEqual(settings.seeds, ("10.1.0.9", "10.2.0.21"))
+        self.assertEqual(settings.operator_address.port, 7380)
+        self.assertEqual((settings.extra_ratio, settings.extra_slack), (0.2, 54.0))
+
+    def test_errors_name_file_and_field(self):
+        for text, field in (
+            ("x = ", "file"),
+            (NODE_FILE.replace("10.1.0.9:8104", "nowhere"), "address"),
+            (NODE_FILE.replace('ip = "10.1.0.9"', ""), "ip"),
+        ):
+            with self.subTest(field), self.assertRaises(SettingsError) as caught:
+                parse_node_file(text, path="node.toml")
+            self.assertEqual(caught.exception.field, field)
