Gather far shards at a peer beside their servers, and start faster

Worst windows lie at the closing restart of all instances, where 0.7 s of each start went into imports that the gateway does not use.

Change: shards without a near server are handed to a live peer beside them in one request, under the same version of the configuration; membership between instances starts from the seeds. An instance that the store turns away takes a peer's copy. The package imports its public names on first use, the metrics library loads with the first page, the settings file is read by msgspec.

Tried and dropped: handing over whole requests (no data centre is near to clearly more shards than another: no handover ever happened).

--- a/src/savorypond/__init__.py
+++ b/src/savorypond/__init__.py
@@ -1,22 +1,22 @@
 """A query tier over many shards."""
 
+from importlib import import_module
 from typing import TYPE_CHECKING, Any
 
-from savorypond.bundle import check_bundle, decode_bundle, encode_bundle
-from savorypond.exceptions import (
-    BundleError,
-    RequestRefused,
-    SavorypondError,
-    ServiceFileError,
-    SettingsError,
-)
-from savorypond.model import Address, Bundle, Service
-from savorypond.reasons import Execution, MissingReason, RefusalReason
-from savorypond.servicefile import load_service_file, load_service_files
-from savorypond.settings import Settings, load_settings
-
 if TYPE_CHECKING:
+    from savorypond.bundle import check_bundle, decode_bundle, encode_bundle
     from savorypond.daemon import Daemon
+    from savorypond.exceptions import (
+        BundleError,
+        RequestRefused,
+        SavorypondError,
+        ServiceFileError,
+        SettingsError,
+    )
+    from savorypond.model import Address, Bundle, Service
+    from savorypond.reasons import Execution, MissingReason, RefusalReason
+    from savorypond.servicefile import load_service_file, load_service_files
+    from savorypond.settings import Settings, load_settings
 
 __version__ = "0.1.0"
 
@@ -42,11 +42,31 @@
     "load_settings",
 ]
 
+_MODULES = {
+    "Address": "model",
+    "Bundle": "model",
+    "BundleError": "exceptions",
+    "Daemon": "daemon",
+    "Execution": "reasons",
+    "MissingReason": "reasons",
+    "RefusalReason": "reasons",
+    "RequestRefused": "exceptions",
+    "SavorypondError": "exceptions",
+    "Service": "model",
+    "ServiceFileError": "exceptions",
+    "Settings": "settings",
+    "SettingsError": "exceptions",
+    "check_bundle": "bundle",
+    "decode_bundle": "bundle",
+    "encode_bundle": "bundle",
+    "load_service_file": "servicefile",
+    "load_service_files": "servicefile",
+    "load_settings": "settings",
+}
+
 
 def __getattr__(name: str) -> Any:
-    """Import the daemon on first use: small programs do without its libraries."""
-    if name != "Daemon":
+    """Import a public name on first use: each program loads only what it needs."""
+    if name not in _MODULES:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    from savorypond.daemon import Daemon
-
-    return Daemon
+    return getattr(import_module(f"{__name__}.{_MODULES[name]}"), name)
--- a/src/savorypond/gateway/answers.py
+++ b/src/savorypond/gateway/answers.py
@@ -4,7 +4,6 @@
 from random import Random
 
 from savorypond.exceptions import RequestRefused
-from savorypond.gateway.attempts import AttemptResult
 from savorypond.gateway.headers import CONNECTION_HEADERS, HeaderNames
 from savorypond.gateway.rankedmerge import Part, merge_records
 from savorypond.httptypes import Header, HttpResponse, problem_response
@@ -23,23 +22,18 @@
 
 
 def merged_response(
-    results: Sequence[AttemptResult], *, top: int, asked: int, names: HeaderNames
+    parts: Sequence[Part], *, top: int, asked: int, names: HeaderNames
 ) -> HttpResponse:
-    """Return the greatest records of the parts in ``results``.
+    """Return the greatest records of ``parts``.
 
     :param asked: shards that were asked.
     """
-    parts = []
-    for result in results:
-        assert result.response is not None
-        signature = result.response.header(names.signature) or ""
-        parts.append(Part(signature=signature, body=result.response.body))
-    signatures = ", ".join(part.signature for part in parts)
+    signatures = [one for part in parts for one in part.signatures]
     return HttpResponse(
         status=200,
         headers=(
-            Header(name=names.part_signatures, value=signatures),
-            Header(name=names.missing_parts, value=str(asked - len(parts))),
+            Header(name=names.part_signatures, value=", ".join(signatures)),
+            Header(name=names.missing_parts, value=str(asked - len(signatures))),
             Header(name="content-type", value="application/octet-stream"),
         ),
         body=merge_records(parts, top=top),
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -3,16 +3,26 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from random import SystemRandom
+from time import time_ns
 from typing import Any, Self
 
 from curio import TaskGroup, sleep
 
 from savorypond.clock import SystemClock
+from savorypond.controllers.membership import MembershipController
 from savorypond.gateway.attempts import AttemptRunner
 from savorypond.gateway.budget import ExtraBudget, ExtraBudgetConfig
+from savorypond.gateway.delegation import Delegation
 from savorypond.gateway.feed import PublishedFeed
 from savorypond.gateway.handler import GatewayHandler
+from savorypond.gateway.handover import Handover
 from savorypond.gateway.headers import HeaderNames
+from savorypond.gateway.peers import (
+    PEER_SERVICE,
+    PeerClient,
+    PeerHandler,
+    SeedList,
+)
 from savorypond.gateway.published import PublishedSource
 from savorypond.gateway.requestrun import RunTools
 from savorypond.gateway.serverload import ServerLoads
@@ -26,12 +36,17 @@
 from savorypond.httptypes import HttpRequest, HttpResponse, text_response
 from savorypond.logs import log_event
 from savorypond.metrics import Metrics
-from savorypond.model import Address
+from savorypond.model import Address, Instance
 from savorypond.operatorapi import OperatorApi
 from savorypond.pause import HEARTBEAT_INTERVAL, Paused, PauseDetector
 
-# Instances that share a server's connections, until more is known of them.
-ASSUMED_INSTANCES = 10
+FLEET = "gateway"  # name by which instances know their peers
+# A fleet that has just started does not know all of its members yet.
+LEAST_INSTANCES = 6
+ASSUMED_INSTANCES = 100  # until peers are known
+PEER_CONNECTIONS = 64  # to each other instance
+PEER_HEADER_BYTES = 64 * 1024  # a caller's headers and a few of our own
+CONNECTION_SHARE = 0.9  # of a server's connections; restarts overlap a little
 LEAST_CONNECTIONS = 2  # to each server
 DEFAULT_CONNECTIONS = 8  # to each server whose service states no limit
 TRIM_INTERVAL = 0.5  # seconds between two looks for idle connections
@@ -84,11 +99,19 @@
         self._metrics = Metrics()
         counters = self._metrics.counters
         self._registry = ServerRegistry()
-        self._feed = PublishedFeed(
-            source=source,
-            registry=self._registry,
+        self._membership = MembershipController(
+            name=settings.host,
+            data_centre=settings.data_centre,
+            address=settings.peer_address,
+            incarnation=time_ns(),
+            fleet=FLEET,
+            instance_list=SeedList(
+                own=settings.host,
+                seeds=settings.seeds,
+                port=settings.peer_address.port,
+            ),
             clock=self._clock,
-            random=random,
+            rng=random,
             counters=counters,
         )
         self._pools = ServerPools(
@@ -97,9 +120,31 @@
             clock=self._clock,
             counters=counters,
         )
+        client = PeerClient(pools=self._pools, peers=self.peers, random=random)
+        self._feed = PublishedFeed(
+            source=source,
+            registry=self._registry,
+            clock=self._clock,
+            random=random,
+            counters=counters,
+            read_peer=client.read_copy,
+        )
         self._loads = ServerLoads(data_centre=settings.data_centre, random=random)
-        self._budget = ExtraBudget(config=_budget_config(settings))
+        self._budget = ExtraBudget(config=_budget_config(settings, ASSUMED_INSTANCES))
         tools = RunTools(
+            names=names,
+            handover=Handover(
+                names=names,
+                delegation=Delegation(
+                    data_centre=settings.data_centre,
+                    registry=self._registry,
+                    random=random,
+                ),
+                client=client,
+                peers=self.peers,
+                clock=self._clock,
+                counters=counters,
+            ),
             registry=self._registry,
             loads=self._loads,
             runner=AttemptRunner(
@@ -122,6 +167,15 @@
             random=random,
             metrics=self._metrics,
         )
+        self._peer_server = HttpServer(
+            address=settings.peer_address,
+            handler=PeerHandler(
+                copy=self._feed.copy, delegated=handler.handle_delegated
+            ).handle,
+            limits=HttpLimits(header_bytes=PEER_HEADER_BYTES),
+            gate=PerPeerGate(most=settings.descriptors),
+            notice_departure=True,
+        )
         self._callers = HttpServer(
             address=settings.caller_address,
             handler=handler.handle,
@@ -165,6 +219,11 @@
         """Return the backend servers of ``service`` that may get requests."""
         return self._registry.servers(service)
 
+    def peers(self) -> tuple[Instance, ...]:
+        """Return the live instances other than this one."""
+        live = self._membership.membership.live()
+        return tuple(peer for peer in live if peer.name != self._settings.host)
+
     async def __aenter__(self) -> Self:
         settings = self._settings
         operators = OperatorApi(
@@ -172,6 +231,8 @@
         )
         parts: tuple[Any, ...] = (
             self._pools,
+            self._membership,
+            self._peer_server,
             self._feed,
             self._callers,
             self._ready,
@@ -199,16 +260,19 @@
         plan = StopPlan(began=self._clock.now(), stop_time=self._settings.stop_time)
         self._stop_plan = plan
         self._callers.announce_stop()
+        await self._membership.leave()
         while not plan.may_close(self._clock.now()):
             await sleep(STOP_STEP)
         left = plan.left(self._clock.now())
         whole = await self._callers.drain(seconds=left)
+        left = plan.left(self._clock.now())
+        await self._peer_server.drain(seconds=left)
         log_event("drained", whole=whole, in_flight=self._callers.busy)
 
     def configure(self, settings: GatewaySettings) -> None:
         """Use other bounds from now on; addresses change only by a restart."""
         self._settings = settings
-        self._budget.configure(_budget_config(settings))
+        self._configure_budget()
 
     def woke(self, paused: Paused) -> None:
         """Distrust what was believed before a pause of this process."""
@@ -226,6 +290,7 @@
             self._pause.observe(self._clock.now())
             if self._woke:
                 self._woke = False
+                await self._membership.woke(0.0)
                 await self._pools.distrust()
                 await self._feed.distrust()
 
@@ -233,6 +298,7 @@
         while True:
             await sleep(TRIM_INTERVAL)
             await self._pools.trim()
+            self._configure_budget()
             self._loads.keep(self._registry.all(), self._clock.now())
 
     async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
@@ -263,21 +329,32 @@
             in_flight=self._callers.busy,
         )
 
+    def _configure_budget(self) -> None:
+        config = _budget_config(self._settings, self._instances())
+        self._budget.configure(config)
+
     def _caller_limits(self) -> HttpLimits:
         table = self._feed.table
         return table.limits if table is not None else HttpLimits()
 
+    def _instances(self) -> int:
+        """Return how many instances share the limits of backend servers."""
+        return max(LEAST_INSTANCES, self._membership.membership.fleet_size)
+
     def _most_connections(self, service: str) -> int:
+        if service == PEER_SERVICE:
+            return PEER_CONNECTIONS
         table = self._feed.table
         most = table.max_connections(service) if table is not None else 0
         if not most:
             return DEFAULT_CONNECTIONS
-        return max(LEAST_CONNECTIONS, most // ASSUMED_INSTANCES)
+        share = int(most * CONNECTION_SHARE) // self._instances()
+        return max(LEAST_CONNECTIONS, share)
 
 
-def _budget_config(settings: GatewaySettings) -> ExtraBudgetConfig:
+def _budget_config(settings: GatewaySettings, instances: int) -> ExtraBudgetConfig:
     return ExtraBudgetConfig(
         ratio=settings.extra_ratio,
-        slack=settings.extra_slack / ASSUMED_INSTANCES,
+        slack=settings.extra_slack / instances,
         window=settings.extra_window,
     )
--- a/src/savorypond/gateway/feed.py
+++ b/src/savorypond/gateway/feed.py
@@ -1,6 +1,6 @@
 """Keeps what is published up to date."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any, Self
 
@@ -8,7 +8,11 @@
 
 from savorypond.clock import Clock
 from savorypond.exceptions import HistoryLost, PublishedError
-from savorypond.gateway.published import PublishedChanges, PublishedSource
+from savorypond.gateway.published import (
+    PublishedChanges,
+    PublishedCopy,
+    PublishedSource,
+)
 from savorypond.gateway.routes import RouteTable
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.logs import log_event
@@ -28,6 +32,8 @@
 
     The configuration never goes back to an older version.
 
+    :param read_peer: returns what another instance has read; asked while the
+        source cannot be read.
     :param on_table: called with each new configuration.
     """
 
@@ -39,9 +45,11 @@
         clock: Clock,
         random: Random,
         counters: Counters,
+        read_peer: Callable[[], Awaitable[PublishedCopy]],
         on_table: Callable[[RouteTable], None] = lambda table: None,
     ) -> None:
         self._source = source
+        self._read_peer = read_peer
         self._registry = registry
         self._clock = clock
         self._random = random
@@ -50,6 +58,7 @@
         self._table: RouteTable | None = None
         self._position: int | None = None
         self._read_at: float | None = None
+        self._copied = False
         self._failures = 0
         self._task: Any = None
 
@@ -61,7 +70,19 @@
     @property
     def ready(self) -> bool:
         """Whether configuration and registrations are known."""
-        return self._table is not None and self._read_at is not None
+        return self._table is not None and (self._read_at is not None or self._copied)
+
+    def copy(self) -> tuple[PublishedCopy, float] | None:
+        """Return what is published and the seconds since the source was read.
+
+        None stands for what is not known here.
+        """
+        if self._table is None or self._position is None or self._read_at is None:
+            return None
+        copy = PublishedCopy(
+            position=self._position, table=self._table, servers=self._registry.all()
+        )
+        return copy, self.age(self._clock.now())
 
     def age(self, now: float) -> float:
         """Return the seconds since the source was last read."""
@@ -100,16 +121,24 @@
         if self._position is None:
             copy = await self._source.read_all()
             self._registry.note_back(self._clock.now())
-            self._registry.replace_all(copy.servers, self._clock.now())
-            self._take_table(copy.table)
-            self._position = copy.position
-            log_event("read-all", position=copy.position, servers=len(copy.servers))
+            self._take_copy(copy, source="store")
             return
         changes = await self._source.changes(after=self._position, wait=READ_WAIT)
         self._registry.note_back(self._clock.now())
         self._take_changes(changes)
         self._position = max(self._position, changes.position)
 
+    def _take_copy(self, copy: PublishedCopy, *, source: str) -> None:
+        self._registry.replace_all(copy.servers, self._clock.now())
+        self._take_table(copy.table)
+        self._position = copy.position
+        log_event(
+            "read-all",
+            source=source,
+            position=copy.position,
+            servers=len(copy.servers),
+        )
+
     def _take_changes(self, changes: PublishedChanges) -> None:
         now = self._clock.now()
         before = {server.name: server for server in self._registry.all()}
@@ -142,9 +171,23 @@
         self._counters.add("published_reads", "failed")
         if self._failures in _FAILURES_LOGGED:
             log_event("published-lost", failures=self._failures, why=str(error))
+        await self._ask_peer()
         pause = min(FIRST_PAUSE * 2 ** min(self._failures, 8), LONGEST_PAUSE)
         await sleep(pause * self._random.uniform(0.5, 1.0))
 
+    async def _ask_peer(self) -> None:
+        try:
+            copy = await self._read_peer()
+        except PublishedError as error:
+            self._counters.add("published_reads", "peer-failed")
+            if self._failures in _FAILURES_LOGGED:
+                log_event("no-peer-copy", why=str(error))
+            return
+        self._counters.add("published_reads", "peer")
+        if self._position is None or copy.position > self._position:
+            self._copied = True
+            self._take_copy(copy, source="peer")
+
 
 def _log_server(
     before: RegisteredServer | None, name: str, after: RegisteredServer | None
--- a/src/savorypond/gateway/gatherplan.py
+++ b/src/savorypond/gateway/gatherplan.py
@@ -26,6 +26,9 @@
     ) -> RegisteredServer | None:
         """Return a server of ``service`` that is not in ``exclude``, or None."""
 
+    def count(self, service: str) -> int:
+        """Return how many servers ``service`` has."""
+
 
 class ExtraSends(Protocol):
     """Allows sends beyond the first of each shard."""
@@ -57,6 +60,14 @@
     server: RegisteredServer
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupSend:
+    """One attempt by another instance, for several shards."""
+
+    number: int
+    shards: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlanLimits:
     """What bounds one request; times in monotonic seconds.
@@ -145,18 +156,66 @@
         """Return the services of the shards without an answer."""
         return tuple(s.service for s in self._shards if not s.answered)
 
+    def hand_over(self, shards: tuple[int, ...]) -> GroupSend:
+        """Note that another instance gathers ``shards``; call it before start."""
+        self._numbers += 1
+        for index in shards:
+            self._shards[index].running.add(self._numbers)
+        return GroupSend(number=self._numbers, shards=shards)
+
     def start(self, now: float) -> list[Send]:
         """Return the first attempts, none where they could not be enough."""
         sends = []
-        for index in range(len(self._shards)):
-            send = self._send(index, now)
+        for index, shard in enumerate(self._shards):
+            send = None if shard.running else self._send(index, now)
             if send is not None:
                 sends.append(send)
-        if len(sends) < self._least or not sends:
+        running = sum(bool(shard.running) for shard in self._shards)
+        if running < self._least or not running:
             self._withdraw(sends)
             return []
         return sends
 
+    def group_answered(self, group: GroupSend, answered: Collection[int]) -> None:
+        """Note the shards of ``group`` that its instance has got answers from."""
+        for index in group.shards:
+            shard = self._shards[index]
+            shard.running.discard(group.number)
+            shard.sent = self._limits.max_attempts
+            if index in answered:
+                shard.answered = True
+                self._answered += 1
+
+    def group_failed(
+        self, group: GroupSend, now: float, *, may_have_run: bool
+    ) -> list[Send]:
+        """Note that no answer comes for ``group``; return the attempts to make.
+
+        :param may_have_run: whether backend servers may have got the request.
+        """
+        sends = []
+        for index in group.shards:
+            shard = self._shards[index]
+            shard.running.discard(group.number)
+            shard.sent = self._most_sent(shard) if may_have_run else 0
+            if now < self._limits.end_at:
+                sends += self._retry(index, now)
+        return sends
+
+    def can_fall_back(self, group: GroupSend) -> bool:
+        """Return whether every shard of ``group`` could still be sent from here."""
+        most = self._limits.max_attempts
+        return all(self._most_sent(self._shards[i]) < most for i in group.shards)
+
+    def _most_sent(self, shard: _Shard) -> int:
+        """Return the sends to assume of an instance that was lost.
+
+        It may have sent to as many servers as are allowed. Another send from here
+        is within that only where there are no further servers.
+        """
+        most = self._limits.max_attempts
+        return most - (self._chooser.count(shard.service) <= most)
+
     def part(self, number: int) -> bool:
         """Note a usable answer; return whether it is the first of its shard."""
         shard = self._shards[self._shard_of[number]]
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -13,8 +13,19 @@
 from savorypond.gateway.attempts import ForwardedRequest, forward_headers
 from savorypond.gateway.feed import PublishedFeed
 from savorypond.gateway.gatherplan import Verdict
+from savorypond.gateway.handover import (
+    CONFLICT,
+    group_response,
+    read_group_request,
+)
 from savorypond.gateway.headers import HeaderNames
-from savorypond.gateway.requestrun import RequestRun, RunResult, RunTools
+from savorypond.gateway.requestrun import (
+    GOAL_MARGIN,
+    RequestRun,
+    RunResult,
+    RunSpec,
+    RunTools,
+)
 from savorypond.gateway.routes import Route, RouteTable
 from savorypond.gateway.split import WeightedSplit
 from savorypond.httptypes import HttpRequest, HttpResponse
@@ -61,6 +72,31 @@
             wait = retry_time(refusal, left, self._random)
             return refusal_response(refusal, request_id=request_id, wait=wait)
 
+    async def handle_delegated(self, request: HttpRequest) -> HttpResponse:
+        """Return the response to a request that a peer handed over."""
+        received = self._clock.now()
+        asked = read_group_request(request)
+        original = asked.request
+        request_id = original.header(self._names.request_id) or ""
+        table, route = self._find_route(original, request_id)
+        if asked.version != table.version:
+            # Its caller's instance answers by its own version.
+            return HttpResponse(status=CONFLICT)
+        left = self._time_left(original, route)
+        spec = RunSpec(
+            route=route,
+            version=table.version,
+            services=tuple(route.shards[shard] for shard in asked.shards),
+            request=self._forwarded(original, request_id, route, received + left),
+            answer_at=received + asked.within,
+            least_share=0.0,
+            may_hand_over=False,
+        )
+        result = await RequestRun(tools=self._tools, spec=spec).run()
+        response = self._answer(spec, result)
+        self._note_answer(spec, result, response, received)
+        return group_response(response, [asked.shards[i] for i in result.answered])
+
     def _find_route(
         self, request: HttpRequest, request_id: str
     ) -> tuple[RouteTable, Route]:
@@ -123,38 +159,36 @@
         request: ForwardedRequest,
         received: float,
     ) -> HttpResponse:
-        services = route.shards or (self._split.choose(route),)
-        run = RequestRun(
-            tools=self._tools,
+        spec = RunSpec(
             route=route,
-            services=services,
+            version=table.version,
+            services=route.shards or (self._split.choose(route),),
             request=request,
-            received=received,
+            answer_at=received + route.goal - GOAL_MARGIN,
+            least_share=route.least_share if route.shards else 1.0,
+            may_hand_over=bool(route.shards),
         )
-        result = await run.run()
-        response = self._answer(route, services, result)
-        self._note_answer(table, route, request, result, response, received)
+        result = await RequestRun(tools=self._tools, spec=spec).run()
+        response = self._answer(spec, result)
+        self._note_answer(spec, result, response, received)
         return response
 
-    def _answer(
-        self, route: Route, services: tuple[str, ...], result: RunResult
-    ) -> HttpResponse:
+    def _answer(self, spec: RunSpec, result: RunResult) -> HttpResponse:
         if result.verdict is Verdict.ANSWER:
-            if route.shards:
+            if spec.route.shards:
                 return merged_response(
-                    result.responses,
-                    top=route.top,
-                    asked=len(services),
+                    result.parts,
+                    top=spec.route.top,
+                    asked=len(spec.services),
                     names=self._names,
                 )
-            response = result.responses[0].response
-            assert response is not None
-            return passed_response(response)
+            assert result.response is not None
+            return passed_response(result.response)
         failure = result.last_failure
         answer = failure.response if failure is not None else None
-        if not route.shards and answer is not None and self._is_signed(answer):
+        if not spec.route.shards and answer is not None and self._is_signed(answer):
             return passed_response(answer)
-        raise self._refusal(result, services)
+        raise self._refusal(result, spec.services)
 
     def _is_signed(self, response: HttpResponse) -> bool:
         return response.header(self._names.signature) is not None
@@ -169,7 +203,7 @@
                 detail=detail,
                 execution=Execution.UNKNOWN,
             )
-        if result.may_run or result.responses:
+        if result.may_run or result.parts:
             return RequestRefused(
                 reason=RefusalReason.CONNECTION_LOST,
                 detail=detail,
@@ -202,23 +236,21 @@
 
     def _note_answer(
         self,
-        table: RouteTable,
-        route: Route,
-        request: ForwardedRequest,
+        spec: RunSpec,
         result: RunResult,
         response: HttpResponse,
         received: float,
     ) -> None:
         now = self._clock.now()
         self._metrics.latency("gateway_answer").record(now - received)
-        late = now - received > route.goal
+        late = now - received > spec.route.goal
         outcome = "late" if late else ("partial" if result.missing else "full")
         self._metrics.counters.add("gateway_answers", outcome)
         log_event(
             "answered",
-            request=request.request_id,
-            route=route.name,
-            version=table.version,
+            request=spec.request.request_id,
+            route=spec.route.name,
+            version=spec.version,
             status=response.status,
             outcome=outcome,
             ms=self._since(received),
@@ -226,6 +258,7 @@
             hedges=result.hedges,
             retries=result.retries,
             denied=result.denied,
+            handed_over=result.handed_over,
             problems=result.problems[:4],
             registrations_age_ms=round(self._feed.age(now) * _MILLISECONDS),
         )
--- a/src/savorypond/gateway/program.py
+++ b/src/savorypond/gateway/program.py
@@ -5,17 +5,15 @@
 from typing import Any
 
 from curio import TaskGroup, run as run_curio, sleep
-from defopt import run as run_command
 
 from savorypond.exceptions import SettingsError
 from savorypond.gateway.boundedlog import open_bounded_log
 from savorypond.gateway.daemon import Gateway
 from savorypond.gateway.settings import GatewaySettings
-from savorypond.logs import log_event, set_up_logs
+from savorypond.logs import LogFormat, log_event, set_up_logs
 from savorypond.platform.names import HEADERS, READY_PATH
 from savorypond.platform.nodefile import load_node_file, node_file_path
 from savorypond.platform.store import PlatformStore
-from savorypond.settings import LogFormat
 from savorypond.signals import SignalWait
 
 EXIT_BAD_SETTINGS = 2
@@ -105,8 +103,11 @@
 
 def run() -> None:
     """Run the program with the arguments of the command line."""
+    # A restart is over sooner without this library, which the platform never needs.
+    from defopt import run as run_command
+
     sys_exit(run_command(gateway))
 
 
 if __name__ == "__main__":
-    run()
+    sys_exit(gateway())
--- a/src/savorypond/gateway/rankedmerge.py
+++ b/src/savorypond/gateway/rankedmerge.py
@@ -8,9 +8,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Part:
-    """A partial answer: its server's signature and records in no order."""
+    """A partial answer: its servers' signatures and records in no order.
 
-    signature: str
+    :param signatures: one of each shard that the records are of.
+    """
+
+    signatures: tuple[str, ...]
     body: bytes
 
 
--- a/src/savorypond/gateway/serverpool.py
+++ b/src/savorypond/gateway/serverpool.py
@@ -70,10 +70,17 @@
     async def __aexit__(self, *reason: object) -> None:
         await self.distrust()
 
-    async def lease(self, server: RegisteredServer, *, fresh: bool) -> "Lease":
+    async def lease(
+        self,
+        server: RegisteredServer,
+        *,
+        fresh: bool,
+        connect_time: float = CONNECT_TIME,
+    ) -> "Lease":
         """Return a connection to ``server``.
 
         :param fresh: take none that was idle for long.
+        :param connect_time: seconds that a new connection may take.
         :raises PoolExhausted: no further connection may be opened.
         :raises BackendServerError: the server cannot be reached.
         """
@@ -90,13 +97,13 @@
             address=server.address, source_host=self._source_host
         )
         try:
-            async with timeout_after(CONNECT_TIME):
+            async with timeout_after(connect_time):
                 await connection.open()
         except TaskTimeout as error:
             pool.open -= 1
             raise BackendServerError(
                 server=server.name,
-                problem=f"no connection within {CONNECT_TIME} s",
+                problem=f"no connection within {connect_time} s",
                 sent=False,
             ) from error
         except BaseException:
--- a/src/savorypond/gateway/servers.py
+++ b/src/savorypond/gateway/servers.py
@@ -59,6 +59,12 @@
         self._services: dict[str, tuple[RegisteredServer, ...]] = {}
         self._lost = False
         self._grace_until = 0.0
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """A number that rises whenever the servers of a service may have changed."""
+        return self._version
 
     @property
     def count(self) -> int:
@@ -137,6 +143,7 @@
         return count >= least
 
     def _rebuild(self) -> None:
+        self._version += 1
         services: dict[str, list[RegisteredServer]] = {}
         for entry in self._entries.values():
             if not entry.server.leaving:
--- a/src/savorypond/logs.py
+++ b/src/savorypond/logs.py
@@ -3,6 +3,7 @@
 Fields are documented in docs/OPERATIONS.md.
 """
 
+from enum import StrEnum
 from io import TextIOBase
 from logging import ERROR, getLogger
 from typing import Any
@@ -18,12 +19,17 @@
 )
 from msgspec.json import encode
 
-from savorypond.settings import LogFormat
-
 _EVENT = "savorypond_event"
 _FIELDS = "savorypond_fields"
 
 
+class LogFormat(StrEnum):
+    """How log lines are written."""
+
+    JSON = "json"
+    TEXT = "text"
+
+
 class JsonFormatter(PythonFormatter):
     """Writes one JSON object for each record.
 
--- a/src/savorypond/metrics.py
+++ b/src/savorypond/metrics.py
@@ -1,27 +1,14 @@
-"""Counters and latency histograms, and their exposition for scraping.
+"""Counters and latency histograms (HDR histograms, after Tene)."""
 
-Histograms are HDR histograms (Tene, HdrHistogram); the page is in the
-Prometheus exposition format.
-"""
-
-from collections.abc import Iterator
+from collections.abc import Mapping
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-    SummaryMetricFamily,
-)
-from prometheus_client.metrics_core import Metric
 
 from savorypond.model import Counters
 
-_PREFIX = "savorypond_"
 _MOST_MICROSECONDS = 60_000_000
 _SIGNIFICANT_DIGITS = 2
 _MICROSECONDS = 1_000_000  # per second
-_QUANTILES = (50.0, 90.0, 99.0, 99.9)
 
 
 class Latency:
@@ -62,8 +49,6 @@
         self._counters = Counters()
         self._latencies: dict[str, Latency] = {}
         self._gauges: dict[str, float] = {}
-        self._registry = CollectorRegistry(auto_describe=False)
-        self._registry.register(self)
 
     @property
     def counters(self) -> Counters:
@@ -81,44 +66,20 @@
         """Set the gauge ``name``."""
         self._gauges[name] = value
 
-    def collect(self) -> Iterator[Metric]:
-        """Yield every metric family; called by the exposition library."""
-        yield from self._counter_families()
-        yield from self._latency_families()
-        for name, value in sorted(self._gauges.items()):
-            yield GaugeMetricFamily(_PREFIX + name, name.replace("_", " "), value)
+    @property
+    def latencies(self) -> Mapping[str, Latency]:
+        """The histograms by name."""
+        return self._latencies
+
+    @property
+    def gauges(self) -> Mapping[str, float]:
+        """The gauges by name."""
+        return self._gauges
 
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return generate_latest(self._registry)
-
-    def _counter_families(self) -> Iterator[Metric]:
-        families: dict[str, CounterMetricFamily] = {}
-        for (name, reason), count in sorted(self._counters.counts.items()):
-            family = families.get(name)
-            if family is None:
-                family = CounterMetricFamily(
-                    _PREFIX + name, f"{name} by reason", labels=["reason"]
-                )
-                families[name] = family
-            family.add_metric([reason], count)
-        yield from families.values()
-
-    def _latency_families(self) -> Iterator[Metric]:
-        for name, latency in sorted(self._latencies.items()):
-            family = SummaryMetricFamily(
-                f"{_PREFIX}{name}_seconds",
-                f"{name} in seconds",
-                count_value=latency.count,
-                sum_value=latency.total,
-            )
-            yield family
-            quantiles = GaugeMetricFamily(
-                f"{_PREFIX}{name}_quantile_seconds",
-                f"{name} at a percentile, in seconds",
-                labels=["percentile"],
-            )
-            for percentile in _QUANTILES:
-                value = latency.percentile(percentile)
-                quantiles.add_metric([str(percentile)], value)
-            yield quantiles
+        # The library is loaded when the page is first asked for, which saves a
+        # twentieth of a second at each start.
+        from savorypond.exposition import expose
+
+        return expose(self)
--- a/src/savorypond/platform/nodefile.py
+++ b/src/savorypond/platform/nodefile.py
@@ -2,9 +2,10 @@
 
 from os import environ
 from pathlib import Path
+from re import search
 from tomllib import TOMLDecodeError, loads
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from msgspec import Struct, ValidationError, convert, field
 
 from savorypond.exceptions import SettingsError
 from savorypond.gateway.settings import GatewaySettings
@@ -14,11 +15,7 @@
 _MILLISECONDS = 1000.0  # in a second
 
 
-class _Part(BaseModel):
-    model_config = ConfigDict(extra="ignore")
-
-
-class _Listen(_Part):
+class _Listen(Struct, frozen=True):
     # Where callers connect.
     front: str
     # Where the platform asks whether this instance takes callers.
@@ -27,16 +24,16 @@
     control: str = ""
 
 
-class _Platform(_Part):
+class _Platform(Struct, frozen=True):
     address: str
     reads_per_s: float = 2000.0
 
 
-class _Limits(_Part):
+class _Limits(Struct, frozen=True):
     max_fds: int = 1024
 
 
-class _Bounds(_Part):
+class _Bounds(Struct, frozen=True):
     drain_ms: float = 3000.0
     grace_s: float = 6.0
     retry_budget_ratio: float = 0.2
@@ -44,16 +41,16 @@
     budget_window_s: float = 10.0
 
 
-class _NodeFile(_Part):
+class _NodeFile(Struct, frozen=True):
     node_name: str
     ip: str
     zone: str
     internal_ports: tuple[int, int]
-    seeds: tuple[str, ...] = ()
     listen_addrs: _Listen
     platform: _Platform
-    limits: _Limits = Field(default_factory=_Limits)
-    bounds: _Bounds = Field(default_factory=_Bounds)
+    seeds: tuple[str, ...] = ()
+    limits: _Limits = field(default_factory=_Limits)
+    bounds: _Bounds = field(default_factory=_Bounds)
 
 
 def _address(text: str) -> Address:
@@ -64,14 +61,14 @@
 def parse_node_file(text: str, *, path: str = "<text>") -> GatewaySettings:
     """Return the settings in ``text``; raise SettingsError."""
     try:
-        node = _NodeFile.model_validate(loads(text))
+        node = convert(loads(text), _NodeFile)
         return _to_settings(node)
     except TOMLDecodeError as error:
         raise SettingsError(path=path, field="file", problem=str(error)) from error
     except ValidationError as error:
-        first = error.errors()[0]
-        field = ".".join(str(part) for part in first["loc"])
-        raise SettingsError(path=path, field=field, problem=first["msg"]) from error
+        found = search(r"required field `(\w+)`|`\$\.(.+)`", str(error))
+        name = (found[1] or found[2]) if found else "file"
+        raise SettingsError(path=path, field=name, problem=str(error)) from error
     except ValueError as error:
         raise SettingsError(path=path, field="address", problem=str(error)) from error
 
--- a/src/savorypond/settings.py
+++ b/src/savorypond/settings.py
@@ -8,6 +8,7 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
 from savorypond.exceptions import SettingsError
+from savorypond.logs import LogFormat as LogFormat
 from savorypond.model import Address
 from savorypond.servicefile import read_text
 from savorypond.servicesections import Name, validation_problems
@@ -23,13 +24,6 @@
     OWNER = "owner"
 
 
-class LogFormat(StrEnum):
-    """How log lines are written."""
-
-    JSON = "json"
-    TEXT = "text"
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RequestLimits:
     """Bounds on what callers send.
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -50,6 +50,9 @@
                 return one
         return None
 
+    def count(self, service):
+        return len(self.services.get(service, ()))
+
 
 class CountedExtras:
     """Allows a number of extra sends."""
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -2,6 +2,7 @@
 
 from base64 import b64encode
 from json import dumps
+from socket import AF_INET, SOCK_STREAM, socket
 
 from curio import Event, ignore_after, sleep
 
@@ -22,6 +23,7 @@
     """Holds items; answers reads as the platform's store does.
 
     :param statuses: statuses that the next reads get in place of an answer.
+    :param turned_away: IP numbers whose reads get 503.
     """
 
     def __init__(self):
@@ -30,6 +32,7 @@
         self.revision = 1
         self.forgotten = 0
         self.statuses = []
+        self.turned_away = set()
         self.asked = []
         self._server = HttpServer(
             address=LOOPBACK, handler=self.handle, limits=HttpLimits()
@@ -75,6 +78,8 @@
         path, _, query = request.path.partition("?")
         asked = dict(part.split("=", 1) for part in query.split("&"))
         self.asked.append(path)
+        if request.peer in self.turned_away:
+            return HttpResponse(status=503)
         if self.statuses:
             return HttpResponse(status=self.statuses.pop(0))
         if path.endswith("kv-key"):
@@ -233,28 +238,43 @@
     }
 
 
-def gateway_settings(store):
-    return GatewaySettings(
-        name="g1",
-        data_centre="a",
-        host="127.0.0.1",
-        caller_address=LOOPBACK,
-        ready_address=LOOPBACK,
-        operator_address=LOOPBACK,
-        peer_address=LOOPBACK,
-        seeds=(),
-        published=store.address,
-        stop_time=10.0,
-        extra_ratio=0.2,
-        extra_slack=100.0,
-        extra_window=10.0,
-        descriptors=1000,
-    )
+def gateway_settings(store, **changes):
+    host = changes.get("host", "127.0.0.1")
+    own = Address(host=host, port=0)
+    values = {
+        "name": "g1",
+        "data_centre": "a",
+        "host": host,
+        "caller_address": own,
+        "ready_address": own,
+        "operator_address": own,
+        "peer_address": Address(host=host, port=PEER_PORT),
+        "seeds": (),
+        "published": store.address,
+        "stop_time": 10.0,
+        "extra_ratio": 0.2,
+        "extra_slack": 100.0,
+        "extra_window": 10.0,
+        "descriptors": 1000,
+        **changes,
+    }
+    return GatewaySettings(**values)
 
 
-def make_gateway(store):
-    settings = gateway_settings(store)
+def make_gateway(store, **changes):
+    settings = gateway_settings(store, **changes)
     source = PlatformStore(address=store.address, source_host=settings.host)
     return Gateway(
         settings=settings, names=HEADERS, source=source, ready_path=READY_PATH
     )
+
+
+def _free_port():
+    """Return a port that is free for UDP and TCP now."""
+    with socket(AF_INET, SOCK_STREAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+# Instances find each other at the same port of different IP numbers.
+PEER_PORT = _free_port()
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -290,3 +290,87 @@
         store.put("servers/x5", first.entry())
         await world.until(lambda: len(world.gateway.servers("s1")) == 3)
         self.assertEqual((await world.ask("/r/1")).status, 200)
+
+
+class PeerTests(TestCase):
+    """Two gateways in two data centres; every server is in the second."""
+
+    def play(self, test, *, behaviour="good"):
+        async def play():
+            async with AsyncExitStack() as stack:
+                store = await stack.enter_async_context(FakeStore())
+                names = [f"s{n}" for n in range(4)]
+                servers = [
+                    await stack.enter_async_context(
+                        FakeServer(
+                            f"i{n}",
+                            service=name,
+                            body=bytes([97 + n]) * 16,
+                            behaviour=behaviour if n == 3 else "good",
+                        )
+                    )
+                    for n, name in enumerate(names)
+                ]
+                for server in servers:
+                    entry = server.entry(zone="b")
+                    store.put(f"servers/{server.name}", entry)
+                query = route("q", "/q/", gather=names, top_k=2, min_version=0.5)
+                store.put("op/config", configuration(query))
+                near = await stack.enter_async_context(
+                    make_gateway(store, name="near", host="127.0.0.2", data_centre="b")
+                )
+                far = await stack.enter_async_context(
+                    make_gateway(
+                        store, name="far", host="127.0.0.3", seeds=("127.0.0.2",)
+                    )
+                )
+                world = World()
+                world.gateway, world.servers, world.store = far, servers, store
+                await world.until(lambda: near.ready and far.ready)
+                await world.until(lambda: far.peers() and near.peers())
+                await test(world, near)
+
+        run(play)
+
+    def test_far_shards_are_gathered_by_the_peer_beside_them(self):
+        async def test(world, near):
+            response = await world.ask()
+            self.assertEqual(response.body, b"d" * 16 + b"c" * 16)
+            signatures = response.header(HEADERS.part_signatures).split(", ")
+            self.assertEqual(set(signatures), {f"i{n}.r1" for n in range(4)})
+            for server in world.servers:
+                (request,) = server.requests
+                self.assertEqual(request.path, "/q/1")
+                self.assertEqual(request.peer, "127.0.0.2")
+
+        self.play(test)
+
+    def test_the_peer_says_what_it_lacks(self):
+        async def test(world, near):
+            response = await world.ask()
+            self.assertEqual(response.header(HEADERS.missing_parts), "1")
+            self.assertEqual(response.body, b"c" * 16 + b"b" * 16)
+            self.assertEqual(len(world.servers[3].requests), 1)
+
+        self.play(test, behaviour="failing")
+
+    def test_a_peer_that_is_gone_is_done_without(self):
+        async def test(world, near):
+            await near.__aexit__(None, None, None)
+            response = await world.ask()
+            self.assertEqual(response.header(HEADERS.missing_parts), "0")
+            self.assertEqual(world.servers[0].requests[0].peer, "127.0.0.3")
+
+        self.play(test)
+
+    def test_a_store_that_turns_an_instance_away_is_done_without(self):
+        async def test(world, near):
+            store = world.store
+            store.turned_away = {"127.0.0.3"}
+            names = [server.service for server in world.servers]
+            query = route("p", "/p/", gather=names, top_k=2, min_version=0.5)
+            store.put("op/config", configuration(query, version=5))
+            await world.until(lambda: world.gateway.version == 5)
+            self.assertEqual((await world.ask("/p/1")).status, 200)
+
+        self.play(test)
--- /dev/null
+++ b/tests/test_gateway_delegation.py
@@ -0,0 +1,89 @@
+"""Tests of savorypond.gateway.delegation."""
+
+from unittest import TestCase
+
+from savorypond.gateway.delegation import FIRST_REST, Delegation
+from savorypond.gateway.servers import ServerRegistry
+from savorypond.model import Address, Instance
+from tests.gateway_fakes import FixedRandom, server
+
+
+def peer(name, data_centre):
+    address = Address(host="127.0.0.1", port=1)
+    return Instance(
+        name=name, data_centre=data_centre, peer_address=address, incarnation=1
+    )
+
+
+SERVICES = tuple(f"s{n}" for n in range(9))
+B1, B2, C1 = peer("b1", "b"), peer("b2", "b"), peer("c1", "c")
+
+
+class DelegationTests(TestCase):
+    def setUp(self):
+        self.registry = ServerRegistry()
+        self.delegation = Delegation(
+            data_centre="a", registry=self.registry, random=FixedRandom()
+        )
+
+    def place(self, *data_centres):
+        """Place the servers of each service in the named data centres."""
+        self.registry.replace_all(
+            [
+                server(f"{service}-{where}", service=service, data_centre=where)
+                for service, named in zip(SERVICES, data_centres, strict=True)
+                for where in named
+            ],
+            0.0,
+        )
+
+    def choose(self, *peers, now=0.0):
+        groups = self.delegation.choose(SERVICES, peers, now)
+        return [(group.peer.name, group.shards) for group in groups]
+
+    def test_near_shards_are_kept(self):
+        self.place(*["ab"] * 9)
+        self.assertEqual(self.choose(B1, C1), [])
+
+    def test_far_shards_go_to_a_peer_beside_their_servers(self):
+        self.place(*["ab"] * 5, *["bc"] * 4)
+        self.assertEqual(self.choose(B1), [("b1", (5, 6, 7, 8))])
+
+    def test_each_shard_goes_to_one_group(self):
+        self.place(*["b"] * 5, *["c"] * 4)
+        groups = self.choose(B1, C1)
+        self.assertEqual(groups, [("b1", (0, 1, 2, 3, 4)), ("c1", (5, 6, 7, 8))])
+
+    def test_few_shards_are_asked_from_here(self):
+        self.place(*["ab"] * 7, *["bc"] * 2)
+        self.assertEqual(self.choose(B1, C1), [])
+
+    def test_without_peers_there_are_no_groups(self):
+        self.place(*["b"] * 9)
+        self.assertEqual(self.choose(), [])
+
+    def test_the_least_busy_peer_gets_the_next_group(self):
+        self.place(*["b"] * 9)
+        self.delegation.began(B1, due=1.0)
+        self.assertEqual(self.choose(B1, B2)[0][0], "b2")
+
+    def test_a_peer_that_failed_rests(self):
+        self.place(*["b"] * 9)
+        number = self.delegation.began(B1, due=1.0)
+        self.delegation.ended(B1, number, answered=False, now=0.5)
+        self.assertEqual(self.choose(B1, now=0.6), [])
+        self.assertNotEqual(self.choose(B1, now=0.6 + FIRST_REST), [])
+
+    def test_an_overdue_peer_gets_nothing_until_it_answers(self):
+        self.place(*["b"] * 9)
+        number = self.delegation.began(B1, due=1.0)
+        self.assertNotEqual(self.choose(B1, now=0.9), [])
+        self.assertEqual(self.choose(B1, now=1.1), [])
+        self.delegation.ended(B1, number, answered=True, now=1.2)
+        self.assertNotEqual(self.choose(B1, now=1.3), [])
+
+    def test_changed_registrations_count_at_once(self):
+        self.place(*["b"] * 9)
+        self.assertNotEqual(self.choose(B1), [])
+        self.place(*["a"] * 9)
+        self.assertEqual(self.choose(B1), [])
--- a/tests/test_gateway_gatherplan.py
+++ b/tests/test_gateway_gatherplan.py
@@ -197,3 +197,46 @@
             self.assertLessEqual(len(reached), most)
             if not repeatable:
                 self.assertLessEqual(ran.get(shard, 0), 1)
+
+
+class GroupTests(TestCase):
+    def test_a_group_answers_for_its_shards(self):
+        plan = make_plan()
+        group = plan.hand_over((2, 3))
+        own = plan.start(0.0)
+        self.assertEqual([send.shard for send in own], [0, 1])
+        for send in own:
+            plan.part(send.number)
+        self.assertIsNone(plan.verdict(0.01))
+        plan.group_answered(group, (2, 3))
+        self.assertIs(plan.verdict(0.02), Verdict.ANSWER)
+
+    def test_what_a_group_lacks_is_missing(self):
+        plan = make_plan()
+        group = plan.hand_over((2, 3))
+        for send in plan.start(0.0):
+            plan.part(send.number)
+        plan.group_answered(group, (2,))
+        self.assertIs(plan.verdict(0.02), Verdict.ANSWER)
+        self.assertEqual(plan.missing(), ("s3",))
+
+    def test_a_group_that_nobody_got_is_asked_from_here(self):
+        plan = make_plan(extras=CountedExtras(0))
+        group = plan.hand_over((2, 3))
+        plan.start(0.0)
+        sends = plan.group_failed(group, 0.01, may_have_run=False)
+        self.assertEqual([send.shard for send in sends], [2, 3])
+
+    def test_a_lost_group_is_asked_again_within_the_budget(self):
+        plan = make_plan(extras=CountedExtras(1))
+        group = plan.hand_over((2, 3))
+        plan.start(0.0)
+        sends = plan.group_failed(group, 0.01, may_have_run=True)
+        self.assertEqual([send.shard for send in sends], [2])
+
+    def test_a_lost_group_is_not_asked_of_more_servers_than_allowed(self):
+        plan = make_plan(each=3)
+        group = plan.hand_over((2, 3))
+        plan.start(0.0)
+        self.assertFalse(plan.can_fall_back(group))
+        self.assertEqual(plan.group_failed(group, 0.01, may_have_run=True), [])
--- a/tests/test_gateway_rankedmerge.py
+++ b/tests/test_gateway_rankedmerge.py
@@ -16,10 +16,10 @@
         st.integers(0, 12),
     )
     def test_holds_the_greatest_records_falling(self, shards, top):
-        parts = [Part(signature="", body=b"".join(r) + rest) for r, rest in shards]
+        parts = [Part(signatures=(), body=b"".join(r) + rest) for r, rest in shards]
         every = sorted((one for r, _ in shards for one in r), reverse=True)
         self.assertEqual(merge_records(parts, top=top), b"".join(every[:top]))
 
     def test_equal_records_all_count(self):
-        part = Part(signature="", body=b"x" * RECORD_BYTES)
+        part = Part(signatures=(), body=b"x" * RECORD_BYTES)
         self.assertEqual(merge_records([part, part], top=5), b"x" * 2 * RECORD_BYTES)
