--- a/benchmarks/bench_calls.py
+++ b/benchmarks/bench_calls.py
@@ -11,7 +11,7 @@
 from benchmarks.calls_model import DURATION, INSTANCES, STOCK_AGE, Model
 from benchmarks.calls_pruning import print_pruning
 from benchmarks.calls_schemes import KeyLedger, Scheme
-from savorypond.ledger import TicketLedger
+from savorypond.calls.ledger import TicketLedger
 
 SEED = 8409
 KILLED = 100  # instances
--- a/benchmarks/bench_choice.py
+++ b/benchmarks/bench_choice.py
@@ -17,8 +17,8 @@
 from benchmarks.gateview import make_service
 from benchmarks.sender import End, Sender
 from benchmarks.virtual import EventLoop, Traffic, record
-from savorypond.balancer import ChoiceRule
-from savorypond.latency import HIGHEST, new_histogram
+from savorypond.balancing.balancer import ChoiceRule
+from savorypond.balancing.latency import HIGHEST, new_histogram
 
 SLOTS = 2
 MEAN_WORK = 0.01  # seconds
--- a/benchmarks/bench_config.py
+++ b/benchmarks/bench_config.py
@@ -13,10 +13,11 @@
 from msgspec.json import encode as encode_json
 from msgspec.msgpack import encode as encode_message
 
-from savorypond.configentry import encode_entry, entries_digest
-from savorypond.configwire import PullRequest
-from savorypond.confpull import Pull, ReplyCutter
-from savorypond.confstore import Change, ConfigStore, bundle_stamp
+from savorypond.config.configentry import encode_entry, entries_digest
+from savorypond.config.configwire import PullRequest
+from savorypond.config.confpull import Pull, ReplyCutter
+from savorypond.config.confstore import Change, ConfigStore, bundle_stamp
+from savorypond.config.publication import PART_BYTES, change_key, decode_part, publish
 from savorypond.model import (
     Address,
     BackendServer,
@@ -30,7 +31,6 @@
     ShardLayout,
     ShardRange,
 )
-from savorypond.publication import PART_BYTES, change_key, decode_part, publish
 
 SIZES = (50, 1000, 10_000, 43_500)  # services
 INDEX_SERVICES = 50  # services of one index
--- a/benchmarks/bench_links.py
+++ b/benchmarks/bench_links.py
@@ -15,12 +15,12 @@
     unary_unary_rpc_method_handler,
 )
 
-from savorypond.httpclient import HttpConnection
-from savorypond.httpserver import HttpLimits, HttpServer
-from savorypond.httptypes import HttpRequest, HttpResponse
-from savorypond.linkwire import ForwardAnswer, ForwardQuery, WirePartial
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httpserver import HttpLimits, HttpServer
+from savorypond.http.httptypes import HttpRequest, HttpResponse
 from savorypond.model import Address, Preference, Priority
-from savorypond.peerlink import PeerLinks, PeerServer
+from savorypond.peers.linkwire import ForwardAnswer, ForwardQuery, WirePartial
+from savorypond.peers.peerlink import PeerLinks, PeerServer
 
 REQUESTS = 2000
 AT_ONCE = (1, 8)
--- a/benchmarks/bench_members.py
+++ b/benchmarks/bench_members.py
@@ -15,9 +15,9 @@
 
 from tests.memberfleet import MemberFleet
 
-from savorypond.membersettings import Send
-from savorypond.membership import Membership
-from savorypond.memberwire import (
+from savorypond.membership.membersettings import Send
+from savorypond.membership.membership import Membership
+from savorypond.membership.memberwire import (
     Ack,
     Leave,
     MemberUpdate,
@@ -37,7 +37,7 @@
     Service,
     ServiceKind,
 )
-from savorypond.ownertable import OwnerTable
+from savorypond.placement.ownertable import OwnerTable
 
 FLEET_SIZES = (7, 100, 1000, 4200)
 DATA_CENTRES = 22
--- a/benchmarks/bench_overload.py
+++ b/benchmarks/bench_overload.py
@@ -17,15 +17,20 @@
 from benchmarks.gateview import GateView, make_gates, make_service
 from benchmarks.gatewatch import GateWatch
 from benchmarks.virtual import Arrival, EventLoop, Traffic, record
-from savorypond.admission import (
+from savorypond.balancing.admission import (
     Admission,
     AdmissionConfig,
     Admitted,
     RequestOutcome,
 )
-from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
-from savorypond.latency import new_histogram
-from savorypond.limiter import GateChange, Granted, Outcome, Queued
+from savorypond.balancing.balancer import (
+    ChoiceRule,
+    LinkTimes,
+    ReplicaBoard,
+    make_chooser,
+)
+from savorypond.balancing.latency import new_histogram
+from savorypond.balancing.limiter import GateChange, Granted, Outcome, Queued
 from savorypond.model import Pin, Priority, Service
 from savorypond.protocols import Purpose
 
--- a/benchmarks/bench_path.py
+++ b/benchmarks/bench_path.py
@@ -21,15 +21,13 @@
 from curio import run as run_curio, sleep
 from defopt import run
 
-from savorypond.attempts import Attempt
+from savorypond.balancing.leaving import ServerDrain
 from savorypond.clock import SystemClock
 from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.pools import ConnectionPools
 from savorypond.exceptions import BackendServerError
-from savorypond.fanoutpolicies import FanoutPolicies
-from savorypond.httpclient import HttpConnection
-from savorypond.leaving import ServerDrain
+from savorypond.http.httpclient import HttpConnection
 from savorypond.model import (
     Address,
     Counters,
@@ -40,13 +38,15 @@
     Query,
     Service,
 )
-from savorypond.partials import ServerAnswer, ServerPartial
-from savorypond.placement import DirectPlacement
-from savorypond.queryrun import QueryRun, QueryTools
-from savorypond.servicefile import load_service_files
-from savorypond.shardcalls import AttemptEvents, RunningCall, ShardCaller
-from savorypond.standin import serve
-from savorypond.standin_site import SERVICES_DIRECTORY, Site, plan_site
+from savorypond.placement.placement import DirectPlacement
+from savorypond.queries.attempts import Attempt
+from savorypond.queries.fanoutpolicies import FanoutPolicies
+from savorypond.queries.partials import ServerAnswer, ServerPartial
+from savorypond.queries.queryrun import QueryRun, QueryTools
+from savorypond.queries.shardcalls import AttemptEvents, RunningCall, ShardCaller
+from savorypond.services.servicefile import load_service_files
+from savorypond.standins.standin import serve
+from savorypond.standins.standin_site import SERVICES_DIRECTORY, Site, plan_site
 
 SHARDS = (5, 20, 80)
 PIN = Pin(snapshot=101, layout=1)
--- a/benchmarks/bench_sheds.py
+++ b/benchmarks/bench_sheds.py
@@ -15,8 +15,8 @@
 from benchmarks.gateview import make_service
 from benchmarks.sender import End, Sender
 from benchmarks.virtual import EventLoop, Traffic, record
-from savorypond.latency import new_histogram
-from savorypond.limiter import DEFAULT_GATE, GateConfig
+from savorypond.balancing.latency import new_histogram
+from savorypond.balancing.limiter import DEFAULT_GATE, GateConfig
 
 REPLICAS = 2
 SLOTS = 2
--- a/benchmarks/bench_tail.py
+++ b/benchmarks/bench_tail.py
@@ -18,8 +18,13 @@
     NoHedging,
 )
 from benchmarks.tail_world import Cancel, Faults, TailWorld
-from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
-from savorypond.hedging import FallbackHedge
+from savorypond.balancing.balancer import (
+    ChoiceRule,
+    LinkTimes,
+    ReplicaBoard,
+    make_chooser,
+)
+from savorypond.balancing.hedging import FallbackHedge
 from savorypond.model import Preference
 from savorypond.protocols import ExtraWorkBudget, HedgePolicy, ReplicaChooser
 
--- a/benchmarks/calls_model.py
+++ b/benchmarks/calls_model.py
@@ -6,8 +6,9 @@
 from random import Random
 
 from benchmarks.calls_schemes import Call, Key, Scheme, Tally, gone, key_score
-from savorypond.callrun import CallRun
-from savorypond.callsteps import (
+from savorypond.balancing.leaving import ServerDrain
+from savorypond.calls.callrun import CallRun
+from savorypond.calls.callsteps import (
     Acquire,
     Acquired,
     Answered,
@@ -20,14 +21,13 @@
     Tick,
     Write,
 )
-from savorypond.issuer import TicketIssuer, new_incarnation
-from savorypond.leaving import ServerDrain
-from savorypond.ledger import InProgress, Replay, Run
+from savorypond.calls.issuer import TicketIssuer, new_incarnation
+from savorypond.calls.ledger import InProgress, Replay, Run
+from savorypond.calls.ticketroute import Forward, route_ticket
+from savorypond.calls.tickets import Refuse, TicketLimits, TicketSeal
+from savorypond.membership.pause import PauseDetector
 from savorypond.model import Address, Instance
-from savorypond.pause import PauseDetector
 from savorypond.reasons import Execution
-from savorypond.ticketroute import Forward, route_ticket
-from savorypond.tickets import Refuse, TicketLimits, TicketSeal
 
 INSTANCES = 200
 CALLS = 3000
--- a/benchmarks/calls_schemes.py
+++ b/benchmarks/calls_schemes.py
@@ -5,10 +5,10 @@
 
 from xxhash import xxh64_intdigest
 
-from savorypond.ledger import InProgress, Replay, Run
+from savorypond.calls.ledger import InProgress, Replay, Run
+from savorypond.calls.ticketroute import unreachable_issuer
+from savorypond.calls.tickets import Refuse
 from savorypond.reasons import Execution, RefusalReason
-from savorypond.ticketroute import unreachable_issuer
-from savorypond.tickets import Refuse
 
 
 class KeyLedger:
--- a/benchmarks/fleet_probe.py
+++ b/benchmarks/fleet_probe.py
@@ -12,13 +12,13 @@
 from msgspec.json import Decoder, decode, encode
 
 from savorypond.exceptions import BackendServerError
-from savorypond.httpclient import HttpConnection
-from savorypond.httptypes import HttpRequest, HttpResponse
-from savorypond.loadrun import LoadOptions, query_request
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httptypes import HttpRequest, HttpResponse
 from savorypond.model import Address
-from savorypond.servicefile import load_service_files
-from savorypond.standin_site import SERVICES_DIRECTORY
-from savorypond.units import parse_address
+from savorypond.services.servicefile import load_service_files
+from savorypond.services.units import parse_address
+from savorypond.standins.standin_site import SERVICES_DIRECTORY
+from savorypond.tools.loadrun import LoadOptions, query_request
 
 _ANSWER_TIME = 3.0  # seconds
 _POLL_TIME = 0.02  # seconds between two looks at an instance
--- a/benchmarks/gateview.py
+++ b/benchmarks/gateview.py
@@ -1,6 +1,6 @@
 """Stand-in facts about backend servers for the benchmarks."""
 
-from savorypond.limiter import DEFAULT_GATE, GateConfig, ServerGate
+from savorypond.balancing.limiter import DEFAULT_GATE, GateConfig, ServerGate
 from savorypond.model import (
     Address,
     BackendServer,
--- a/benchmarks/gatewatch.py
+++ b/benchmarks/gatewatch.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from benchmarks.virtual import EventLoop
-from savorypond.limiter import GateChange, ServerGate
+from savorypond.balancing.limiter import GateChange, ServerGate
 
 
 class GateWatch:
--- a/benchmarks/sender.py
+++ b/benchmarks/sender.py
@@ -13,8 +13,13 @@
 from benchmarks.gateview import GateView, make_gates
 from benchmarks.gatewatch import GateWatch
 from benchmarks.virtual import Arrival, EventLoop
-from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
-from savorypond.limiter import (
+from savorypond.balancing.balancer import (
+    ChoiceRule,
+    LinkTimes,
+    ReplicaBoard,
+    make_chooser,
+)
+from savorypond.balancing.limiter import (
     DEFAULT_GATE,
     GateChange,
     GateConfig,
--- a/benchmarks/slopes_query.py
+++ b/benchmarks/slopes_query.py
@@ -8,21 +8,26 @@
 from benchmarks.gateview import GateView
 from benchmarks.slopes_state import ManyInstances
 from benchmarks.slopes_wire import PIN, make_query
-from savorypond.attempts import Finish, SendAttempt
-from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
-from savorypond.budget import RetryBudget
-from savorypond.fanout import Fanout
-from savorypond.fanoutpolicies import FanoutPolicies
-from savorypond.forwarding import FinishForwarding, Forwarding, SendAsk
-from savorypond.issuer import TicketIssuer
-from savorypond.latency import LatencyTracker, PercentileHedge
-from savorypond.ledger import Run, TicketLedger
-from savorypond.limiter import ServerGate
+from savorypond.balancing.balancer import (
+    ChoiceRule,
+    LinkTimes,
+    ReplicaBoard,
+    make_chooser,
+)
+from savorypond.balancing.budget import RetryBudget
+from savorypond.balancing.latency import LatencyTracker, PercentileHedge
+from savorypond.balancing.limiter import ServerGate
+from savorypond.calls.issuer import TicketIssuer
+from savorypond.calls.ledger import Run, TicketLedger
+from savorypond.calls.tickets import TicketLimits, TicketSeal
 from savorypond.model import Answer, Counters, Coverage, Service, ShardPartial
-from savorypond.partials import ServerAnswer, ServerPartial
-from savorypond.placement import OwnerPlacement
-from savorypond.snapshots import SnapshotBook
-from savorypond.tickets import TicketLimits, TicketSeal
+from savorypond.placement.forwarding import FinishForwarding, Forwarding, SendAsk
+from savorypond.placement.placement import OwnerPlacement
+from savorypond.queries.attempts import Finish, SendAttempt
+from savorypond.queries.fanout import Fanout
+from savorypond.queries.fanoutpolicies import FanoutPolicies
+from savorypond.queries.partials import ServerAnswer, ServerPartial
+from savorypond.queries.snapshots import SnapshotBook
 
 QUERY_SIZES = (10, 60, 300, 650, 1300)  # services
 GROUPS = (0, 3)  # groups an index is placed in; 0 places by service
--- a/benchmarks/slopes_state.py
+++ b/benchmarks/slopes_state.py
@@ -11,21 +11,21 @@
 
 from benchmarks.bench_config import make_services, make_store
 from benchmarks.bench_members import DATA_CENTRES, update_of
-from savorypond.balancer import ReplicaBoard
-from savorypond.budget import RetryBudget
+from savorypond.balancing.balancer import ReplicaBoard
+from savorypond.balancing.budget import RetryBudget
+from savorypond.balancing.latency import LatencyTracker
+from savorypond.balancing.leaving import ServerDrain
+from savorypond.balancing.limiter import ServerGate
+from savorypond.balancing.outlier import OutlierDetector
+from savorypond.balancing.pool import ConnectionPool, PoolLimits
 from savorypond.clock import SystemClock
-from savorypond.configentry import encode_entry
+from savorypond.config.configentry import encode_entry
 from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.pools import ConnectionPools
-from savorypond.latency import LatencyTracker
-from savorypond.leaving import ServerDrain
-from savorypond.limiter import ServerGate
 from savorypond.model import Bundle, Counters, Instance, Pin, Service
-from savorypond.outlier import OutlierDetector
-from savorypond.placement import OwnerPlacement
-from savorypond.pool import ConnectionPool, PoolLimits
-from savorypond.snapshots import SnapshotBook
+from savorypond.placement.placement import OwnerPlacement
+from savorypond.queries.snapshots import SnapshotBook
 
 ACTIVE_SIZES = (20, 200, 2000)  # services
 SWEEP_SIZES = (1_000, 10_000, 43_500)  # services
--- a/benchmarks/slopes_wire.py
+++ b/benchmarks/slopes_wire.py
@@ -16,23 +16,14 @@
 from msgspec.json import encode
 
 from benchmarks.bench_config import make_services
-from savorypond.attempts import Attempt, AttemptFailure
+from savorypond.balancing.leaving import ServerDrain
 from savorypond.clock import SystemClock
-from savorypond.configwire import PullReply, PullRequest, ReplyKind, Stamp
+from savorypond.config.configwire import PullReply, PullRequest, ReplyKind, Stamp
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.pools import ConnectionPools
-from savorypond.httpclient import HttpConnection
-from savorypond.httpserver import HttpLimits, HttpServer
-from savorypond.httptypes import HttpRequest, HttpResponse
-from savorypond.leaving import ServerDrain
-from savorypond.linkwire import (
-    ForwardAnswer,
-    ForwardQuery,
-    Frame,
-    LinkMessage,
-    WirePartial,
-    encode_frame,
-)
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httpserver import HttpLimits, HttpServer
+from savorypond.http.httptypes import HttpRequest, HttpResponse
 from savorypond.model import (
     Address,
     BackendServer,
@@ -43,15 +34,24 @@
     Query,
     Service,
 )
-from savorypond.partials import ServerAnswer
-from savorypond.peercontrol import (
+from savorypond.peers.linkwire import (
+    ForwardAnswer,
+    ForwardQuery,
+    Frame,
+    LinkMessage,
+    WirePartial,
+    encode_frame,
+)
+from savorypond.peers.peercontrol import (
     CONTROL_PORT_OFFSET,
     ControlClient,
     ControlServer,
 )
-from savorypond.peerlink import PeerLinks, PeerServer
+from savorypond.peers.peerlink import PeerLinks, PeerServer
 from savorypond.protocols import Purpose
-from savorypond.shardcalls import ShardCaller
+from savorypond.queries.attempts import Attempt, AttemptFailure
+from savorypond.queries.partials import ServerAnswer
+from savorypond.queries.shardcalls import ShardCaller
 
 ANY_PORT = Address(host="127.0.0.1", port=0)
 PIN = Pin(snapshot=1, layout=1)
--- a/benchmarks/tail_view.py
+++ b/benchmarks/tail_view.py
@@ -3,14 +3,19 @@
 from collections.abc import Iterable
 from random import Random
 
-from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
-from savorypond.budget import RetryBudget
+from savorypond.balancing.balancer import (
+    ChoiceRule,
+    LinkTimes,
+    ReplicaBoard,
+    make_chooser,
+)
+from savorypond.balancing.budget import RetryBudget
+from savorypond.balancing.latency import LatencyConfig, LatencyTracker, PercentileHedge
+from savorypond.balancing.limiter import ServerGate
+from savorypond.balancing.outlier import Ejection, OutlierDetector
 from savorypond.clock import VirtualClock
-from savorypond.latency import LatencyConfig, LatencyTracker, PercentileHedge
-from savorypond.limiter import ServerGate
 from savorypond.model import Counters, Holding, Pin, Service
-from savorypond.outlier import Ejection, OutlierDetector
-from savorypond.snapshots import PinChoice, SnapshotBook
+from savorypond.queries.snapshots import PinChoice, SnapshotBook
 
 
 class KnownServers:
--- a/benchmarks/tail_world.py
+++ b/benchmarks/tail_world.py
@@ -17,7 +17,11 @@
     make_services,
 )
 from benchmarks.tail_view import KnownServers
-from savorypond.attempts import (
+from savorypond.balancing.limiter import Granted, Outcome, Refused, ServerGate
+from savorypond.clock import VirtualClock
+from savorypond.model import Counters, Holding, Preference, Priority, Query
+from savorypond.protocols import ExtraWorkBudget, HedgePolicy, ReplicaChooser
+from savorypond.queries.attempts import (
     Action,
     Attempt,
     AttemptFailure,
@@ -28,13 +32,9 @@
     Repin,
     SendAttempt,
 )
-from savorypond.clock import VirtualClock
-from savorypond.fanout import Fanout
-from savorypond.fanoutpolicies import FanoutPolicies
-from savorypond.limiter import Granted, Outcome, Refused, ServerGate
-from savorypond.model import Counters, Holding, Preference, Priority, Query
-from savorypond.partials import ServerAnswer, ServerPartial
-from savorypond.protocols import ExtraWorkBudget, HedgePolicy, ReplicaChooser
+from savorypond.queries.fanout import Fanout
+from savorypond.queries.fanoutpolicies import FanoutPolicies
+from savorypond.queries.partials import ServerAnswer, ServerPartial
 
 LINK_TIME = 0.0005  # seconds one way between instance and backend server
 STRAGGLER_FACTOR = 10.0
--- a/src/savorypond/__init__.py
+++ b/src/savorypond/__init__.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from savorypond.bundle import check_bundle, decode_bundle, encode_bundle
+    from savorypond.config.bundle import check_bundle, decode_bundle, encode_bundle
     from savorypond.daemon import Daemon
     from savorypond.exceptions import (
         BundleError,
@@ -15,7 +15,7 @@
     )
     from savorypond.model import Address, Bundle, Service
     from savorypond.reasons import Execution, MissingReason, RefusalReason
-    from savorypond.servicefile import load_service_file, load_service_files
+    from savorypond.services.servicefile import load_service_file, load_service_files
     from savorypond.settings import Settings, load_settings
 
 __version__ = "0.1.0"
@@ -56,11 +56,11 @@
     "ServiceFileError": "exceptions",
     "Settings": "settings",
     "SettingsError": "exceptions",
-    "check_bundle": "bundle",
-    "decode_bundle": "bundle",
-    "encode_bundle": "bundle",
-    "load_service_file": "servicefile",
-    "load_service_files": "servicefile",
+    "check_bundle": "config.bundle",
+    "decode_bundle": "config.bundle",
+    "encode_bundle": "config.bundle",
+    "load_service_file": "services.servicefile",
+    "load_service_files": "services.servicefile",
     "load_settings": "settings",
 }
 
--- /dev/null
+++ b/src/savorypond/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""What backend servers get: choice, limits, budgets, latencies, outliers."""
--- a/src/savorypond/admission.py
+++ b/src/savorypond/balancing/admission.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from savorypond.limiter import Refused
+from savorypond.balancing.limiter import Refused
+from savorypond.balancing.servicetime import ServiceTime
 from savorypond.model import Priority
 from savorypond.reasons import RefusalReason
-from savorypond.servicetime import ServiceTime
 
 MIN_RETRY_AFTER = 0.01  # seconds
 USE_THAT_GROWS = 0.5  # share of the limit in use below which it does not grow
--- a/src/savorypond/limiter.py
+++ b/src/savorypond/balancing/limiter.py
@@ -4,10 +4,10 @@
 from enum import StrEnum
 from math import floor
 
+from savorypond.balancing.servicetime import ServiceTime
+from savorypond.balancing.waitqueue import WaiterId, WaitQueue
 from savorypond.model import Priority
 from savorypond.reasons import RefusalReason
-from savorypond.servicetime import ServiceTime
-from savorypond.waitqueue import WaiterId, WaitQueue
 
 MIN_HOLD = 0.001  # seconds without a grant after a shed in the smallest window
 MAX_HOLD_DOUBLINGS = 16
--- a/src/savorypond/outlier.py
+++ b/src/savorypond/balancing/outlier.py
@@ -5,8 +5,8 @@
 from math import floor
 from statistics import median
 
+from savorypond.balancing.servicetime import ServiceTime
 from savorypond.reasons import EjectReason
-from savorypond.servicetime import ServiceTime
 
 MAX_DOUBLINGS = 16
 
--- /dev/null
+++ b/src/savorypond/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent calls under tickets, each run at most once."""
--- a/src/savorypond/callapi.py
+++ b/src/savorypond/calls/callapi.py
@@ -5,32 +5,32 @@
 from msgspec import Raw
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from savorypond.callpaths import before_ledger
+from savorypond.calls.callpaths import before_ledger
+from savorypond.calls.ticketroute import (
+    Forward,
+    InstanceLookup,
+    RunHere,
+    route_ticket,
+    unreachable_issuer,
+)
+from savorypond.calls.tickets import Refuse, Ticket, decode_ticket
 from savorypond.clock import Clock
 from savorypond.controllers.calls import Calls, refused
 from savorypond.exceptions import RequestRefused, TicketError
-from savorypond.httptypes import HttpRequest, HttpResponse, json_response
-from savorypond.linkwire import (
+from savorypond.http.httptypes import HttpRequest, HttpResponse, json_response
+from savorypond.logs import log_event
+from savorypond.metrics import Metrics
+from savorypond.model import Instance, Service, ServiceKind
+from savorypond.peers.linkwire import (
     ForwardCall,
     ForwardRefusal,
     ForwardResult,
     ForwardRevoke,
 )
-from savorypond.logs import log_event
-from savorypond.metrics import Metrics
-from savorypond.model import Instance, Service, ServiceKind
-from savorypond.peerlink import LinkLost, PeerLinks
+from savorypond.peers.peerlink import LinkLost, PeerLinks
 from savorypond.protocols import ConfigView
 from savorypond.reasons import RefusalReason
-from savorypond.ticketroute import (
-    Forward,
-    InstanceLookup,
-    RunHere,
-    route_ticket,
-    unreachable_issuer,
-)
-from savorypond.tickets import Refuse, Ticket, decode_ticket
-from savorypond.validation import body_refusal
+from savorypond.services.validation import body_refusal
 
 MOST_TICKETS = 1000  # of one request
 LONGEST_TIME_LIMIT = 60_000.0  # milliseconds
--- a/src/savorypond/callconnection.py
+++ b/src/savorypond/calls/callconnection.py
@@ -5,7 +5,9 @@
 from msgspec import DecodeError, Raw, Struct
 from msgspec.json import Decoder, encode
 
-from savorypond.callsteps import (
+from savorypond.balancing.limiter import Outcome
+from savorypond.balancing.pool import Release
+from savorypond.calls.callsteps import (
     Acquired,
     ConnectionLost,
     Event,
@@ -20,13 +22,11 @@
 from savorypond.controllers.connections import ConnectionLease
 from savorypond.controllers.slots import Slot, SlotRefused
 from savorypond.exceptions import BackendServerError
-from savorypond.httptypes import Header, HttpRequest, HttpResponse
-from savorypond.limiter import Outcome
+from savorypond.http.httptypes import Header, HttpRequest, HttpResponse
 from savorypond.model import Pin, Service
-from savorypond.partials import is_shed
-from savorypond.pool import Release
 from savorypond.protocols import Purpose
-from savorypond.shardcalls import ConnectionSource
+from savorypond.queries.partials import is_shed
+from savorypond.queries.shardcalls import ConnectionSource
 
 CALLS_PATH = "/v1/calls"
 _NO_PIN = Pin(snapshot=0, layout=0)
--- a/src/savorypond/callrun.py
+++ b/src/savorypond/calls/callrun.py
@@ -3,7 +3,8 @@
 from enum import Enum, auto
 from typing import Protocol
 
-from savorypond.callsteps import (
+from savorypond.balancing.pool import Release
+from savorypond.calls.callsteps import (
     Acquire,
     Acquired,
     Action,
@@ -21,11 +22,10 @@
     Tick,
     Write,
 )
-from savorypond.ledger import TicketLedger
-from savorypond.pause import PauseDetector
-from savorypond.pool import Release
+from savorypond.calls.ledger import TicketLedger
+from savorypond.calls.tickets import Refuse, Ticket
+from savorypond.membership.pause import PauseDetector
 from savorypond.reasons import Execution, RefusalReason
-from savorypond.tickets import Refuse, Ticket
 
 MAX_WRITES = 3
 MAX_ACQUIRES = 6
--- a/src/savorypond/callsteps.py
+++ b/src/savorypond/calls/callsteps.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from savorypond.pool import Release
-from savorypond.tickets import Refuse
+from savorypond.balancing.pool import Release
+from savorypond.calls.tickets import Refuse
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/savorypond/issuer.py
+++ b/src/savorypond/calls/issuer.py
@@ -4,15 +4,15 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from savorypond.exceptions import RequestRefused
-from savorypond.reasons import RefusalReason
-from savorypond.tickets import (
+from savorypond.calls.tickets import (
     MILLISECONDS,
     Ticket,
     TicketLimits,
     TicketSeal,
     fleet_tag,
 )
+from savorypond.exceptions import RequestRefused
+from savorypond.reasons import RefusalReason
 
 RANDOM_BITS = 20  # low bits of an incarnation
 
--- a/src/savorypond/ledger.py
+++ b/src/savorypond/calls/ledger.py
@@ -4,10 +4,9 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from savorypond.expiry import ExpiryBuckets
-from savorypond.reasons import Execution
-from savorypond.spent import Mark, SpentNumbers
-from savorypond.ticketrefusals import (
+from savorypond.calls.expiry import ExpiryBuckets
+from savorypond.calls.spent import Mark, SpentNumbers
+from savorypond.calls.ticketrefusals import (
     EARLIER_START,
     EXPIRED,
     FORGOTTEN,
@@ -20,7 +19,8 @@
     REVOKED,
     UNRESOLVED,
 )
-from savorypond.tickets import Refuse, Ticket, TicketLimits, TicketSeal
+from savorypond.calls.tickets import Refuse, Ticket, TicketLimits, TicketSeal
+from savorypond.reasons import Execution
 
 FORGET_INTERVAL = 1.0  # seconds
 
--- a/src/savorypond/ticketrefusals.py
+++ b/src/savorypond/calls/ticketrefusals.py
@@ -1,7 +1,7 @@
 """Why an instance refuses a ticket that it issued, and with what certainty."""
 
+from savorypond.calls.tickets import Refuse
 from savorypond.reasons import Execution, RefusalReason
-from savorypond.tickets import Refuse
 
 BUSY_RETRY_AFTER = 1.0  # seconds
 
--- a/src/savorypond/ticketroute.py
+++ b/src/savorypond/calls/ticketroute.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from savorypond.calls.tickets import Refuse, Ticket, fleet_tag
 from savorypond.model import Instance, InstanceState
 from savorypond.reasons import Execution, RefusalReason
-from savorypond.tickets import Refuse, Ticket, fleet_tag
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/savorypond/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: bundles, how they are read, reviewed, spread and kept."""
--- a/src/savorypond/bundle.py
+++ b/src/savorypond/config/bundle.py
@@ -8,7 +8,7 @@
 
 from savorypond.exceptions import BundleError
 from savorypond.model import KEY_SPACE, Address, Bundle, Service, ShardRange
-from savorypond.servicerules import service_problems
+from savorypond.services.servicerules import service_problems
 
 MAX_VALUE_BYTES = 1_000_000  # largest value of the configuration service
 MAX_REVISION = 2**63 - 1
--- a/src/savorypond/confpull.py
+++ b/src/savorypond/config/confpull.py
@@ -3,16 +3,16 @@
 from bisect import bisect_right
 from collections.abc import Sequence
 
-from savorypond.bundle import MAX_REVISION
-from savorypond.confassembly import Assembly
-from savorypond.configwire import (
+from savorypond.config.bundle import MAX_REVISION
+from savorypond.config.confassembly import Assembly
+from savorypond.config.configwire import (
     MAX_REPLY_BYTES,
     PullReply,
     PullRequest,
     ReplyKind,
     Stamp,
 )
-from savorypond.confstore import ConfigStore, Outcome
+from savorypond.config.confstore import ConfigStore, Outcome
 
 MAX_REPLIES = 4096  # replies that one pull may take
 
--- a/src/savorypond/confread.py
+++ b/src/savorypond/config/confread.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from savorypond.confassembly import Assembly
-from savorypond.configentry import encode_entry
-from savorypond.configwire import Stamp
-from savorypond.confstore import ConfigStore, Outcome
-from savorypond.publication import (
+from savorypond.config.confassembly import Assembly
+from savorypond.config.configentry import encode_entry
+from savorypond.config.configwire import Stamp
+from savorypond.config.confstore import ConfigStore, Outcome
+from savorypond.config.publication import (
     HEAD_KEY,
     Head,
     change_key,
--- a/src/savorypond/confspread.py
+++ b/src/savorypond/config/confspread.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 from random import Random
 
-from savorypond.confbudget import ReadBudget, WatcherChoice
-from savorypond.configwire import PullReply, PullRequest, Stamp
-from savorypond.confpull import Pull, ReplyCutter
-from savorypond.confread import (
+from savorypond.config.confbudget import ReadBudget, WatcherChoice
+from savorypond.config.configwire import PullReply, PullRequest, Stamp
+from savorypond.config.confpull import Pull, ReplyCutter
+from savorypond.config.confread import (
     ReadEnd,
     ReadService,
     ReadSteps,
@@ -15,7 +15,7 @@
     ServiceReader,
     WatchService,
 )
-from savorypond.confstore import ConfigStore, Outcome
+from savorypond.config.confstore import ConfigStore, Outcome
 from savorypond.model import Instance
 from savorypond.protocols import MembershipView
 
--- a/src/savorypond/confstore.py
+++ b/src/savorypond/config/confstore.py
@@ -5,16 +5,16 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from savorypond.bundle import MAX_REVISION
-from savorypond.configentry import (
+from savorypond.config.bundle import MAX_REVISION
+from savorypond.config.configentry import (
     DIGEST_SPAN,
     entries_digest,
     entry_digest,
     entry_name,
 )
-from savorypond.configwire import Stamp
-from savorypond.confreview import BrokenBundle, Catalogue, Review
-from savorypond.confstate import (
+from savorypond.config.configwire import Stamp
+from savorypond.config.confreview import BrokenBundle, Catalogue, Review
+from savorypond.config.confstate import (
     ServiceCache,
     StoredBundle,
     StoredServices,
--- a/src/savorypond/publication.py
+++ b/src/savorypond/config/publication.py
@@ -7,10 +7,10 @@
 from msgspec.json import Decoder, encode
 from xxhash import xxh3_64_intdigest
 
-from savorypond.bundle import MAX_VALUE_BYTES, check_bundle, refuse
-from savorypond.configentry import encode_entry, entries_digest
-from savorypond.configwire import Stamp
-from savorypond.confstore import Change
+from savorypond.config.bundle import MAX_VALUE_BYTES, check_bundle, refuse
+from savorypond.config.configentry import encode_entry, entries_digest
+from savorypond.config.configwire import Stamp
+from savorypond.config.confstore import Change
 from savorypond.exceptions import BundleError
 from savorypond.model import Bundle, Service
 
--- a/src/savorypond/controllers/active.py
+++ b/src/savorypond/controllers/active.py
@@ -11,13 +11,13 @@
 
 from curio import Event, ignore_after, sleep, spawn
 
+from savorypond.balancing.sweeppace import SweepPace
 from savorypond.clock import Clock
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.pools import ConnectionPools
 from savorypond.model import Bundle, Service
-from savorypond.placement import SlotSharing
+from savorypond.placement.placement import SlotSharing
 from savorypond.protocols import ConfigView, MembershipView
-from savorypond.sweeppace import SweepPace
 
 IDLE_LIMIT = 60.0  # seconds after which a service that is not owned is dropped
 _LOOK_INTERVAL = 0.1  # seconds
--- a/src/savorypond/controllers/backend_servers.py
+++ b/src/savorypond/controllers/backend_servers.py
@@ -4,21 +4,22 @@
 from dataclasses import dataclass
 from random import Random
 
-from savorypond.balancer import (
+from savorypond.balancing.balancer import (
     ChoiceRule,
     LinkTimes,
     ReplicaBoard,
     ReplicaStats,
     make_chooser,
 )
-from savorypond.budget import RetryBudget
+from savorypond.balancing.budget import RetryBudget
+from savorypond.balancing.hedging import FallbackHedge
+from savorypond.balancing.latency import LatencyTracker, PercentileHedge
+from savorypond.balancing.leaving import ServerDrain
+from savorypond.balancing.limiter import ServerGate
+from savorypond.balancing.outlier import Ejection, OutlierDetector
 from savorypond.clock import Clock
 from savorypond.controllers.slots import SlotGate
-from savorypond.hedging import FallbackHedge
-from savorypond.httptypes import HttpResponse
-from savorypond.latency import LatencyTracker, PercentileHedge
-from savorypond.leaving import ServerDrain
-from savorypond.limiter import ServerGate
+from savorypond.http.httptypes import HttpResponse
 from savorypond.model import (
     BackendServer,
     Counters,
@@ -26,10 +27,9 @@
     Pin,
     Service,
 )
-from savorypond.outlier import Ejection, OutlierDetector
-from savorypond.partials import is_draining
 from savorypond.protocols import HedgePolicy, ReplicaChooser
-from savorypond.snapshots import PinChoice, SnapshotBook
+from savorypond.queries.partials import is_draining
+from savorypond.queries.snapshots import PinChoice, SnapshotBook
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/savorypond/controllers/calls.py
+++ b/src/savorypond/controllers/calls.py
@@ -4,9 +4,9 @@
 from random import Random
 from typing import Protocol
 
-from savorypond.callconnection import CallConnection, CallRequest
-from savorypond.callrun import CallRun, LeavingServers
-from savorypond.callsteps import (
+from savorypond.calls.callconnection import CallConnection, CallRequest
+from savorypond.calls.callrun import CallRun, LeavingServers
+from savorypond.calls.callsteps import (
     Acquire,
     Action,
     Answered,
@@ -16,23 +16,23 @@
     Probe,
     Write,
 )
-from savorypond.clock import Clock
-from savorypond.controllers.active import ActiveServices
-from savorypond.controllers.backend_servers import BackendServers
-from savorypond.exceptions import RequestRefused
-from savorypond.issuer import TicketIssuer, new_incarnation
-from savorypond.ledger import InProgress, Replay, Run, TicketLedger
-from savorypond.model import Counters, Service
-from savorypond.pause import Paused, PauseDetector
-from savorypond.reasons import Execution, RefusalReason
-from savorypond.shardcalls import ConnectionSource
-from savorypond.tickets import (
+from savorypond.calls.issuer import TicketIssuer, new_incarnation
+from savorypond.calls.ledger import InProgress, Replay, Run, TicketLedger
+from savorypond.calls.tickets import (
     Refuse,
     Ticket,
     TicketLimits,
     TicketSeal,
     encode_ticket,
 )
+from savorypond.clock import Clock
+from savorypond.controllers.active import ActiveServices
+from savorypond.controllers.backend_servers import BackendServers
+from savorypond.exceptions import RequestRefused
+from savorypond.membership.pause import Paused, PauseDetector
+from savorypond.model import Counters, Service
+from savorypond.queries.shardcalls import ConnectionSource
+from savorypond.reasons import Execution, RefusalReason
 
 _KEY_BYTES = 32
 _BUSY_RETRY_AFTER = 0.1  # seconds
--- a/src/savorypond/controllers/config.py
+++ b/src/savorypond/controllers/config.py
@@ -10,10 +10,10 @@
 from curio import Event, TaskTimeout, spawn, timeout_after
 
 from savorypond.clock import Clock
-from savorypond.configwire import PullReply, PullRequest, Stamp
-from savorypond.confread import ServiceCall, WatchService
-from savorypond.confspread import ConfigSpread, PullFrom, SpreadAction
-from savorypond.confstore import ConfigStore
+from savorypond.config.configwire import PullReply, PullRequest, Stamp
+from savorypond.config.confread import ServiceCall, WatchService
+from savorypond.config.confspread import ConfigSpread, PullFrom, SpreadAction
+from savorypond.config.confstore import ConfigStore
 from savorypond.exceptions import SavorypondError
 from savorypond.model import Bundle, Counters
 from savorypond.protocols import MembershipView
--- a/src/savorypond/controllers/configfeed.py
+++ b/src/savorypond/controllers/configfeed.py
@@ -4,12 +4,12 @@
 
 from curio import TaskGroup, sleep
 
-from savorypond.configwire import Stamp
+from savorypond.config.configwire import Stamp
 from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.config import ConfigController
 from savorypond.controllers.membership import MembershipController
 from savorypond.logs import log_event
-from savorypond.membersettings import ConfigDiffers
+from savorypond.membership.membersettings import ConfigDiffers
 
 _LOOK_INTERVAL = 0.05  # seconds
 
--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -6,12 +6,7 @@
 
 from curio import Event, TaskTimeout, spawn, timeout_after
 
-from savorypond.clock import Clock
-from savorypond.exceptions import BackendServerError
-from savorypond.httpclient import HttpConnection
-from savorypond.httptypes import HttpRequest, HttpResponse
-from savorypond.model import Address, Counters
-from savorypond.pool import (
+from savorypond.balancing.pool import (
     ConnectionPool,
     Decision,
     Open,
@@ -21,6 +16,11 @@
     Release,
     Use,
 )
+from savorypond.clock import Clock
+from savorypond.exceptions import BackendServerError
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httptypes import HttpRequest, HttpResponse
+from savorypond.model import Address, Counters
 
 PROBE_TIME = 0.03  # seconds in which a connection must answer a probe
 CONNECT_TIME = 0.25  # seconds in which a connection must be open
--- a/src/savorypond/controllers/drain.py
+++ b/src/savorypond/controllers/drain.py
@@ -5,14 +5,14 @@
 
 from curio import sleep
 
-from savorypond.callpaths import before_ledger, is_call
+from savorypond.calls.callpaths import before_ledger, is_call
 from savorypond.clock import Clock
 from savorypond.drain import DrainAction, DrainLimits, DrainPlan, DrainState
 from savorypond.exceptions import RequestRefused
-from savorypond.httptypes import Handler, HttpRequest, HttpResponse
+from savorypond.http.httptypes import Handler, HttpRequest, HttpResponse
 from savorypond.logs import log_event
+from savorypond.membership.pause import Paused
 from savorypond.model import Counters
-from savorypond.pause import Paused
 from savorypond.reasons import RefusalReason
 
 _TICK = 0.02  # seconds
--- a/src/savorypond/controllers/health.py
+++ b/src/savorypond/controllers/health.py
@@ -9,12 +9,12 @@
 from msgspec import DecodeError, Struct
 from msgspec.json import Decoder
 
+from savorypond.balancing.leaving import ServerDrain
 from savorypond.clock import Clock
 from savorypond.controllers.backend_servers import BackendServers, KnownServer
 from savorypond.controllers.pools import ConnectionPools
 from savorypond.exceptions import BackendServerError
-from savorypond.httptypes import HttpRequest
-from savorypond.leaving import ServerDrain
+from savorypond.http.httptypes import HttpRequest
 from savorypond.model import Counters, Holding, Service, ServiceKind
 
 HEALTH_PATH = "/v1/health"
--- a/src/savorypond/controllers/holdings.py
+++ b/src/savorypond/controllers/holdings.py
@@ -13,11 +13,11 @@
 from savorypond.clock import Clock
 from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
-from savorypond.linkwire import HoldingsAnswer, HoldingsAsk, ServiceHeld, WireHeld
 from savorypond.model import Holding, Instance, Pin, Service
-from savorypond.peerlink import LinkLost, PeerLinks
+from savorypond.peers.linkwire import HoldingsAnswer, HoldingsAsk, ServiceHeld, WireHeld
+from savorypond.peers.peerlink import LinkLost, PeerLinks
 from savorypond.protocols import Placement
-from savorypond.snapshots import PinChoice
+from savorypond.queries.snapshots import PinChoice
 
 ASK_TIME = 0.25  # seconds for one question to an owner
 FRESH_TIME = 2.0  # seconds after which silence is followed by a question
--- a/src/savorypond/controllers/membership.py
+++ b/src/savorypond/controllers/membership.py
@@ -12,14 +12,14 @@
 
 from savorypond.clock import Clock
 from savorypond.exceptions import DatagramError, SavorypondError
-from savorypond.membersettings import (
+from savorypond.membership.membersettings import (
     ConfigDiffers,
     MemberAction,
     MembershipSettings,
     Send,
 )
-from savorypond.membership import Membership
-from savorypond.memberwire import MAX_DATAGRAM, decode, encode
+from savorypond.membership.membership import Membership
+from savorypond.membership.memberwire import MAX_DATAGRAM, decode, encode
 from savorypond.model import Address, Counters, Instance, InstanceState
 from savorypond.reasons import DatagramReason, ListReason
 
--- a/src/savorypond/controllers/owners.py
+++ b/src/savorypond/controllers/owners.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Sequence
 
-from savorypond.budget import BudgetConfig, RetryBudget
+from savorypond.balancing.budget import BudgetConfig, RetryBudget
+from savorypond.balancing.latency import LatencyTracker, PercentileHedge
 from savorypond.clock import Clock
 from savorypond.controllers.holdings import Holdings
-from savorypond.forwarding import owner_key
-from savorypond.latency import LatencyTracker, PercentileHedge
 from savorypond.metrics import Metrics
 from savorypond.model import Instance, Pin, Service
-from savorypond.ownersilence import OwnerSilence
+from savorypond.placement.forwarding import owner_key
+from savorypond.placement.ownersilence import OwnerSilence
 
 _HEDGE_SHARE = 0.05  # extra requests for each first one
 _HEDGE_FLOOR = 0.2  # extra requests a second where the share yields fewer
--- a/src/savorypond/controllers/pools.py
+++ b/src/savorypond/controllers/pools.py
@@ -5,10 +5,10 @@
 
 from curio import sleep, spawn
 
+from savorypond.balancing.pool import PoolLimits
 from savorypond.clock import Clock
 from savorypond.controllers.connections import ServerConnections
 from savorypond.model import BackendServer, Counters, Service
-from savorypond.pool import PoolLimits
 
 _REAP_INTERVAL = 5.0  # seconds
 
--- a/src/savorypond/controllers/slots.py
+++ b/src/savorypond/controllers/slots.py
@@ -5,8 +5,7 @@
 
 from curio import Event, TaskTimeout, timeout_after
 
-from savorypond.clock import Clock
-from savorypond.limiter import (
+from savorypond.balancing.limiter import (
     GateChange,
     Granted,
     Outcome,
@@ -14,6 +13,7 @@
     Refused,
     ServerGate,
 )
+from savorypond.clock import Clock
 from savorypond.model import Priority, ServerLimits
 from savorypond.reasons import RefusalReason
 
--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -7,9 +7,10 @@
 
 from curio import TaskGroup, ignore_after, sleep
 
-from savorypond.callapi import CallApi
-from savorypond.callerapi import LONGEST_TIME_LIMIT, CallerApi
+from savorypond.balancing.leaving import ServerDrain
+from savorypond.calls.callapi import CallApi
 from savorypond.clock import SystemClock
+from savorypond.config.platformclient import HttpConfigService, HttpInstanceList
 from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.calls import Calls
@@ -21,23 +22,22 @@
 from savorypond.controllers.membership import MembershipController
 from savorypond.controllers.owners import Owners
 from savorypond.controllers.pools import ConnectionPools
-from savorypond.fanoutpolicies import FanoutPolicies, FanoutSettings
-from savorypond.forwardrun import ForwardTools
-from savorypond.httpserver import HttpLimits, HttpServer
-from savorypond.leaving import ServerDrain
-from savorypond.linkdelay import link_delay
+from savorypond.http.httpserver import HttpLimits, HttpServer
 from savorypond.logs import log_event
+from savorypond.membership.pause import HEARTBEAT_INTERVAL, Paused, PauseDetector
 from savorypond.metrics import Metrics
 from savorypond.operatorapi import OperatorApi
-from savorypond.pause import HEARTBEAT_INTERVAL, Paused, PauseDetector
-from savorypond.peerapi import PeerApi
-from savorypond.peercontrol import ControlClient, ControlServer
-from savorypond.peerdirectory import PeerDirectory
-from savorypond.peerlink import PeerLinks, PeerServer
-from savorypond.platformclient import HttpConfigService, HttpInstanceList
-from savorypond.queryrun import QueryTools
+from savorypond.peers.linkdelay import link_delay
+from savorypond.peers.peerapi import PeerApi
+from savorypond.peers.peercontrol import ControlClient, ControlServer
+from savorypond.peers.peerdirectory import PeerDirectory
+from savorypond.peers.peerlink import PeerLinks, PeerServer
+from savorypond.placement.forwardrun import ForwardTools
+from savorypond.queries.callerapi import LONGEST_TIME_LIMIT, CallerApi
+from savorypond.queries.fanoutpolicies import FanoutPolicies, FanoutSettings
+from savorypond.queries.queryrun import QueryTools
+from savorypond.queries.shardcalls import ShardCaller
 from savorypond.settings import Settings
-from savorypond.shardcalls import ShardCaller
 from savorypond.statuspage import StatusPage
 from savorypond.wiring import caller_limits, make_chain, make_placement
 
--- a/src/savorypond/drain.py
+++ b/src/savorypond/drain.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 
-from savorypond.pause import Paused
+from savorypond.membership.pause import Paused
 
 NOTICE = 2.0  # seconds in which a balancer sees that an instance is not ready
 HAND_OVER_LIMIT = 1.0  # seconds
--- a/src/savorypond/filters/admission.py
+++ b/src/savorypond/filters/admission.py
@@ -1,10 +1,10 @@
 """Refuses queries that the instance could not answer in time."""
 
-from savorypond.admission import Admission, RequestOutcome
+from savorypond.balancing.admission import Admission, RequestOutcome
+from savorypond.balancing.limiter import Refused
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused
 from savorypond.filters.chain import Exchange, Step
-from savorypond.limiter import Refused
 from savorypond.model import Answer
 from savorypond.reasons import MissingReason, RefusalReason
 
--- a/src/savorypond/filters/fanout.py
+++ b/src/savorypond/filters/fanout.py
@@ -3,8 +3,8 @@
 from savorypond.clock import Clock
 from savorypond.filters.chain import Exchange
 from savorypond.filters.snapshot import PinSource
-from savorypond.forwardrun import ForwardRun, ForwardTools
 from savorypond.model import Answer, Counters, Pin
+from savorypond.placement.forwardrun import ForwardRun, ForwardTools
 from savorypond.reasons import MissingReason, RepinReason
 
 LEAST_SECOND_RUN = 0.015  # seconds below which no second run is worth starting
--- a/src/savorypond/filters/snapshot.py
+++ b/src/savorypond/filters/snapshot.py
@@ -5,8 +5,8 @@
 from savorypond.exceptions import RequestRefused
 from savorypond.filters.chain import Exchange, Step
 from savorypond.model import Answer, Service
+from savorypond.queries.snapshots import PinChoice
 from savorypond.reasons import RefusalReason
-from savorypond.snapshots import PinChoice
 
 
 class PinSource(Protocol):
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -31,14 +31,14 @@
 from savorypond.gateway.settings import GatewaySettings
 from savorypond.gateway.stop import StopPlan
 from savorypond.gateway.usualtimes import UsualTimes
-from savorypond.httpchannel import HttpLimits
-from savorypond.httpserver import HttpServer, PerPeerGate
-from savorypond.httptypes import HttpRequest, HttpResponse, text_response
+from savorypond.http.httpchannel import HttpLimits
+from savorypond.http.httpserver import HttpServer, PerPeerGate
+from savorypond.http.httptypes import HttpRequest, HttpResponse, text_response
 from savorypond.logs import log_event
+from savorypond.membership.pause import HEARTBEAT_INTERVAL, Paused, PauseDetector
 from savorypond.metrics import Metrics
 from savorypond.model import Address, Instance
 from savorypond.operatorapi import OperatorApi
-from savorypond.pause import HEARTBEAT_INTERVAL, Paused, PauseDetector
 
 FLEET = "gateway"  # name by which instances know their peers
 # A fleet that has just started does not know all of its members yet.
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -28,7 +28,7 @@
 )
 from savorypond.gateway.routes import Route, RouteTable
 from savorypond.gateway.split import WeightedSplit
-from savorypond.httptypes import HttpRequest, HttpResponse
+from savorypond.http.httptypes import HttpRequest, HttpResponse
 from savorypond.logs import log_event
 from savorypond.metrics import Metrics
 from savorypond.reasons import Execution, RefusalReason
--- a/src/savorypond/gateway/handover.py
+++ b/src/savorypond/gateway/handover.py
@@ -12,7 +12,7 @@
 from savorypond.gateway.headers import HeaderNames
 from savorypond.gateway.peers import DELEGATED_PREFIX, PeerClient
 from savorypond.gateway.rankedmerge import Part
-from savorypond.httptypes import Header, HttpRequest, HttpResponse
+from savorypond.http.httptypes import Header, HttpRequest, HttpResponse
 from savorypond.model import Counters, Instance
 from savorypond.reasons import RefusalReason
 
--- a/src/savorypond/gateway/peers.py
+++ b/src/savorypond/gateway/peers.py
@@ -17,8 +17,8 @@
 from savorypond.gateway.routes import Route, RoutedService, RouteTable
 from savorypond.gateway.serverpool import ServerPools
 from savorypond.gateway.servers import RegisteredServer
-from savorypond.httpchannel import HttpLimits
-from savorypond.httptypes import Handler, Header, HttpRequest, HttpResponse
+from savorypond.http.httpchannel import HttpLimits
+from savorypond.http.httptypes import Handler, Header, HttpRequest, HttpResponse
 from savorypond.model import Address, Instance, InstanceState
 from savorypond.reasons import RefusalReason
 
--- a/src/savorypond/gateway/requestrun.py
+++ b/src/savorypond/gateway/requestrun.py
@@ -29,7 +29,7 @@
 from savorypond.gateway.serverload import ServerLoads
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.gateway.usualtimes import UsualTimes
-from savorypond.httptypes import HttpResponse
+from savorypond.http.httptypes import HttpResponse
 from savorypond.model import Counters
 
 # From an answer's last byte here to its arrival at the caller, and the start of
--- a/src/savorypond/gateway/routes.py
+++ b/src/savorypond/gateway/routes.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from savorypond.httpchannel import HttpLimits
+from savorypond.http.httpchannel import HttpLimits
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/savorypond/gateway/serverpool.py
+++ b/src/savorypond/gateway/serverpool.py
@@ -9,7 +9,7 @@
 from savorypond.clock import Clock
 from savorypond.exceptions import BackendServerError, PoolExhausted
 from savorypond.gateway.servers import RegisteredServer
-from savorypond.httpclient import HttpConnection
+from savorypond.http.httpclient import HttpConnection
 from savorypond.model import Counters
 
 # Connecting takes a few milliseconds; a paused server accepts after 150 ms.
--- a/src/savorypond/gateway/usualtimes.py
+++ b/src/savorypond/gateway/usualtimes.py
@@ -1,6 +1,6 @@
 """How long answers of each route usually take, and when to hedge."""
 
-from savorypond.latency import LatencyConfig, LatencyTracker
+from savorypond.balancing.latency import LatencyConfig, LatencyTracker
 
 # Answers of a route before its percentile is trusted.
 _LEAST_SAMPLES = 40
--- a/src/savorypond/httpchannel.py
+++ b/src/savorypond/http/httpchannel.py
@@ -32,7 +32,7 @@
 )
 
 from savorypond.exceptions import RequestRefused
-from savorypond.httptypes import (
+from savorypond.http.httptypes import (
     Header as HttpHeader,
     HttpRequest,
     HttpResponse,
--- a/src/savorypond/httpclient.py
+++ b/src/savorypond/http/httpclient.py
@@ -25,7 +25,7 @@
 )
 
 from savorypond.exceptions import BackendServerError
-from savorypond.httptypes import Header, HttpRequest, HttpResponse
+from savorypond.http.httptypes import Header, HttpRequest, HttpResponse
 from savorypond.model import Address
 
 _RECEIVE_BYTES = 65536
--- a/src/savorypond/httpserver.py
+++ b/src/savorypond/http/httpserver.py
@@ -19,14 +19,14 @@
 )
 
 from savorypond.exceptions import RequestRefused
-from savorypond.httpchannel import HttpChannel, HttpLimits as HttpLimits
-from savorypond.httptypes import (
+from savorypond.http.httpchannel import HttpChannel, HttpLimits as HttpLimits
+from savorypond.http.httptypes import (
     Handler,
     HttpRequest,
     HttpResponse,
     problem_response,
 )
-from savorypond.listener import Listener
+from savorypond.http.listener import Listener
 from savorypond.model import Address
 from savorypond.reasons import Execution, RefusalReason
 
--- /dev/null
+++ b/src/savorypond/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances there are, by probes between them."""
--- a/src/savorypond/beliefs.py
+++ b/src/savorypond/membership/beliefs.py
@@ -5,14 +5,14 @@
 
 from msgspec.structs import replace
 
-from savorypond.dissemination import Dissemination
-from savorypond.membersettings import MembershipSettings
-from savorypond.membertable import Member, MemberTable
-from savorypond.memberwire import MemberUpdate
+from savorypond.membership.dissemination import Dissemination
+from savorypond.membership.membersettings import MembershipSettings
+from savorypond.membership.membertable import Member, MemberTable
+from savorypond.membership.memberwire import MemberUpdate
+from savorypond.membership.ownrecord import OwnRecord
+from savorypond.membership.probes import Probes
+from savorypond.membership.probetargets import ProbeTargets
 from savorypond.model import Instance, InstanceState
-from savorypond.ownrecord import OwnRecord
-from savorypond.probes import Probes
-from savorypond.probetargets import ProbeTargets
 
 UNKNOWN_INCARNATION = 0  # of a peer that only the platform's list has named
 
--- a/src/savorypond/membermessages.py
+++ b/src/savorypond/membership/membermessages.py
@@ -1,10 +1,10 @@
 """Composes the datagrams of one instance, with the updates that ride on them."""
 
-from savorypond.beliefs import UNKNOWN_INCARNATION
-from savorypond.dissemination import Dissemination
-from savorypond.membersettings import ConfigDiffers, Send
-from savorypond.membertable import Member, MemberTable
-from savorypond.memberwire import (
+from savorypond.membership.beliefs import UNKNOWN_INCARNATION
+from savorypond.membership.dissemination import Dissemination
+from savorypond.membership.membersettings import ConfigDiffers, Send
+from savorypond.membership.membertable import Member, MemberTable
+from savorypond.membership.memberwire import (
     Ack,
     Leave,
     MemberUpdate,
@@ -15,8 +15,8 @@
     update_room,
     update_size,
 )
+from savorypond.membership.ownrecord import OwnRecord
 from savorypond.model import Address, InstanceState
-from savorypond.ownrecord import OwnRecord
 
 
 class MemberMessages:
--- a/src/savorypond/membersettings.py
+++ b/src/savorypond/membership/membersettings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from savorypond.memberwire import Packet
+from savorypond.membership.memberwire import Packet
 from savorypond.model import Address, Instance
 
 
--- a/src/savorypond/membership.py
+++ b/src/savorypond/membership/membership.py
@@ -9,17 +9,24 @@
 from collections.abc import Sequence
 from random import Random
 
-from savorypond.beliefs import Beliefs
-from savorypond.datacentres import DataCentres
-from savorypond.dissemination import Dissemination
-from savorypond.membermessages import MemberMessages
-from savorypond.membersettings import MemberAction, MembershipSettings
-from savorypond.membertable import Member, MemberTable
-from savorypond.memberwire import Ack, Leave, MemberUpdate, Packet, Ping, PingReq
+from savorypond.membership.beliefs import Beliefs
+from savorypond.membership.datacentres import DataCentres
+from savorypond.membership.dissemination import Dissemination
+from savorypond.membership.membermessages import MemberMessages
+from savorypond.membership.membersettings import MemberAction, MembershipSettings
+from savorypond.membership.membertable import Member, MemberTable
+from savorypond.membership.memberwire import (
+    Ack,
+    Leave,
+    MemberUpdate,
+    Packet,
+    Ping,
+    PingReq,
+)
+from savorypond.membership.ownrecord import OwnRecord
+from savorypond.membership.probes import Probe, Probes, Relays
+from savorypond.membership.probetargets import ProbeTargets
 from savorypond.model import Address, Instance, InstanceState
-from savorypond.ownrecord import OwnRecord
-from savorypond.probes import Probe, Probes, Relays
-from savorypond.probetargets import ProbeTargets
 
 HINT_ROUNDS = 10  # probe intervals for which peers are told of a lost data centre
 RELAY_ROUNDS = 2  # probe intervals that a probe made for another may take
--- a/src/savorypond/ownrecord.py
+++ b/src/savorypond/membership/ownrecord.py
@@ -2,7 +2,7 @@
 
 from msgspec.structs import replace
 
-from savorypond.memberwire import MemberUpdate
+from savorypond.membership.memberwire import MemberUpdate
 from savorypond.model import Instance, InstanceState
 
 ACCUSATIONS = frozenset({InstanceState.SUSPECT, InstanceState.DEAD})
--- a/src/savorypond/probes.py
+++ b/src/savorypond/membership/probes.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from savorypond.memberwire import PingReq
+from savorypond.membership.memberwire import PingReq
 from savorypond.model import Address
 
 MAX_SLOWNESS = 4  # Lifeguard's local health score, at most
--- /dev/null
+++ b/src/savorypond/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links and control messages between instances."""
--- a/src/savorypond/linkstream.py
+++ b/src/savorypond/peers/linkstream.py
@@ -4,7 +4,7 @@
 
 from curio import Lock
 
-from savorypond.linkwire import (
+from savorypond.peers.linkwire import (
     LENGTH_BYTES,
     LINK_VERSION,
     Frame,
--- a/src/savorypond/peerapi.py
+++ b/src/savorypond/peers/peerapi.py
@@ -2,13 +2,13 @@
 
 from dataclasses import replace
 
-from savorypond.callapi import CallApi
+from savorypond.calls.callapi import CallApi
 from savorypond.clock import Clock
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.holdings import Holdings, wire_held
 from savorypond.exceptions import RequestRefused
-from savorypond.forwardrun import renamed
-from savorypond.linkwire import (
+from savorypond.model import Answer, Pin, Query, Service
+from savorypond.peers.linkwire import (
     ForwardAnswer,
     ForwardCall,
     ForwardQuery,
@@ -18,10 +18,10 @@
     WireMissing,
     WirePartial,
 )
-from savorypond.model import Answer, Pin, Query, Service
-from savorypond.peerlink import EarlyReply
+from savorypond.peers.peerlink import EarlyReply
+from savorypond.placement.forwardrun import renamed
 from savorypond.protocols import ConfigView
-from savorypond.queryrun import EarlyAnswer, QueryRun, QueryTools
+from savorypond.queries.queryrun import EarlyAnswer, QueryRun, QueryTools
 from savorypond.reasons import RefusalReason
 
 EARLY_TIME = 0.015  # seconds before its deadline at which an owner sends what it has
--- a/src/savorypond/peerdirectory.py
+++ b/src/savorypond/peers/peerdirectory.py
@@ -1,6 +1,6 @@
 """Finds peers by name among those that membership knows."""
 
-from savorypond.membership import Membership
+from savorypond.membership.membership import Membership
 from savorypond.model import Address, Instance
 
 
--- a/src/savorypond/peerlink.py
+++ b/src/savorypond/peers/peerlink.py
@@ -24,16 +24,16 @@
 from curio.socket import AF_INET, SOCK_STREAM, socket
 
 from savorypond.exceptions import RequestRefused, WireError
-from savorypond.linkstream import FrameStream
-from savorypond.linkwire import (
+from savorypond.http.listener import Listener
+from savorypond.model import Address
+from savorypond.peers.linkstream import FrameStream
+from savorypond.peers.linkwire import (
     CancelForward,
     ForwardAnswer,
     ForwardRefusal,
     Frame,
     LinkMessage,
 )
-from savorypond.listener import Listener
-from savorypond.model import Address
 from savorypond.reasons import Execution, RefusalReason
 
 _CONNECT_TIME = 0.5  # seconds to open a link
--- /dev/null
+++ b/src/savorypond/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which instance works with which backend servers, and forwarding to it."""
--- a/src/savorypond/forwarding.py
+++ b/src/savorypond/placement/forwarding.py
@@ -8,8 +8,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 
-from savorypond.layouts import asked_shards
-from savorypond.merge import merge_answers
 from savorypond.model import (
     Answer,
     Counters,
@@ -21,6 +19,8 @@
     Service,
 )
 from savorypond.protocols import ExtraWorkBudget, HedgePolicy, Route
+from savorypond.queries.layouts import asked_shards
+from savorypond.queries.merge import merge_answers
 from savorypond.reasons import (
     CancelReason,
     HedgeReason,
--- a/src/savorypond/forwardrun.py
+++ b/src/savorypond/placement/forwardrun.py
@@ -9,18 +9,6 @@
 
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused, WireError
-from savorypond.forwarding import (
-    Ask,
-    CancelAsk,
-    FinishForwarding,
-    ForwardAction,
-    Forwarding,
-    SendAsk,
-    owner_key,
-)
-from savorypond.layouts import asked_shards
-from savorypond.linkwire import ForwardAnswer, ForwardQuery
-from savorypond.merge import build_answer
 from savorypond.model import (
     Answer,
     Counters,
@@ -30,9 +18,21 @@
     Service,
     ShardPartial,
 )
-from savorypond.peerlink import LinkLost, PeerLinks
+from savorypond.peers.linkwire import ForwardAnswer, ForwardQuery
+from savorypond.peers.peerlink import LinkLost, PeerLinks
+from savorypond.placement.forwarding import (
+    Ask,
+    CancelAsk,
+    FinishForwarding,
+    ForwardAction,
+    Forwarding,
+    SendAsk,
+    owner_key,
+)
 from savorypond.protocols import ExtraWorkBudget, HedgePolicy, Placement, Route
-from savorypond.queryrun import QueryRun, QueryTools
+from savorypond.queries.layouts import asked_shards
+from savorypond.queries.merge import build_answer
+from savorypond.queries.queryrun import QueryRun, QueryTools
 from savorypond.reasons import CancelReason, DropReason
 
 WAY_BACK_TIME = 0.004  # seconds that an owner's answer needs besides the link
--- a/src/savorypond/placement.py
+++ b/src/savorypond/placement/placement.py
@@ -4,15 +4,15 @@
 from typing import Protocol
 
 from savorypond.model import BackendServer, Service
-from savorypond.ownertable import OwnerTable
-from savorypond.protocols import MembershipView, Placement, Route
-from savorypond.shares import (
+from savorypond.placement.ownertable import OwnerTable
+from savorypond.placement.shares import (
     Fleet,
     Role,
     connection_share,
     equal_share,
     slot_share,
 )
+from savorypond.protocols import MembershipView, Placement, Route
 
 
 class FleetView(MembershipView, Protocol):
--- /dev/null
+++ b/src/savorypond/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Queries: the shards asked, attempts, partial answers and their merging."""
--- a/src/savorypond/attempts.py
+++ b/src/savorypond/queries/attempts.py
@@ -4,8 +4,8 @@
 from enum import StrEnum
 
 from savorypond.model import Answer, BackendServer, Holding, Pin, Service
-from savorypond.partials import Drop
 from savorypond.protocols import Purpose
+from savorypond.queries.partials import Drop
 from savorypond.reasons import CancelReason, MissingReason, RetryReason
 
 
--- a/src/savorypond/attempttable.py
+++ b/src/savorypond/queries/attempttable.py
@@ -2,11 +2,11 @@
 
 from heapq import heappop, heappush
 
-from savorypond.attempts import Action, Attempt, CancelAttempt
 from savorypond.model import BackendServer, Counters, Pin
 from savorypond.protocols import Purpose
+from savorypond.queries.attempts import Action, Attempt, CancelAttempt
+from savorypond.queries.serviceruns import RunningAttempt, ServiceRun
 from savorypond.reasons import CancelReason
-from savorypond.serviceruns import RunningAttempt, ServiceRun
 
 RETRY_TIMER = 0  # in place of an attempt's number: the timer of a waiting retry
 
--- a/src/savorypond/callerapi.py
+++ b/src/savorypond/queries/callerapi.py
@@ -5,12 +5,17 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from savorypond.callapi import CallApi
-from savorypond.callpaths import CALLS_SUFFIX, SERVICES_PATH, TICKETS_PATH, is_call
+from savorypond.calls.callapi import CallApi
+from savorypond.calls.callpaths import (
+    CALLS_SUFFIX,
+    SERVICES_PATH,
+    TICKETS_PATH,
+    is_call,
+)
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused
 from savorypond.filters.chain import Chain, Exchange
-from savorypond.httptypes import (
+from savorypond.http.httptypes import (
     HttpRequest,
     HttpResponse,
     json_response,
@@ -27,7 +32,7 @@
 )
 from savorypond.protocols import ConfigView
 from savorypond.reasons import RefusalReason
-from savorypond.validation import body_refusal
+from savorypond.services.validation import body_refusal
 
 QUERY_PATH = "/v1/query"
 LONGEST_TIME_LIMIT = 60_000.0  # milliseconds
--- a/src/savorypond/fanout.py
+++ b/src/savorypond/queries/fanout.py
@@ -2,17 +2,17 @@
 
 from collections.abc import Sequence
 
-from savorypond.attempts import (
+from savorypond.model import Answer, Pin, Query, Service
+from savorypond.queries.attempts import (
     Action,
     Attempt,
     AttemptFailure,
     Finish,
     Repin,
 )
-from savorypond.fanoutpolicies import FanoutPolicies
-from savorypond.fanoutrun import FanoutRun
-from savorypond.model import Answer, Pin, Query, Service
-from savorypond.partials import ServerAnswer
+from savorypond.queries.fanoutpolicies import FanoutPolicies
+from savorypond.queries.fanoutrun import FanoutRun
+from savorypond.queries.partials import ServerAnswer
 from savorypond.reasons import CancelReason, MissingReason, RepinReason
 
 MOST_PIN_REQUESTS = 2  # for one query; a query restarts once at most
--- a/src/savorypond/fanoutrun.py
+++ b/src/savorypond/queries/fanoutrun.py
@@ -8,18 +8,6 @@
 
 from collections.abc import Sequence
 
-from savorypond.attempts import (
-    Action,
-    Attempt,
-    AttemptFailure,
-    FailureKind,
-    RejectAnswer,
-    SendAttempt,
-)
-from savorypond.attempttable import RETRY_TIMER, AttemptTable, RunTimers
-from savorypond.fanoutpolicies import FanoutPolicies
-from savorypond.layouts import asked_shards
-from savorypond.merge import build_answer
 from savorypond.model import (
     Answer,
     BackendServer,
@@ -29,8 +17,21 @@
     Service,
     ShardPartial,
 )
-from savorypond.partials import CheckedAnswer, ServerAnswer, check_answer
 from savorypond.protocols import Purpose
+from savorypond.queries.attempts import (
+    Action,
+    Attempt,
+    AttemptFailure,
+    FailureKind,
+    RejectAnswer,
+    SendAttempt,
+)
+from savorypond.queries.attempttable import RETRY_TIMER, AttemptTable, RunTimers
+from savorypond.queries.fanoutpolicies import FanoutPolicies
+from savorypond.queries.layouts import asked_shards
+from savorypond.queries.merge import build_answer
+from savorypond.queries.partials import CheckedAnswer, ServerAnswer, check_answer
+from savorypond.queries.serviceruns import ServiceRun
 from savorypond.reasons import (
     CancelReason,
     DenialReason,
@@ -38,7 +39,6 @@
     HedgeReason,
     MissingReason,
 )
-from savorypond.serviceruns import ServiceRun
 
 
 class FanoutRun:
--- a/src/savorypond/queryrun.py
+++ b/src/savorypond/queries/queryrun.py
@@ -8,7 +8,11 @@
 from msgspec import Raw
 from msgspec.json import encode
 
-from savorypond.attempts import (
+from savorypond.clock import Clock
+from savorypond.controllers.active import ActiveServices
+from savorypond.controllers.backend_servers import BackendServers
+from savorypond.model import Answer, Pin, Query, Service
+from savorypond.queries.attempts import (
     Action,
     Attempt,
     AttemptFailure,
@@ -18,14 +22,10 @@
     Repin,
     SendAttempt,
 )
-from savorypond.clock import Clock
-from savorypond.controllers.active import ActiveServices
-from savorypond.controllers.backend_servers import BackendServers
-from savorypond.fanout import Fanout
-from savorypond.fanoutpolicies import FanoutPolicies
-from savorypond.model import Answer, Pin, Query, Service
-from savorypond.partials import ServerAnswer
-from savorypond.shardcalls import RunningCall, ShardCaller
+from savorypond.queries.fanout import Fanout
+from savorypond.queries.fanoutpolicies import FanoutPolicies
+from savorypond.queries.partials import ServerAnswer
+from savorypond.queries.shardcalls import RunningCall, ShardCaller
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/savorypond/serviceruns.py
+++ b/src/savorypond/queries/serviceruns.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from savorypond.attempts import Attempt, AttemptFailure, FailureKind
 from savorypond.model import Service
+from savorypond.queries.attempts import Attempt, AttemptFailure, FailureKind
 from savorypond.reasons import MissingReason
 
 
--- a/src/savorypond/shardcalls.py
+++ b/src/savorypond/queries/shardcalls.py
@@ -8,16 +8,21 @@
 from msgspec import Struct
 from msgspec.json import encode
 
-from savorypond.attempts import Attempt, AttemptFailure, FailureKind
+from savorypond.balancing.limiter import Outcome
 from savorypond.clock import Clock
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.connections import ConnectionLease, ServerConnections
 from savorypond.controllers.slots import Slot, SlotRefused
 from savorypond.exceptions import BackendServerError, WireError
-from savorypond.httptypes import Header, HttpRequest, HttpResponse
-from savorypond.limiter import Outcome
+from savorypond.http.httptypes import Header, HttpRequest, HttpResponse
 from savorypond.model import Counters, Pin, Query
-from savorypond.partials import ServerAnswer, decode_answer, decode_not_held, is_shed
+from savorypond.queries.attempts import Attempt, AttemptFailure, FailureKind
+from savorypond.queries.partials import (
+    ServerAnswer,
+    decode_answer,
+    decode_not_held,
+    is_shed,
+)
 from savorypond.reasons import CancelReason
 
 SEARCH_PATH = "/v1/search"
--- a/src/savorypond/snapshots.py
+++ b/src/savorypond/queries/snapshots.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from savorypond.layouts import IndexShards
 from savorypond.model import Holding, Pin, Service
+from savorypond.queries.layouts import IndexShards
 
 MAX_AGE = 30.0  # seconds after which evidence counts as stale
 FORGET_AGE = 300.0  # seconds after which evidence is forgotten
--- /dev/null
+++ b/src/savorypond/services/__init__.py
@@ -0,0 +1,1 @@
+"""Service files: their sections, rules and units."""
--- a/src/savorypond/servicerules.py
+++ b/src/savorypond/services/servicerules.py
@@ -10,8 +10,8 @@
     ServiceKind,
     ShardLayout,
 )
-from savorypond.units import host_problem
-from savorypond.yamldocument import Location, Problem
+from savorypond.services.units import host_problem
+from savorypond.services.yamldocument import Location, Problem
 
 MAX_TIME_LIMIT = 60.0  # seconds
 MAX_CONNECT_TIME = 10.0  # seconds
--- a/src/savorypond/servicesections.py
+++ b/src/savorypond/services/servicesections.py
@@ -23,7 +23,7 @@
     ShardLayout,
     ShardRange,
 )
-from savorypond.servicerules import (
+from savorypond.services.servicerules import (
     MAX_CONNECT_TIME,
     MAX_CONNECTIONS,
     MAX_SLOTS,
@@ -33,8 +33,8 @@
     layout_problems,
     server_problems,
 )
-from savorypond.units import Duration, IPAddress
-from savorypond.yamldocument import Problem
+from savorypond.services.units import Duration, IPAddress
+from savorypond.services.yamldocument import Problem
 
 
 class BrokenRules(ValueError):  # noqa: N818
--- /dev/null
+++ b/src/savorypond/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for backend servers and the platform."""
--- a/src/savorypond/standin.py
+++ b/src/savorypond/standins/standin.py
@@ -12,30 +12,30 @@
 from defopt import run as run_command
 from msgspec.json import decode, encode
 
-from savorypond.bundletool import Publication
 from savorypond.exceptions import BackendServerError
-from savorypond.httpclient import HttpConnection
-from savorypond.httptypes import HttpRequest, HttpResponse
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httptypes import HttpRequest, HttpResponse
 from savorypond.model import Address, BackendServer, Service
-from savorypond.servicefile import load_service_files
+from savorypond.services.servicefile import load_service_files
 from savorypond.signals import SignalWait
-from savorypond.standin_backend_server import (
+from savorypond.standins.standin_backend_server import (
     HeldSnapshots,
     ServiceTime,
     StandinBackendServer,
 )
-from savorypond.standin_platform import (
+from savorypond.standins.standin_platform import (
     VALUES_PATH,
     ListedInstance,
     StandinConfigService,
     StandinInstanceList,
 )
-from savorypond.standin_site import (
+from savorypond.standins.standin_site import (
     SERVICES_DIRECTORY,
     Site,
     load_site,
     plan_site,
 )
+from savorypond.tools.bundletool import Publication
 
 EXIT_FAILED = 1
 _MILLISECONDS = 1000.0  # per second
--- a/src/savorypond/standin_backend_server.py
+++ b/src/savorypond/standins/standin_backend_server.py
@@ -16,8 +16,8 @@
 from pydantic import BaseModel, ConfigDict
 
 from savorypond.exceptions import RequestRefused
-from savorypond.httpserver import HttpLimits, HttpServer
-from savorypond.httptypes import (
+from savorypond.http.httpserver import HttpLimits, HttpServer
+from savorypond.http.httptypes import (
     HttpRequest,
     HttpResponse,
     decode_json,
--- a/src/savorypond/standin_platform.py
+++ b/src/savorypond/standins/standin_platform.py
@@ -12,8 +12,8 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from savorypond.exceptions import RequestRefused
-from savorypond.httpserver import HttpLimits, HttpServer
-from savorypond.httptypes import (
+from savorypond.http.httpserver import HttpLimits, HttpServer
+from savorypond.http.httptypes import (
     HttpRequest,
     HttpResponse,
     decode_json,
--- a/src/savorypond/standin_site.py
+++ b/src/savorypond/standins/standin_site.py
@@ -14,9 +14,9 @@
 from pydantic import BaseModel, ConfigDict
 from yaml import safe_dump, safe_load
 
-from savorypond.linkdelay import FIRST_OCTET, link_delay as delay_of_link
 from savorypond.model import Address
-from savorypond.servicefile import load_service_files
+from savorypond.peers.linkdelay import FIRST_OCTET, link_delay as delay_of_link
+from savorypond.services.servicefile import load_service_files
 
 SITE_FILE = "site.yaml"
 SERVICES_DIRECTORY = "services"
--- a/src/savorypond/statuspage.py
+++ b/src/savorypond/statuspage.py
@@ -1,11 +1,11 @@
 """Builds the status page: what this instance believes."""
 
+from savorypond.balancing.leaving import ServerDrain
 from savorypond.clock import Clock
 from savorypond.controllers.backend_servers import BackendServers, KnownServer
 from savorypond.controllers.drain import DrainController
 from savorypond.controllers.membership import MembershipController
 from savorypond.controllers.pools import ConnectionPools
-from savorypond.leaving import ServerDrain
 from savorypond.operatorapi import PeerStatus, ServerStatus, Status
 from savorypond.protocols import ConfigView, Placement
 from savorypond.settings import Settings
--- /dev/null
+++ b/src/savorypond/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for operators and for load."""
--- a/src/savorypond/bundletool.py
+++ b/src/savorypond/tools/bundletool.py
@@ -10,13 +10,19 @@
 from msgspec import Raw, Struct
 from msgspec.json import encode
 
-from savorypond.bundle import decode_bundle, encode_bundle, next_revision, refuse
+from savorypond.config.bundle import decode_bundle, encode_bundle, next_revision, refuse
+from savorypond.config.platformclient import HttpConfigService
+from savorypond.config.publication import (
+    HEAD_KEY,
+    collect,
+    decode_head,
+    part_key,
+    publish,
+)
 from savorypond.exceptions import SavorypondError
 from savorypond.model import Bundle
-from savorypond.platformclient import HttpConfigService
-from savorypond.publication import HEAD_KEY, collect, decode_head, part_key, publish
-from savorypond.servicefile import load_services
-from savorypond.units import parse_address
+from savorypond.services.servicefile import load_services
+from savorypond.services.units import parse_address
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
--- a/src/savorypond/load.py
+++ b/src/savorypond/tools/load.py
@@ -12,10 +12,14 @@
 
 from savorypond.clock import SystemClock
 from savorypond.exceptions import BackendServerError
-from savorypond.httpclient import HttpConnection
-from savorypond.httptypes import HttpRequest, HttpResponse
-from savorypond.loadreport import LoadReport, ServerWork, histogram_lines
-from savorypond.loadrun import (
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httptypes import HttpRequest, HttpResponse
+from savorypond.model import Address
+from savorypond.services.servicefile import load_service_files
+from savorypond.services.units import parse_address
+from savorypond.standins.standin_site import SERVICES_DIRECTORY, load_site
+from savorypond.tools.loadreport import LoadReport, ServerWork, histogram_lines
+from savorypond.tools.loadrun import (
     Arrival,
     LoadOptions,
     LoadResult,
@@ -23,10 +27,6 @@
     poisson_arrivals,
     query_request,
 )
-from savorypond.model import Address
-from savorypond.servicefile import load_service_files
-from savorypond.standin_site import SERVICES_DIRECTORY, load_site
-from savorypond.units import parse_address
 
 EXIT_FAILED = 1
 _MILLISECONDS = 1000.0  # per second
--- a/src/savorypond/status.py
+++ b/src/savorypond/tools/status.py
@@ -10,12 +10,12 @@
 from msgspec.json import Decoder, encode
 
 from savorypond.exceptions import BackendServerError
-from savorypond.httpclient import HttpConnection
-from savorypond.httptypes import HttpRequest
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httptypes import HttpRequest
 from savorypond.model import Address
 from savorypond.operatorapi import Status
+from savorypond.services.units import parse_address
 from savorypond.settings import load_settings
-from savorypond.units import parse_address
 
 EXIT_DISAGREE = 1
 EXIT_UNREACHABLE = 2
--- a/src/savorypond/wiring.py
+++ b/src/savorypond/wiring.py
@@ -1,6 +1,6 @@
 """Small builders for the parts that the daemon wires."""
 
-from savorypond.admission import Admission, AdmissionConfig
+from savorypond.balancing.admission import Admission, AdmissionConfig
 from savorypond.clock import Clock
 from savorypond.filters.admission import AdmissionFilter
 from savorypond.filters.chain import Chain
@@ -10,10 +10,10 @@
 from savorypond.filters.metrics import MetricsFilter
 from savorypond.filters.services import ServiceFilter
 from savorypond.filters.snapshot import PinSource, SnapshotFilter
-from savorypond.forwardrun import ForwardTools
-from savorypond.httpserver import HttpLimits
+from savorypond.http.httpserver import HttpLimits
 from savorypond.metrics import Metrics
-from savorypond.placement import (
+from savorypond.placement.forwardrun import ForwardTools
+from savorypond.placement.placement import (
     DirectPlacement,
     FleetView,
     OwnerPlacement,
--- a/tests/config_fakes.py
+++ b/tests/config_fakes.py
@@ -5,10 +5,11 @@
 from itertools import count
 from random import Random
 
-from savorypond.configentry import encode_entry
-from savorypond.confread import ReadService, WatchService
-from savorypond.confspread import ConfigSpread, PullFrom
-from savorypond.confstore import Change, ConfigStore, bundle_stamp
+from savorypond.config.configentry import encode_entry
+from savorypond.config.confread import ReadService, WatchService
+from savorypond.config.confspread import ConfigSpread, PullFrom
+from savorypond.config.confstore import Change, ConfigStore, bundle_stamp
+from savorypond.config.publication import publish
 from savorypond.model import (
     Address,
     BackendServer,
@@ -23,7 +24,6 @@
     ShardLayout,
     ShardRange,
 )
-from savorypond.publication import publish
 
 
 def make_service(number, *, slots=2, layout=1):
--- a/tests/fanout_fakes.py
+++ b/tests/fanout_fakes.py
@@ -3,9 +3,6 @@
 from heapq import heappop, heappush
 from random import Random
 
-from savorypond.attempts import AttemptFailure, Finish, Repin, SendAttempt
-from savorypond.fanout import Fanout
-from savorypond.fanoutpolicies import FanoutPolicies
 from savorypond.model import (
     Address,
     BackendServer,
@@ -20,7 +17,10 @@
     ShardLayout,
     ShardRange,
 )
-from savorypond.partials import ServerAnswer, ServerPartial
+from savorypond.queries.attempts import AttemptFailure, Finish, Repin, SendAttempt
+from savorypond.queries.fanout import Fanout
+from savorypond.queries.fanoutpolicies import FanoutPolicies
+from savorypond.queries.partials import ServerAnswer, ServerPartial
 
 PIN = Pin(snapshot=7, layout=1)
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -8,10 +8,10 @@
 
 from savorypond.gateway.daemon import Gateway
 from savorypond.gateway.settings import GatewaySettings
-from savorypond.httpchannel import HttpLimits
-from savorypond.httpserver import HttpServer
-from savorypond.httptypes import Header, HttpResponse, json_response
-from savorypond.listener import Listener
+from savorypond.http.httpchannel import HttpLimits
+from savorypond.http.httpserver import HttpServer
+from savorypond.http.httptypes import Header, HttpResponse, json_response
+from savorypond.http.listener import Listener
 from savorypond.model import Address
 from savorypond.platform.names import HEADERS, READY_PATH
 from savorypond.platform.store import PlatformStore
--- a/tests/memberfleet.py
+++ b/tests/memberfleet.py
@@ -5,9 +5,9 @@
 from heapq import heappop, heappush
 from random import Random
 
-from savorypond.membersettings import MembershipSettings, Send
-from savorypond.membership import Membership
-from savorypond.memberwire import encode
+from savorypond.membership.membersettings import MembershipSettings, Send
+from savorypond.membership.membership import Membership
+from savorypond.membership.memberwire import encode
 from savorypond.model import Address, Instance, InstanceState
 
 TICK = 0.1  # seconds
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -10,26 +10,30 @@
 from curio import sleep, timeout_after
 from msgspec.json import decode, encode
 
-from savorypond.bundle import next_revision
+from savorypond.config.bundle import next_revision
+from savorypond.config.publication import publish
 from savorypond.daemon import Daemon
-from savorypond.httpclient import HttpConnection
-from savorypond.httptypes import HttpRequest, HttpResponse
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httptypes import HttpRequest, HttpResponse
 from savorypond.model import Address, Bundle
-from savorypond.publication import publish
-from savorypond.servicefile import load_service_files
+from savorypond.services.servicefile import load_service_files
 from savorypond.settings import load_settings
-from savorypond.standin_backend_server import (
+from savorypond.standins.standin_backend_server import (
     HeldSnapshots,
     ServiceTime,
     StandinBackendServer,
 )
-from savorypond.standin_platform import (
+from savorypond.standins.standin_platform import (
     ListedInstance,
     StandinConfigService,
     StandinInstanceList,
     StoredValue,
 )
-from savorypond.standin_site import SERVICES_DIRECTORY, plan_site, settings_path
+from savorypond.standins.standin_site import (
+    SERVICES_DIRECTORY,
+    plan_site,
+    settings_path,
+)
 
 HANG = 60  # seconds after which a test that hangs is ended
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,7 +3,7 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.admission import (
+from savorypond.balancing.admission import (
     Admission,
     AdmissionConfig,
     Admitted,
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -18,8 +18,9 @@
 )
 from xxhash import xxh32_intdigest
 
-from savorypond.callrun import CallRun
-from savorypond.callsteps import (
+from savorypond.balancing.leaving import ServerDrain
+from savorypond.calls.callrun import CallRun
+from savorypond.calls.callsteps import (
     Acquire,
     Acquired,
     CallerGone,
@@ -33,12 +34,11 @@
     Tick,
     Write,
 )
-from savorypond.issuer import TicketIssuer, new_incarnation
-from savorypond.leaving import ServerDrain
-from savorypond.ledger import Run, TicketLedger
-from savorypond.pause import PauseDetector
+from savorypond.calls.issuer import TicketIssuer, new_incarnation
+from savorypond.calls.ledger import Run, TicketLedger
+from savorypond.calls.tickets import Refuse, TicketLimits, TicketSeal
+from savorypond.membership.pause import PauseDetector
 from savorypond.reasons import Execution
-from savorypond.tickets import Refuse, TicketLimits, TicketSeal
 
 NAMES = ("entry-1", "entry-2", "entry-3")
 LIMITS = TicketLimits(lifetime=60.0, grace=5.0, max_entries=4, max_result_bytes=16)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -4,7 +4,12 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.balancer import ChoiceRule, LinkTimes, ReplicaBoard, make_chooser
+from savorypond.balancing.balancer import (
+    ChoiceRule,
+    LinkTimes,
+    ReplicaBoard,
+    make_chooser,
+)
 from savorypond.model import (
     Address,
     BackendServer,
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.budget import BudgetConfig, RetryBudget
+from savorypond.balancing.budget import BudgetConfig, RetryBudget
 
 EVENTS = st.lists(
     st.tuples(
--- a/tests/test_bundle.py
+++ b/tests/test_bundle.py
@@ -4,7 +4,7 @@
 
 from msgspec.json import decode, encode
 
-from savorypond.bundle import (
+from savorypond.config.bundle import (
     bundle_problems,
     decode_bundle,
     encode_bundle,
@@ -12,7 +12,7 @@
     with_addresses,
 )
 from savorypond.model import Address, Bundle, ServiceKind, ShardLayout, ShardRange
-from savorypond.servicefile import load_service_files
+from savorypond.services.servicefile import load_service_files
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
--- a/tests/test_callrun.py
+++ b/tests/test_callrun.py
@@ -1,8 +1,10 @@
 from random import Random
 from unittest import TestCase
 
-from savorypond.callrun import CallRun
-from savorypond.callsteps import (
+from savorypond.balancing.leaving import ServerDrain
+from savorypond.balancing.pool import Release
+from savorypond.calls.callrun import CallRun
+from savorypond.calls.callsteps import (
     Acquire,
     Acquired,
     Answered,
@@ -18,13 +20,11 @@
     Tick,
     Write,
 )
-from savorypond.issuer import TicketIssuer
-from savorypond.leaving import ServerDrain
-from savorypond.ledger import Replay, Run, TicketLedger
-from savorypond.pause import PauseDetector
-from savorypond.pool import Release
+from savorypond.calls.issuer import TicketIssuer
+from savorypond.calls.ledger import Replay, Run, TicketLedger
+from savorypond.calls.tickets import TicketLimits, TicketSeal
+from savorypond.membership.pause import PauseDetector
 from savorypond.reasons import Execution, RefusalReason
-from savorypond.tickets import TicketLimits, TicketSeal
 
 NOT_RUN = Execution.NOT_RUN
 UNKNOWN = Execution.UNKNOWN
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -7,9 +7,9 @@
 
 from msgspec.json import decode
 
-from savorypond.bundle import decode_bundle
-from savorypond.bundletool import bundle
-from savorypond.check import check
+from savorypond.config.bundle import decode_bundle
+from savorypond.tools.bundletool import bundle
+from savorypond.tools.check import check
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
@@ -19,8 +19,8 @@
     out, err = StringIO(), StringIO()
     with (
         redirect_stdout(out),
-        patch("savorypond.bundletool.stderr", err),
-        patch("savorypond.check.stderr", err),
+        patch("savorypond.tools.bundletool.stderr", err),
+        patch("savorypond.tools.check.stderr", err),
     ):
         code = program(*args, **options)
     return code, out.getvalue(), err.getvalue()
--- a/tests/test_config_controller.py
+++ b/tests/test_config_controller.py
@@ -5,19 +5,19 @@
 from curio import TaskTimeout, run, run_in_thread, timeout_after
 from msgspec.json import decode
 
-from savorypond.bundletool import read_in_force
 from savorypond.clock import SystemClock
+from savorypond.config.platformclient import HttpConfigService
+from savorypond.config.publication import publish
 from savorypond.controllers.config import ConfigController
 from savorypond.exceptions import WireError
 from savorypond.model import Address, Counters, Instance
-from savorypond.platformclient import HttpConfigService
-from savorypond.publication import publish
 from savorypond.reasons import ConfigReason
-from savorypond.standin_platform import (
+from savorypond.standins.standin_platform import (
     PlatformFaults,
     StandinConfigService,
     StoredValue,
 )
+from savorypond.tools.bundletool import read_in_force
 from tests.config_fakes import FakeView, history
 
 HISTORY = history(4)
--- a/tests/test_confspread.py
+++ b/tests/test_confspread.py
@@ -4,12 +4,12 @@
 
 from hypothesis import given, settings, strategies as st
 
-from savorypond.confbudget import ReadBudget, WatcherChoice
-from savorypond.configwire import PullRequest, Stamp
-from savorypond.confspread import ConfigSpread, PullFrom
-from savorypond.confstore import ConfigStore
+from savorypond.config.confbudget import ReadBudget, WatcherChoice
+from savorypond.config.configwire import PullRequest, Stamp
+from savorypond.config.confspread import ConfigSpread, PullFrom
+from savorypond.config.confstore import ConfigStore
+from savorypond.config.publication import HEAD_KEY, change_key
 from savorypond.model import Address, Bundle, Counters, Instance
-from savorypond.publication import HEAD_KEY, change_key
 from savorypond.reasons import ConfigReason
 from tests.config_fakes import (
     FakeService,
--- a/tests/test_confstore.py
+++ b/tests/test_confstore.py
@@ -5,11 +5,11 @@
 from hypothesis import given, strategies as st
 from msgspec.structs import replace as replace_struct
 
-from savorypond.configentry import decode_entry, encode_entry
-from savorypond.configwire import Stamp
-from savorypond.confpull import Pull, ReplyCutter
-from savorypond.confstate import ServiceCache
-from savorypond.confstore import Change, ConfigStore, Outcome
+from savorypond.config.configentry import decode_entry, encode_entry
+from savorypond.config.configwire import Stamp
+from savorypond.config.confpull import Pull, ReplyCutter
+from savorypond.config.confstate import ServiceCache
+from savorypond.config.confstore import Change, ConfigStore, Outcome
 from savorypond.model import Bundle, Counters, ShardLayout, ShardRange
 from savorypond.reasons import ConfigReason
 from tests.config_fakes import (
--- a/tests/test_controllers_membership.py
+++ b/tests/test_controllers_membership.py
@@ -12,7 +12,7 @@
     MembershipTimes,
 )
 from savorypond.exceptions import InstanceListError
-from savorypond.memberwire import MAX_DATAGRAM
+from savorypond.membership.memberwire import MAX_DATAGRAM
 from savorypond.model import Address, Counters, Instance, InstanceState
 from savorypond.reasons import DatagramReason, ListReason
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -5,9 +5,13 @@
 from curio import TaskGroup, run, timeout_after
 from msgspec.json import decode
 
-from savorypond.pause import Paused
-from savorypond.standin_backend_server import Faults
-from savorypond.standin_platform import ListedInstance, PlatformFaults, StoredValue
+from savorypond.membership.pause import Paused
+from savorypond.standins.standin_backend_server import Faults
+from savorypond.standins.standin_platform import (
+    ListedInstance,
+    PlatformFaults,
+    StoredValue,
+)
 from tests.sites import HANG, SHARDS, RunningSite, until
 
 ALL_SHARDS = len(SHARDS)
--- a/tests/test_datacentres.py
+++ b/tests/test_datacentres.py
@@ -1,7 +1,11 @@
 from random import Random
 from unittest import TestCase
 
-from savorypond.datacentres import PROBED_AT_ONCE, UNANSWERED_LIMIT, DataCentres
+from savorypond.membership.datacentres import (
+    PROBED_AT_ONCE,
+    UNANSWERED_LIMIT,
+    DataCentres,
+)
 
 HINT_TIME = 5.0  # seconds
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -15,21 +15,18 @@
 from msgspec.json import decode, encode
 
 import savorypond
-from savorypond.bundletool import bundle
-from savorypond.callapi import CallBody, TicketsBody
-from savorypond.callconnection import CallAnswer
-from savorypond.callerapi import QueryBody
-from savorypond.check import check
+from savorypond.calls.callapi import CallBody, TicketsBody
+from savorypond.calls.callconnection import CallAnswer
+from savorypond.calls.tickets import decode_ticket
+from savorypond.config.publication import decode_head
 from savorypond.controllers.health import HealthAnswer
 from savorypond.entry import entry
 from savorypond.exceptions import RequestRefused
 from savorypond.gateway.program import gateway
-from savorypond.httptypes import problem_response, refusal_status
-from savorypond.linkwire import LinkMessage
-from savorypond.load import ask, call, compare, open_loop
-from savorypond.loadrun import AnswerBody
-from savorypond.partials import decode_answer
-from savorypond.publication import decode_head
+from savorypond.http.httptypes import problem_response, refusal_status
+from savorypond.peers.linkwire import LinkMessage
+from savorypond.queries.callerapi import QueryBody
+from savorypond.queries.partials import decode_answer
 from savorypond.reasons import (
     CancelReason,
     ConfigReason,
@@ -45,14 +42,17 @@
     RepinReason,
     RetryReason,
 )
-from savorypond.servicefile import parse_service
+from savorypond.services.servicefile import parse_service
+from savorypond.services.units import parse_duration, parse_size
 from savorypond.settings import Settings, parse_settings
-from savorypond.standin import plan, publish, put, serve
-from savorypond.standin_backend_server import CallRequest, SearchRequest
-from savorypond.standin_platform import ListedInstance
-from savorypond.status import status
-from savorypond.tickets import decode_ticket
-from savorypond.units import parse_duration, parse_size
+from savorypond.standins.standin import plan, publish, put, serve
+from savorypond.standins.standin_backend_server import CallRequest, SearchRequest
+from savorypond.standins.standin_platform import ListedInstance
+from savorypond.tools.bundletool import bundle
+from savorypond.tools.check import check
+from savorypond.tools.load import ask, call, compare, open_loop
+from savorypond.tools.loadrun import AnswerBody
+from savorypond.tools.status import status
 
 ROOT = Path(__file__).parent.parent
 SOURCES = {
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -3,7 +3,7 @@
 from hypothesis import given, strategies as st
 
 from savorypond.drain import DrainAction, DrainLimits, DrainPlan, DrainState
-from savorypond.pause import Paused
+from savorypond.membership.pause import Paused
 
 LIMITS = DrainLimits(longest_deadline=3.0, notice=2.0, hand_over=1.0)
 
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -3,7 +3,10 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.attempts import (
+from savorypond.balancing.hedging import FallbackHedge
+from savorypond.model import Pin, Preference
+from savorypond.protocols import Purpose
+from savorypond.queries.attempts import (
     AttemptFailure,
     CancelAttempt,
     FailureKind,
@@ -12,11 +15,8 @@
     Repin,
     SendAttempt,
 )
-from savorypond.fanoutpolicies import FanoutSettings
-from savorypond.hedging import FallbackHedge
-from savorypond.model import Pin, Preference
-from savorypond.partials import ServerPartial
-from savorypond.protocols import Purpose
+from savorypond.queries.fanoutpolicies import FanoutSettings
+from savorypond.queries.partials import ServerPartial
 from savorypond.reasons import CancelReason, DropReason, MissingReason
 from tests.fanout_fakes import (
     PIN,
--- a/tests/test_filters.py
+++ b/tests/test_filters.py
@@ -3,7 +3,7 @@
 
 from curio import run, sleep
 
-from savorypond.admission import Admission, AdmissionConfig
+from savorypond.balancing.admission import Admission, AdmissionConfig
 from savorypond.clock import SystemClock, VirtualClock
 from savorypond.exceptions import RequestRefused
 from savorypond.filters.admission import AdmissionFilter
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,12 +5,6 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.forwarding import (
-    CancelAsk,
-    FinishForwarding,
-    Forwarding,
-    SendAsk,
-)
 from savorypond.model import (
     Address,
     Answer,
@@ -19,6 +13,12 @@
     Instance,
     ShardPartial,
 )
+from savorypond.placement.forwarding import (
+    CancelAsk,
+    FinishForwarding,
+    Forwarding,
+    SendAsk,
+)
 from savorypond.protocols import Route
 from savorypond.reasons import CancelReason
 from tests.fanout_fakes import (
--- a/tests/test_forwarding_steps.py
+++ b/tests/test_forwarding_steps.py
@@ -5,15 +5,7 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.budget import BudgetConfig, RetryBudget
-from savorypond.forwarding import (
-    CancelAsk,
-    FinishForwarding,
-    Forwarding,
-    SendAsk,
-    owner_key,
-)
-from savorypond.merge import build_answer
+from savorypond.balancing.budget import BudgetConfig, RetryBudget
 from savorypond.model import (
     Address,
     Counters,
@@ -23,7 +15,15 @@
     Query,
     ShardPartial,
 )
+from savorypond.placement.forwarding import (
+    CancelAsk,
+    FinishForwarding,
+    Forwarding,
+    SendAsk,
+    owner_key,
+)
 from savorypond.protocols import Route
+from savorypond.queries.merge import build_answer
 from savorypond.reasons import HedgeReason, MissingReason, RetryReason
 from tests.fanout_fakes import PIN, make_service
 
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -5,8 +5,8 @@
 
 from curio import run, sleep, spawn, timeout_after
 
-from savorypond.httpclient import HttpConnection
-from savorypond.httptypes import Header, HttpRequest
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httptypes import Header, HttpRequest
 from savorypond.platform.names import HEADERS, READY_PATH
 from tests.gateway_world import (
     BreakingServer,
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -7,13 +7,13 @@
 from curio import TaskTimeout, run, sleep, spawn, tcp_server_socket, timeout_after
 from hypothesis import given, strategies as st
 
+from savorypond.balancing.pool import PoolLimits
 from savorypond.clock import SystemClock
 from savorypond.controllers.connections import ServerConnections
 from savorypond.exceptions import BackendServerError
-from savorypond.httpclient import HttpConnection
-from savorypond.httptypes import HttpRequest
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httptypes import HttpRequest
 from savorypond.model import Address, Counters
-from savorypond.pool import PoolLimits
 
 HANG = 30  # seconds after which a test that hangs is ended
 GET = HttpRequest(method="GET", path="/")
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -5,9 +5,9 @@
 from curio.socket import AF_INET, SOCK_STREAM, socket
 from msgspec.json import decode
 
-from savorypond.httpclient import HttpConnection
-from savorypond.httpserver import HttpLimits, HttpServer
-from savorypond.httptypes import HttpRequest, HttpResponse, text_response
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httpserver import HttpLimits, HttpServer
+from savorypond.http.httptypes import HttpRequest, HttpResponse, text_response
 from savorypond.model import Address
 from savorypond.reasons import RefusalReason
 
--- a/tests/test_latency.py
+++ b/tests/test_latency.py
@@ -1,7 +1,7 @@
 from random import Random
 from unittest import TestCase
 
-from savorypond.latency import (
+from savorypond.balancing.latency import (
     SIGNIFICANT_FIGURES,
     LatencyConfig,
     LatencyTracker,
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.leaving import SETTLE_TIME, LeaveSign, ServerDrain
+from savorypond.balancing.leaving import SETTLE_TIME, LeaveSign, ServerDrain
 
 
 def refusal(drain, at):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -3,10 +3,10 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.issuer import TicketIssuer
-from savorypond.ledger import InProgress, Replay, Run, TicketLedger
+from savorypond.calls.issuer import TicketIssuer
+from savorypond.calls.ledger import InProgress, Replay, Run, TicketLedger
+from savorypond.calls.tickets import Refuse, TicketLimits, TicketSeal
 from savorypond.reasons import Execution, RefusalReason
-from savorypond.tickets import Refuse, TicketLimits, TicketSeal
 
 LIMITS = TicketLimits(
     lifetime=10.0,
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -4,7 +4,7 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from savorypond.limiter import (
+from savorypond.balancing.limiter import (
     GateChange,
     GateConfig,
     Granted,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,12 +4,12 @@
 
 from hypothesis import given, settings, strategies as st
 
-from savorypond.membersettings import MembershipSettings
-from savorypond.membership import Membership
-from savorypond.membertable import MemberTable
-from savorypond.memberwire import Leave, MemberUpdate, Packet, Ping
+from savorypond.membership.membersettings import MembershipSettings
+from savorypond.membership.membership import Membership
+from savorypond.membership.membertable import MemberTable
+from savorypond.membership.memberwire import Leave, MemberUpdate, Packet, Ping
 from savorypond.model import Address, Instance, InstanceState
-from savorypond.placement import OwnerPlacement
+from savorypond.placement.placement import OwnerPlacement
 from tests.memberfleet import MemberFleet
 from tests.test_placement import SERVICES
 
--- a/tests/test_merge.py
+++ b/tests/test_merge.py
@@ -3,8 +3,8 @@
 from hypothesis import given, strategies as st
 
 from savorypond.exceptions import MixedAnswersError
-from savorypond.merge import build_answer, merge_answers
 from savorypond.model import Pin, ShardPartial
+from savorypond.queries.merge import build_answer, merge_answers
 from savorypond.reasons import MissingReason
 
 PIN = Pin(snapshot=7, layout=1)
--- a/tests/test_outlier.py
+++ b/tests/test_outlier.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.outlier import OutlierConfig, OutlierDetector
+from savorypond.balancing.outlier import OutlierConfig, OutlierDetector
 from savorypond.reasons import EjectReason
 
 NAMES = ("a", "b", "c", "d", "e")
--- a/tests/test_ownersilence.py
+++ b/tests/test_ownersilence.py
@@ -5,7 +5,7 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.ownersilence import LOST_IN_A_ROW, TRY_EVERY, OwnerSilence
+from savorypond.placement.ownersilence import LOST_IN_A_ROW, TRY_EVERY, OwnerSilence
 
 
 class OwnerSilenceTest(TestCase):
--- a/tests/test_partials.py
+++ b/tests/test_partials.py
@@ -6,7 +6,7 @@
 
 from savorypond.exceptions import WireError
 from savorypond.model import Pin
-from savorypond.partials import (
+from savorypond.queries.partials import (
     ServerAnswer,
     ServerPartial,
     check_answer,
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -1,6 +1,11 @@
 from unittest import TestCase
 
-from savorypond.pause import HEARTBEAT_INTERVAL, PAUSE_LIMIT, Paused, PauseDetector
+from savorypond.membership.pause import (
+    HEARTBEAT_INTERVAL,
+    PAUSE_LIMIT,
+    Paused,
+    PauseDetector,
+)
 
 
 class Listener:
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -4,7 +4,8 @@
 from curio import CancelledError, Event, TaskGroup, run, sleep, spawn, timeout_after
 
 from savorypond.exceptions import RequestRefused, WireError
-from savorypond.linkwire import (
+from savorypond.model import Address
+from savorypond.peers.linkwire import (
     LENGTH_BYTES,
     LINK_VERSION,
     ForwardRefusal,
@@ -16,8 +17,7 @@
     encode_frame,
     frame_length,
 )
-from savorypond.model import Address
-from savorypond.peerlink import LinkLost, PeerLinks, PeerServer
+from savorypond.peers.peerlink import LinkLost, PeerLinks, PeerServer
 from savorypond.reasons import RefusalReason
 
 HANG = 30  # seconds after which a test that hangs is ended
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -14,9 +14,9 @@
     Service,
     ServiceKind,
 )
-from savorypond.ownertable import OwnerTable
-from savorypond.placement import DirectPlacement, OwnerPlacement, StaticShares
-from savorypond.shares import Fleet, Role, connection_share, equal_share
+from savorypond.placement.ownertable import OwnerTable
+from savorypond.placement.placement import DirectPlacement, OwnerPlacement, StaticShares
+from savorypond.placement.shares import Fleet, Role, connection_share, equal_share
 
 DATA_CENTRES = ("split", "zadar", "sibenik")
 LIMITS = ServerLimits(slots=2, connections=25, connect_time=0.006)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -3,7 +3,7 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.pool import (
+from savorypond.balancing.pool import (
     ConnectionPool,
     Open,
     PoolLimits,
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -3,12 +3,11 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.bundle import MAX_VALUE_BYTES
-from savorypond.configwire import Stamp
-from savorypond.confread import ServiceReader
-from savorypond.confstore import ConfigStore
-from savorypond.model import Counters
-from savorypond.publication import (
+from savorypond.config.bundle import MAX_VALUE_BYTES
+from savorypond.config.configwire import Stamp
+from savorypond.config.confread import ServiceReader
+from savorypond.config.confstore import ConfigStore
+from savorypond.config.publication import (
     HEAD_KEY,
     change_key,
     collect,
@@ -17,6 +16,7 @@
     part_key,
     publish,
 )
+from savorypond.model import Counters
 from savorypond.reasons import ConfigReason
 from tests.config_fakes import FakeService, history, make_bundle, stamp_of
 
@@ -46,7 +46,7 @@
 
     def test_growth_into_more_parts(self):
         service = FakeService()
-        with patch("savorypond.publication.PART_BYTES", 1000):
+        with patch("savorypond.config.publication.PART_BYTES", 1000):
             service.publish(make_bundle(1, 1))
             service.publish(make_bundle(2, *range(20)))
         self.assertEqual(collect(service.values), make_bundle(2, *range(20)))
@@ -99,7 +99,7 @@
         """Reads see the values of different moments; the state is one of them."""
         service, waiting = FakeService(), list(HISTORY)
         store = ConfigStore(counters=Counters())
-        with patch("savorypond.publication.PART_BYTES", 600):
+        with patch("savorypond.config.publication.PART_BYTES", 600):
             service.publish(waiting.pop(0))
             if start:
                 drive(store, service)
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -2,9 +2,9 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.layouts import asked_shards
 from savorypond.model import Holding, Pin
-from savorypond.snapshots import FORGET_AGE, MAX_AGE, REPORT_LAG, SnapshotBook
+from savorypond.queries.layouts import asked_shards
+from savorypond.queries.snapshots import FORGET_AGE, MAX_AGE, REPORT_LAG, SnapshotBook
 from tests.fanout_fakes import make_service
 
 S1 = Pin(snapshot=1, layout=1)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -6,16 +6,16 @@
 from curio import TaskGroup, run, sleep, timeout_after
 from msgspec.json import decode, encode
 
-from savorypond.httpclient import HttpConnection
-from savorypond.httptypes import HttpRequest
+from savorypond.http.httpclient import HttpConnection
+from savorypond.http.httptypes import HttpRequest
 from savorypond.model import Address
-from savorypond.standin_backend_server import (
+from savorypond.standins.standin_backend_server import (
     Faults,
     HeldSnapshots,
     ServiceTime,
     StandinBackendServer,
 )
-from savorypond.standin_platform import (
+from savorypond.standins.standin_platform import (
     ListedInstance,
     PlatformFaults,
     StandinConfigService,
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -1,7 +1,7 @@
 from unittest import TestCase
 
 from savorypond.operatorapi import PeerStatus, ServerStatus, Status
-from savorypond.status import disagreements, status_lines
+from savorypond.tools.status import disagreements, status_lines
 
 
 def make_status(name, *, peers=(), revision=1, owner="one", ready=True):
--- a/tests/test_sweeppace.py
+++ b/tests/test_sweeppace.py
@@ -7,14 +7,14 @@
 from curio import run, sleep
 from hypothesis import given, strategies as st
 
+from savorypond.balancing.leaving import ServerDrain
+from savorypond.balancing.sweeppace import SweepPace
 from savorypond.clock import SystemClock
 from savorypond.controllers.active import ActiveServices
 from savorypond.controllers.backend_servers import BackendServers
 from savorypond.controllers.pools import ConnectionPools
-from savorypond.leaving import ServerDrain
 from savorypond.model import Address, Bundle, Counters, Instance
-from savorypond.placement import OwnerPlacement
-from savorypond.sweeppace import SweepPace
+from savorypond.placement.placement import OwnerPlacement
 from tests.fanout_fakes import make_service
 
 MOST_SHARE = 0.0025  # of the time; the target is 1.3 % for all control work
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -3,18 +3,18 @@
 
 from hypothesis import given, strategies as st
 
-from savorypond.exceptions import RequestRefused, TicketError
-from savorypond.issuer import TicketIssuer, new_incarnation
-from savorypond.model import Address, Instance, InstanceState
-from savorypond.reasons import Execution, RefusalReason
-from savorypond.ticketroute import Forward, RunHere, route_ticket
-from savorypond.tickets import (
+from savorypond.calls.issuer import TicketIssuer, new_incarnation
+from savorypond.calls.ticketroute import Forward, RunHere, route_ticket
+from savorypond.calls.tickets import (
     Ticket,
     TicketLimits,
     TicketSeal,
     decode_ticket,
     encode_ticket,
 )
+from savorypond.exceptions import RequestRefused, TicketError
+from savorypond.model import Address, Instance, InstanceState
+from savorypond.reasons import Execution, RefusalReason
 
 LIMITS = TicketLimits(lifetime=10.0, grace=5.0, max_outstanding=100)
 
