Do not rest a server for this instance's own bound, and share few connections

An attempt that found all connections to a server in use counted as if the server were gone, and rested it. At 80 instances two connections each were more than a plain service takes: servers reset 272 connections, and requests that may not run twice ended as 502 though nothing had reached a server. An instance that the store turned away asked its peers only every 2 to 3 s.

Ruled out: more connections for each instance (the servers' bound is for all).

Test: test_its_own_bound_does_not_rest_a_server fails without the change.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -23,6 +23,7 @@
 
     USABLE = "usable"
     NOT_SENT = "not-sent"
+    NO_CONNECTION = "no-connection"
     REFUSED = "refused"
     MISDIRECTED = "misdirected"
     FAILED = "failed"
@@ -47,13 +48,15 @@
     @property
     def sent(self) -> bool:
         """Whether the server may have got the request."""
-        return self.outcome is not AttemptOutcome.NOT_SENT
+        return self.outcome not in (
+            AttemptOutcome.NOT_SENT,
+            AttemptOutcome.NO_CONNECTION,
+        )
 
     @property
     def may_have_run(self) -> bool:
         """Whether the server may have run the request, or may still run it."""
-        return self.outcome not in (
-            AttemptOutcome.NOT_SENT,
+        return self.sent and self.outcome not in (
             AttemptOutcome.REFUSED,
             AttemptOutcome.MISDIRECTED,
         )
@@ -136,7 +139,11 @@
     ) -> AttemptResult:
         try:
             lease = await self._pools.lease(server, fresh=not request.repeatable)
-        except (BackendServerError, PoolExhausted) as error:
+        except PoolExhausted as error:
+            return AttemptResult(
+                outcome=AttemptOutcome.NO_CONNECTION, server=server, problem=str(error)
+            )
+        except BackendServerError as error:
             return AttemptResult(
                 outcome=AttemptOutcome.NOT_SENT, server=server, problem=str(error)
             )
@@ -204,6 +211,9 @@
             self._loads.answered(server, number, usual=usual, now=now)
         elif result.outcome is AttemptOutcome.REFUSED:
             self._loads.refused(server, number, now=now)
+        elif result.outcome is AttemptOutcome.NO_CONNECTION:
+            # The bound is this instance's own and says nothing of the server.
+            self._loads.dropped(server, number, now=now)
         else:
             gone = result.outcome in (
                 AttemptOutcome.NOT_SENT,
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -12,7 +12,7 @@
 from savorypond.controllers.membership import MembershipController
 from savorypond.gateway.attempts import AttemptRunner
 from savorypond.gateway.budget import ExtraBudget, ExtraBudgetConfig
-from savorypond.gateway.delegation import Delegation
+from savorypond.gateway.delegation import SPREAD_ABOVE, Delegation
 from savorypond.gateway.feed import PublishedFeed
 from savorypond.gateway.handler import GatewayHandler
 from savorypond.gateway.handover import Handover
@@ -48,7 +48,8 @@
 PEER_CONNECTIONS = 64  # to each other instance
 PEER_HEADER_BYTES = 64 * 1024  # a caller's headers and a few of our own
 CONNECTION_SHARE = 0.9  # of a server's connections; restarts overlap a little
-LEAST_CONNECTIONS = 2  # to each server
+# A few keepers share the servers of a query that is dealt out.
+KEEPER_CONNECTIONS = 2  # at least, to each of these servers
 DEFAULT_CONNECTIONS = 8  # to each server whose service states no limit
 TRIM_INTERVAL = 0.5  # seconds between two looks for idle connections
 DESCRIPTOR_SHARE = 0.5  # of the descriptors, for callers
@@ -362,7 +363,8 @@
         if not most:
             return DEFAULT_CONNECTIONS
         share = int(most * CONNECTION_SHARE) // self._instances()
-        return max(LEAST_CONNECTIONS, share)
+        dealt_out = table is not None and table.widest(service) > SPREAD_ABOVE
+        return max(KEEPER_CONNECTIONS if dealt_out else 1, share)
 
 
 def _budget_config(settings: GatewaySettings, instances: int) -> ExtraBudgetConfig:
--- a/src/savorypond/gateway/feed.py
+++ b/src/savorypond/gateway/feed.py
@@ -26,6 +26,8 @@
 # leaves is known well inside the seconds that it goes on serving.
 READ_INTERVAL = 1.0  # seconds from the start of one read to the next
 READ_WAIT = 1.0  # seconds that a read waits for a change
+# While reads fail, other instances are asked in between: vain reads must be short.
+FAILING_WAIT = 0.1  # seconds
 FIRST_PAUSE = 0.2  # seconds after a first failed read
 LONGEST_PAUSE = 1.0  # seconds after a failed read
 _FAILURES_LOGGED = (1, 10, 100, 1000)  # failures in a row that are logged
@@ -149,7 +151,8 @@
             self._registry.note_back(self._clock.now())
             self._take_copy(copy, source="store")
             return
-        changes = await self._source.changes(after=self._position, wait=READ_WAIT)
+        wait = FAILING_WAIT if self._failures else READ_WAIT
+        changes = await self._source.changes(after=self._position, wait=wait)
         self._registry.note_back(self._clock.now())
         self._take_changes(changes)
 
--- a/src/savorypond/gateway/requestrun.py
+++ b/src/savorypond/gateway/requestrun.py
@@ -267,7 +267,7 @@
         self._reached = self._reached or result.sent
         self._problems.append(f"{result.server.name}: {result.problem}")
         now = self._tools.clock.now()
-        if result.outcome is AttemptOutcome.NOT_SENT:
+        if not result.sent:
             sends = self._plan.unsent(send.number, now)
         else:
             sends = self._plan.failed(
--- a/src/savorypond/gateway/routes.py
+++ b/src/savorypond/gateway/routes.py
@@ -70,6 +70,7 @@
     limits: HttpLimits = field(default_factory=HttpLimits)
     _by_host: Mapping[str, tuple[Route, ...]] = field(init=False, repr=False)
     _connections: Mapping[str, int] = field(init=False, repr=False)
+    _widest: Mapping[str, int] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
         by_host: dict[str, list[Route]] = {}
@@ -80,6 +81,11 @@
             for host, routes in by_host.items()
         }
         object.__setattr__(self, "_by_host", longest_first)
+        widest: dict[str, int] = {}
+        for route in self.routes:
+            for service in route.shards:
+                widest[service] = max(widest.get(service, 0), len(route.shards))
+        object.__setattr__(self, "_widest", widest)
         connections = {s.name: s.max_connections for s in self.services}
         object.__setattr__(self, "_connections", connections)
 
@@ -100,3 +106,7 @@
     def max_connections(self, service: str) -> int:
         """Return what each server of ``service`` accepts, 0 where unknown."""
         return self._connections.get(service, 0)
+
+    def widest(self, service: str) -> int:
+        """Return the shards of the widest query that asks ``service``."""
+        return self._widest.get(service, 0)
--- a/src/savorypond/gateway/serverload.py
+++ b/src/savorypond/gateway/serverload.py
@@ -121,6 +121,10 @@
         if now - began > usual * load.slowness:
             self._measure(load, now - began, usual, now)
 
+    def dropped(self, server: RegisteredServer, attempt: int, *, now: float) -> None:
+        """Forget ``attempt``, which was never made."""
+        self._load(server, now).in_flight.pop(attempt, None)
+
     def refused(self, server: RegisteredServer, attempt: int, *, now: float) -> None:
         """Note that the server did not run ``attempt`` since it was full."""
         load = self._load(server, now)
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -211,6 +211,23 @@
         await task.cancel()
 
 
+class ConnectionTests(TestCase):
+    @in_world(READ, servers=replicas("silent", "silent"))
+    async def test_its_own_bound_does_not_rest_a_server(self, world):
+        for server in world.servers:
+            server.behaviour = "silent"
+        tasks = [await spawn(self.ask, world, f"r{n}", daemon=True) for n in range(60)]
+        await world.until(lambda: sum(len(s.requests) for s in world.servers) >= 20)
+        for server in world.servers:
+            server.behaviour = "good"
+        for task in tasks:
+            await task.cancel()
+        self.assertEqual((await world.ask("/r/1", request_id="last")).status, 200)
+
+    async def ask(self, world, request_id):
+        await world.ask("/r/1", request_id=request_id)
+
+
 class InterfaceTests(TestCase):
     @in_world()
     async def test_before_a_configuration_nothing_is_denied(self, world):
--- a/tests/test_gateway_routes.py
+++ b/tests/test_gateway_routes.py
@@ -1,5 +1,6 @@
 """Tests of savorypond.gateway.routes and savorypond.gateway.split."""
 
+from dataclasses import replace
 from random import Random
 from unittest import TestCase
 
@@ -33,6 +34,12 @@
         self.assertEqual(self.match("/a/b/c"), "ab")
         self.assertEqual(self.match("/a/bc"), "a")
 
+    def test_the_widest_query_of_a_service_is_known(self):
+        wide = replace(route("w", "/w/"), shards=("x", "y", "z"))
+        narrow = replace(route("n", "/n/"), shards=("x",))
+        table = RouteTable(version=1, routes=(wide, narrow, route("p", "/p/")))
+        self.assertEqual([table.widest(name) for name in "xzp"], [3, 3, 0])
+
     def test_what_no_prefix_begins_has_no_route(self):
         self.assertIsNone(self.match("/a"))
         self.assertIsNone(self.match("/b/a/"))
--- a/tests/test_gateway_serverload.py
+++ b/tests/test_gateway_serverload.py
@@ -53,6 +53,12 @@
         self.loads.answered(self.near, number, usual=USUAL, now=0.6)
         self.assertEqual(self.choose(0.6, exclude={"far"}), "near")
 
+    def test_an_attempt_that_was_never_made_does_not_count(self):
+        for _ in range(DEFAULT_SERVER_LOAD.failures):
+            number = self.loads.begin(self.near, 0.0)
+            self.loads.dropped(self.near, number, now=0.5)
+        self.assertEqual(self.choose(0.5), "near")
+
     def test_a_closed_port_rests_a_server_at_once(self):
         number = self.loads.begin(self.near, 0.0)
         self.loads.failed(self.near, number, gone=True, now=0.0)
