Test ambiguous framing, callers that leave, and answers before a request's end

Cause: the HTTP parts changed for the gateway had few tests of their own: framing in two ways and the end of the connection after it, departure, requests sent ahead, closing answers during a stop, early answers to long requests, idle times, informational answers, stale connections, line breaks in requests.

--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -4,7 +4,15 @@
 from random import Random
 from unittest import TestCase
 
-from curio import TaskTimeout, run, sleep, spawn, tcp_server_socket, timeout_after
+from curio import (
+    Event,
+    TaskTimeout,
+    run,
+    sleep,
+    spawn,
+    tcp_server_socket,
+    timeout_after,
+)
 from hypothesis import given, strategies as st
 
 from savorypond.balancing.pool import PoolLimits
@@ -86,6 +94,69 @@
         self.assertTrue(response.close)
         self.assertFalse(reusable)
 
+    def test_how_long_an_idle_connection_is_kept_is_read(self):
+        for value, seconds in ((b"timeout=7, max=3", 7.0), (b"max=3", None)):
+            kept = OK.replace(b"Content", b"Keep-Alive: " + value + b"\r\nContent")
+
+            async def main(kept=kept):
+                async with server([kept]) as address:
+                    async with HttpConnection(address=address) as it:
+                        await it.request(GET)
+                        return it.keep_alive
+
+            self.assertEqual(run(main), seconds)
+
+    def test_an_informational_answer_is_not_the_answer(self):
+        response, reusable = exchange(b"HTTP/1.1 100 Continue\r\nA: b\r\n\r\n" + OK)
+        self.assertEqual((response.status, response.body), (200, b"ok"))
+        self.assertIsNone(response.header("a"))
+        self.assertTrue(reusable)
+
+    def test_bytes_that_arrive_while_idle_make_a_connection_stale(self):
+        async def main():
+            async with server([OK, OK], pause=0.01) as address:
+                async with HttpConnection(address=address) as it:
+                    await it.request(GET)
+                    async with timeout_after(HANG):
+                        while not it.is_stale():
+                            await sleep(0.001)
+
+        run(main)
+
+    def test_an_early_answer_to_a_long_request_ends_the_connection(self):
+        async def main():
+            listener = tcp_server_socket("127.0.0.1", 0)
+
+            async def serve():
+                sock, _ = await listener.accept()
+                async with sock:
+                    await sock.recv(100)
+                    await sock.sendall(OK)
+                    await Event().wait()
+
+            task = await spawn(serve, daemon=True)
+            host, port = listener.getsockname()
+            address = Address(host=host, port=port)
+            long = HttpRequest(method="POST", path="/", body=b"x" * (64 << 20))
+            async with timeout_after(HANG), HttpConnection(address=address) as it:
+                response = await it.request(long)
+                self.assertEqual(response.body, b"ok")
+                self.assertFalse(it.reusable)
+            await task.cancel()
+            await listener.close()
+
+        run(main)
+
+    def test_line_breaks_in_a_request_are_refused_before_sending(self):
+        async def main():
+            async with server([OK]) as address, HttpConnection(address=address) as it:
+                for path in ("/a\r\nx: y", "/a b"):
+                    with self.assertRaises(ValueError):
+                        await it.request(HttpRequest(method="GET", path=path))
+                    self.assertFalse(it.sent)
+
+        run(main)
+
     def test_broken_answers_are_errors_after_sending(self):
         cases = [
             Case("no HTTP", (b"nonsense\r\n\r\n",)),
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,7 +1,7 @@
 from dataclasses import dataclass
 from unittest import TestCase
 
-from curio import TaskGroup, run, sleep, timeout_after
+from curio import Event, TaskGroup, run, sleep, timeout_after
 from curio.socket import AF_INET, SOCK_STREAM, socket
 from msgspec.json import decode
 
@@ -100,6 +100,22 @@
         413,
         RefusalReason.TOO_LARGE,
     ),
+    Case(
+        "framed in two ways",
+        (
+            HEAD
+            + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+            + b"GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n",
+        ),
+        400,
+        RefusalReason.MALFORMED,
+    ),
+    Case(
+        "two lengths",
+        (HEAD + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcde",),
+        400,
+        RefusalReason.MALFORMED,
+    ),
     Case("slow header", (b"GET / HT",), 408, RefusalReason.TOO_SLOW, pause=0.6),
     Case(
         "slow body",
@@ -202,6 +218,68 @@
         run(main)
 
 
+class DepartureTests(TestCase):
+    def test_the_handler_of_a_caller_that_leaves_is_cancelled(self):
+        async def main():
+            began, ended = Event(), Event()
+
+            async def endless(request):
+                await began.set()
+                try:
+                    await Event().wait()
+                finally:
+                    await ended.set()
+
+            server = HttpServer(
+                address=LOOPBACK,
+                handler=endless,
+                limits=LIMITS,
+                notice_departure=True,
+            )
+            async with timeout_after(HANG), server:
+                async with socket(AF_INET, SOCK_STREAM) as sock:
+                    await sock.connect((server.address.host, server.address.port))
+                    await sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                    await began.wait()
+                await ended.wait()
+
+        run(main)
+
+    def test_what_is_sent_ahead_is_the_next_request(self):
+        async def main():
+            server = HttpServer(
+                address=LOOPBACK,
+                handler=self.slow_echo,
+                limits=LIMITS,
+                notice_departure=True,
+            )
+            served = Served()
+            served.server = server
+            async with timeout_after(HANG), server:
+                one = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                two = b"GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                data = await served.talk(one, two, pause=0.01)
+            self.assertLess(data.index(b"GET /1"), data.index(b"GET /2"))
+
+        run(main)
+
+    async def slow_echo(self, request):
+        await sleep(0.05)
+        return await echo(request)
+
+    def test_answers_close_their_connections_once_a_stop_is_announced(self):
+        async def main():
+            served = Served()
+            async with timeout_after(HANG), served.server:
+                async with HttpConnection(address=served.server.address) as connection:
+                    request = HttpRequest(method="GET", path="/")
+                    self.assertFalse((await connection.request(request)).close)
+                    served.server.announce_stop()
+                    self.assertTrue((await connection.request(request)).close)
+
+        run(main)
+
+
 class DrainTests(TestCase):
     def test_what_is_in_flight_is_answered(self):
         async def slow(request):
