--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -99,10 +99,12 @@
             kept = OK.replace(b"Content", b"Keep-Alive: " + value + b"\r\nContent")
 
             async def main(kept=kept):
-                async with server([kept]) as address:
-                    async with HttpConnection(address=address) as it:
-                        await it.request(GET)
-                        return it.keep_alive
+                async with (
+                    server([kept]) as address,
+                    HttpConnection(address=address) as it,
+                ):
+                    await it.request(GET)
+                    return it.keep_alive
 
             self.assertEqual(run(main), seconds)
 
@@ -114,12 +116,14 @@
 
     def test_bytes_that_arrive_while_idle_make_a_connection_stale(self):
         async def main():
-            async with server([OK, OK], pause=0.01) as address:
-                async with HttpConnection(address=address) as it:
-                    await it.request(GET)
-                    async with timeout_after(HANG):
-                        while not it.is_stale():
-                            await sleep(0.001)
+            async with (
+                server([OK, OK], pause=0.01) as address,
+                HttpConnection(address=address) as it,
+                timeout_after(HANG),
+            ):
+                await it.request(GET)
+                while not it.is_stale():
+                    await sleep(0.001)
 
         run(main)
 
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -271,11 +271,13 @@
         async def main():
             served = Served()
             async with timeout_after(HANG), served.server:
-                async with HttpConnection(address=served.server.address) as connection:
-                    request = HttpRequest(method="GET", path="/")
-                    self.assertFalse((await connection.request(request)).close)
-                    served.server.announce_stop()
-                    self.assertTrue((await connection.request(request)).close)
+                connection = HttpConnection(address=served.server.address)
+                await connection.open()
+                request = HttpRequest(method="GET", path="/")
+                self.assertFalse((await connection.request(request)).close)
+                served.server.announce_stop()
+                self.assertTrue((await connection.request(request)).close)
+                await connection.close()
 
         run(main)
 
