Keep an answer that arrives as a long request leaves

Cause: beside six busy processes the demo's publishing step ended after 75 s with "connection closed before the response". A request longer than 8 KiB is sent while its answer is awaited; where both ended in one step of the kernel, the bytes of the answer were dropped and the next read waited for the server's idle timeout. The gateway forwards long bodies the same way. Ruled out: limits of the stand-in (its receive time is 5 s, the wait was the idle time of 75 s); a slow start of the instances. Test: test_httpclient, with a socket that does both at once; failed before.

--- a/src/savorypond/http/httpclient.py
+++ b/src/savorypond/http/httpclient.py
@@ -7,7 +7,7 @@
 from types import TracebackType
 from typing import Any, Self
 
-from curio import TaskGroup, spawn
+from curio import CancelledError, TaskGroup, spawn
 from curio.socket import AF_INET, SOCK_STREAM, socket
 
 from savorypond.exceptions import BackendServerError, ResponseError
@@ -141,11 +141,13 @@
         receiver = await spawn(self._sock.recv, _RECEIVE_BYTES)
         async with TaskGroup([sender, receiver], wait=any) as both:
             pass
-        if both.completed is sender:
+        whole = both.completed is sender
+        if whole:
             _ = sender.result
-            return True
-        _feed(parser, receiver.result)
-        return False
+        # The receiver may have ended at the same moment, with the answer's bytes.
+        if not isinstance(receiver.exception, CancelledError):
+            _feed(parser, receiver.result)
+        return whole
 
     async def _receive(self, parser: ResponseParser) -> None:
         while not parser.complete:
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -151,6 +151,33 @@
 
         run(main)
 
+    def test_an_answer_that_arrives_as_a_long_request_leaves_is_kept(self):
+        class BothAtOnce:
+            """Takes the whole request and holds its answer at the same moment."""
+
+            def __init__(self):
+                self._answers = [OK]
+
+            async def sendall(self, data):
+                pass
+
+            async def recv(self, size):
+                return self._answers.pop() if self._answers else b""
+
+            async def close(self):
+                pass
+
+        async def main():
+            address = Address(host="127.0.0.1", port=1)
+            connection = HttpConnection(address=address)
+            connection._sock = BothAtOnce()
+            long = HttpRequest(method="POST", path="/", body=bytes(100_000))
+            return await connection.request(long), connection.reusable
+
+        response, reusable = run(main)
+        self.assertEqual(response.body, b"ok")
+        self.assertTrue(reusable)
+
     def test_line_breaks_in_a_request_are_refused_before_sending(self):
         async def main():
             async with server([OK]) as address, HttpConnection(address=address) as it:
