--- a/scripts/build_target.sh
+++ b/scripts/build_target.sh
@@ -10,7 +10,15 @@
     python3 -m compileall -q "$deps" || true # some libraries ship templates
     touch "$stamp"
 fi
-rm -rf "$deps/savorypond"
-cp -r src/savorypond "$deps/savorypond"
-find "$deps/savorypond" -name __pycache__ -prune -exec rm -rf {} +
-python3 -m compileall -q "$deps/savorypond"
+# Processes that run may still import from the folder: it is replaced in one step,
+# and only where a source has changed.
+if ! diff -rq -x __pycache__ src/savorypond "$deps/savorypond" >/dev/null 2>&1; then
+    rm -rf target/new target/old
+    mkdir -p target/new
+    cp -r src/savorypond target/new/savorypond
+    find target/new -name __pycache__ -prune -exec rm -rf {} +
+    python3 -m compileall -q -s target/new -p "$deps" target/new/savorypond
+    if [ -e "$deps/savorypond" ]; then mv "$deps/savorypond" target/old; fi
+    mv target/new/savorypond "$deps/savorypond"
+    rm -rf target/new target/old
+fi
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -109,6 +109,8 @@
         async with ignore_after(int(asked["wait_ms"]) / 1000):
             while self.revision <= after:
                 await sleep(0.005)
+        if after < self.forgotten:
+            return HttpResponse(status=410)
         events = [event for event in self.events if event["revision"] > after]
         return json_response({"events": events, "as_of": self.revision})
 
--- /dev/null
+++ b/tests/soak/servers.py
@@ -0,0 +1,137 @@
+"""Backend servers of the soak, which note every request that arrives."""
+
+from contextlib import AsyncExitStack
+from hashlib import sha256
+from itertools import count
+from time import monotonic
+
+from curio import CancelledError, Semaphore, sleep
+
+from savorypond.exceptions import RequestRefused
+from savorypond.http.httpchannel import HttpLimits
+from savorypond.http.httpserver import HttpServer
+from savorypond.http.httptypes import Header, HttpResponse
+from savorypond.model import Address
+from savorypond.platform.names import HEADERS
+from savorypond.reasons import Execution, RefusalReason
+from tests.soak.proxy import Proxy
+from tests.soak.records import RunRecord
+
+RECORDS = 8  # in each partial answer
+_serials = count(1)
+
+
+class SoakServer:
+    """One backend server behind a proxy.
+
+    :param mood: ``good``, ``failing`` (500), ``shedding`` (not run), ``losing``
+        (runs, and the connection ends without an answer).
+    """
+
+    def __init__(self, *, name, service, random, records, slots=2, work=0.012):
+        self.name = name
+        self.service = service
+        self.mood = "good"
+        self.slowness = 1.0
+        self.leaving = False
+        self.born = 1
+        self.beats = 0
+        self._random = random
+        self._records = records
+        self._slots = slots
+        self._work = work
+        self._free = Semaphore(slots)
+        self._waiting = 0
+        self._stack = AsyncExitStack()
+        self._server = None
+        self.proxy = None
+
+    async def __aenter__(self):
+        self._server = HttpServer(
+            address=Address(host="127.0.0.1", port=0),
+            handler=self._handle,
+            limits=HttpLimits(idle_time=5.0, connections_per_peer=60),
+            notice_departure=True,
+        )
+        await self._stack.enter_async_context(self._server)
+        self.proxy = await self._stack.enter_async_context(
+            Proxy(target=self._server.address, random=self._random)
+        )
+        return self
+
+    async def __aexit__(self, *reason):
+        await self._stack.aclose()
+
+    def entry(self):
+        """Return what the server registers of itself."""
+        return {
+            "backend": self.service,
+            "address": str(self.proxy.address),
+            "zone": "abc"[sum(self.name.encode()) % 3],
+            "version": "v1",
+            "max_concurrency": self._slots,
+            "phase": "draining" if self.leaving else "ready",
+            "warmup_left_ms": 0,
+            "sequence": self.beats,
+            "born": self.born,
+        }
+
+    async def _handle(self, request):
+        run = RunRecord(
+            request_id=request.header(HEADERS.request_id) or "",
+            server=self.name,
+            service=self.service,
+            method=request.method,
+            path=request.path,
+            body=request.body,
+            instance=request.peer,
+            arrived=monotonic(),
+        )
+        self._records.runs.append(run)
+        expected = request.header(HEADERS.expected_server)
+        if expected not in (None, self.name):
+            return HttpResponse(status=421)
+        if self.mood == "shedding" or self._waiting > 12:
+            return HttpResponse(
+                status=503, headers=(Header(name=HEADERS.not_run, value="1"),)
+            )
+        try:
+            return await self._run(run)
+        except CancelledError:
+            run.gone = True
+            raise
+        finally:
+            run.ended = monotonic()
+
+    async def _run(self, run):
+        self._waiting += 1
+        try:
+            async with self._free:
+                run.ran = True
+                spread = self._random.lognormvariate(0.0, 0.4)
+                await sleep(self._work * self.slowness * spread)
+        finally:
+            self._waiting -= 1
+        if self.mood == "losing" and self._random.random() < 0.3:
+            raise RequestRefused(
+                reason=RefusalReason.INTERNAL,
+                detail="the answer is lost",
+                execution=Execution.UNKNOWN,
+            )
+        failing = self.mood == "failing" and self._random.random() < 0.5
+        run.signature = f"{self.name}.{run.request_id}.{next(_serials)}"
+        run.answer = self._answer(run.request_id)
+        run.status = 500 if failing else 200
+        return HttpResponse(
+            status=run.status,
+            headers=(
+                Header(name=HEADERS.request_id, value=run.request_id),
+                Header(name=HEADERS.signature, value=run.signature),
+            ),
+            body=run.answer,
+        )
+
+    def _answer(self, request_id):
+        """Return records that only this service has for this request."""
+        seeds = (f"{self.service} {request_id} {i}" for i in range(RECORDS))
+        return b"".join(sha256(seed.encode()).digest()[:16] for seed in seeds)
