Hedge across data centres only when a shard is due to be late, and ask near peers for changes

Change: a hedge to another data centre waits until its answer would just be in time; another data centre counts as 25 ms, was 12; an instance without the store asks for what changed, mostly in its own data centre, and asks the vain store half as often; far shards of a wide query cross in one message for each 15. On the way: the hedge delay was 8 ms between the 40th answer and the first percentile.

--- a/src/savorypond/gateway/delegation.py
+++ b/src/savorypond/gateway/delegation.py
@@ -110,21 +110,33 @@
         now: float,
     ) -> list[Group]:
         """Return the groups of ``shards`` that peers in ``data_centre`` gather."""
-        size = CHUNK if len(services) > SPREAD_ABOVE else len(services)
-        chunks: dict[int, list[int]] = {}
-        for shard in shards:
-            chunks.setdefault(shard // size, []).append(shard)
         groups = []
-        for number, chunk in chunks.items():
-            keepers = self._find_keepers(services[number * size], data_centre)
+        for key, chunk in self._chunks(services, shards, data_centre):
+            keepers = self._find_keepers(key, data_centre)
             usable = [
                 one for one in keepers if one is None or not self._rests(one, now)
             ]
             chosen = min(usable, key=self._order, default=None)
             if chosen is not None:
-                groups.append(Group(peer=chosen, shards=tuple(chunk)))
+                groups.append(Group(peer=chosen, shards=chunk))
         return groups
 
+    def _chunks(
+        self, services: tuple[str, ...], shards: tuple[int, ...], data_centre: str
+    ) -> list[tuple[str, tuple[int, ...]]]:
+        """Return chunks of ``shards``, each with the key that names its keepers."""
+        size = CHUNK if len(services) > SPREAD_ABOVE else len(services)
+        if data_centre != self._data_centre:
+            # Each message between data centres is dear: there are as few as may be.
+            count = -(-len(shards) // size)
+            even = -(-len(shards) // count)
+            parts = [shards[i : i + even] for i in range(0, len(shards), even)]
+            return [(services[part[0]], part) for part in parts]
+        near: dict[int, list[int]] = {}
+        for shard in shards:
+            near.setdefault(shard // size, []).append(shard)
+        return [(services[n * size], tuple(part)) for n, part in near.items()]
+
     def _find_keepers(self, key: str, data_centre: str) -> tuple[Instance | None, ...]:
         """Return who takes turns at the chunk ``key``; None is this instance."""
         found = self._keepers.get((key, data_centre))
--- a/src/savorypond/gateway/feed.py
+++ b/src/savorypond/gateway/feed.py
@@ -29,7 +29,9 @@
 # While reads fail, other instances are asked in between: vain reads must be short.
 FAILING_WAIT = 0.1  # seconds
 FIRST_PAUSE = 0.2  # seconds after a first failed read
-LONGEST_PAUSE = 1.0  # seconds after a failed read
+# Each vain read has its price; what peers know keeps this instance up to date.
+LONGEST_PAUSE = 2.0  # seconds after a failed read
+PEER_INTERVAL = 0.7  # seconds between two looks at what peers know meanwhile
 _FAILURES_LOGGED = (1, 10, 100, 1000)  # failures in a row that are logged
 
 
@@ -160,14 +162,20 @@
         now = self._clock.now()
         self._registry.note_back(now)
         self._read_at = now - changes.age
-        if self._position is None:
-            servers = tuple(c.server for c in changes.servers if c.server is not None)
-            copy = PublishedCopy(
-                position=changes.position, table=changes.table, servers=servers
-            )
-            self._take_copy(copy, source="reader")
-        else:
+        self._take_from_peer(changes, after=self._position, source="reader")
+
+    def _take_from_peer(
+        self, changes: PublishedChanges, *, after: int | None, source: str
+    ) -> None:
+        """Take what changed after a position, or everything for None."""
+        if after is not None:
             self._take_changes(changes)
+            return
+        servers = tuple(c.server for c in changes.servers if c.server is not None)
+        copy = PublishedCopy(
+            position=changes.position, table=changes.table, servers=servers
+        )
+        self._take_copy(copy, source=source)
 
     def _take_copy(self, copy: PublishedCopy, *, source: str) -> None:
         self._registry.replace_all(copy.servers, self._clock.now())
@@ -213,22 +221,29 @@
         self._counters.add("published_reads", "failed")
         if self._failures in _FAILURES_LOGGED:
             log_event("published-lost", failures=self._failures, why=str(error))
-        await self._ask_peer()
         pause = min(FIRST_PAUSE * 2 ** min(self._failures, 8), LONGEST_PAUSE)
-        await sleep(pause * self._random.uniform(0.5, 1.0))
+        until = self._clock.now() + pause * self._random.uniform(0.5, 1.0)
+        while (left := until - self._clock.now()) > 0.0:
+            await self._ask_peer()
+            await sleep(min(left, PEER_INTERVAL))
 
     async def _ask_peer(self) -> None:
+        after = self._position
         try:
-            copy = await self._peers.read_copy()
-        except PublishedError as error:
+            try:
+                changes = await self._peers.read_any(after=after)
+            except HistoryLost:
+                after = None
+                changes = await self._peers.read_any(after=None)
+        except (HistoryLost, PublishedError) as error:
             self._counters.add("published_reads", "peer-failed")
             if self._failures in _FAILURES_LOGGED:
                 log_event("no-peer-copy", why=str(error))
             return
         self._counters.add("published_reads", "peer")
-        if self._position is None or copy.position > self._position:
+        if self._position is None or changes.position > self._position:
             self._copied = True
-            self._take_copy(copy, source="peer")
+            self._take_from_peer(changes, after=after, source="peer")
 
 
 def _log_server(
--- a/src/savorypond/gateway/gatherplan.py
+++ b/src/savorypond/gateway/gatherplan.py
@@ -1,8 +1,9 @@
 """Decides what to send for one request, and when to answer it.
 
 Answers stragglers: a shard whose server is slow, paused or failing is asked of
-another server within the budget; near the goal the answer holds what has arrived,
-as long as that is enough; what can no longer be served is given up at once.
+another server within the budget, across data centres only when it is due to be late;
+near the goal the answer holds what has arrived, as long as that is enough; what can
+no longer be served is given up at once.
 """
 
 from collections.abc import Collection
@@ -33,6 +34,9 @@
     def count(self, service: str) -> int:
         """Return how many servers ``service`` has."""
 
+    def is_far(self, server: RegisteredServer) -> bool:
+        """Return whether ``server`` is in another data centre."""
+
 
 class ExtraSends(Protocol):
     """Allows sends beyond the first of each shard."""
@@ -90,12 +94,25 @@
     end_at: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HedgeDelays:
+    """When a shard is asked of another server as well.
+
+    :param near: seconds after which a server of the same data centre is asked.
+    :param far: seconds after which one of another data centre is.
+    """
+
+    near: float
+    far: float
+
+
 @dataclass(slots=True, kw_only=True)
 class _Shard:
     service: str
     tried: set[str] = field(default_factory=set)
     running: set[int] = field(default_factory=set)
     sent: int = 0
+    sent_at: float = 0.0
     unsent: int = 0
     hedge_at: float = inf
     answered: bool = False
@@ -110,7 +127,7 @@
     """The state of one request that goes to one server of each of its shards.
 
     :param services: the service of each shard.
-    :param hedge_delay: seconds after which a shard is asked of another server.
+    :param hedge_delays: when a shard is asked of another server as well.
     """
 
     def __init__(
@@ -118,13 +135,13 @@
         *,
         services: tuple[str, ...],
         limits: PlanLimits,
-        hedge_delay: float,
+        hedge_delays: HedgeDelays,
         chooser: ServerChooser,
         extras: ExtraSends,
     ) -> None:
         self._shards = [_Shard(service=service) for service in services]
         self._limits = limits
-        self._hedge_delay = hedge_delay
+        self._hedge_delays = hedge_delays
         self._chooser = chooser
         self._extras = extras
         self._shard_of: dict[int, int] = {}
@@ -325,16 +342,32 @@
         shard.hedge_at = inf
         if not self._limits.repeatable or shard.sent >= self._limits.max_attempts:
             return []
-        send = self._send(index, now, paid=True)
+        server = self._choose(shard, now)
+        if server is not None and self._chooser.is_far(server):
+            far_at = shard.sent_at + self._hedge_delays.far
+            if now < far_at:
+                shard.hedge_at = far_at
+                return []
+        send = self._send(index, now, paid=True, server=server)
         if send is None:
-            shard.hedge_at = now + max(self._hedge_delay, _DENIED_PAUSE)
+            shard.hedge_at = now + max(self._hedge_delays.near, _DENIED_PAUSE)
             return []
         self._hedges += 1
         return [send]
 
-    def _send(self, index: int, now: float, *, paid: bool = False) -> Send | None:
+    def _choose(self, shard: _Shard, now: float) -> RegisteredServer | None:
+        return self._chooser.choose(shard.service, exclude=shard.tried, now=now)
+
+    def _send(
+        self,
+        index: int,
+        now: float,
+        *,
+        paid: bool = False,
+        server: RegisteredServer | None = None,
+    ) -> Send | None:
         shard = self._shards[index]
-        server = self._chooser.choose(shard.service, exclude=shard.tried, now=now)
+        server = server or self._choose(shard, now)
         if server is None:
             return None
         if paid and not self._extras.try_spend(service=shard.service, now=now):
@@ -347,7 +380,8 @@
         shard.tried.add(server.name)
         shard.running.add(self._numbers)
         shard.sent += 1
-        shard.hedge_at = now + self._hedge_delay
+        shard.sent_at = now
+        shard.hedge_at = now + self._hedge_delays.near
         return Send(number=self._numbers, shard=index, server=server)
 
     def _withdraw(self, sends: list[Send]) -> None:
--- a/src/savorypond/gateway/peers.py
+++ b/src/savorypond/gateway/peers.py
@@ -16,7 +16,6 @@
 )
 from savorypond.gateway.published import (
     PublishedChanges,
-    PublishedCopy,
     ServerChange,
 )
 from savorypond.gateway.relay import Relay
@@ -34,6 +33,8 @@
 # Several round trips between data centres; a request must still be servable after.
 CONNECT_TIME = 0.05  # seconds
 FRESH_COPY = 3.0  # seconds since the store was read, for a copy worth passing on
+# All of one's own data centre may be cut off from the store at once.
+NEAR_SHARE = 0.75  # of the copies that are asked of the same data centre
 COPY_TIME = 1.0  # seconds that reading a peer's copy may take
 _MSGPACK = "application/msgpack"
 _GONE = 410
@@ -148,22 +149,22 @@
         self._relay = relay
         self._random = random
 
-    async def read_copy(self) -> PublishedCopy:
-        """Return what another instance has read of late.
+    async def read_any(self, *, after: int | None) -> PublishedChanges:
+        """Return what some other instance knows to have changed.
 
-        :raises PublishedError: no instance has a fresh copy.
+        Most often one of the same data centre is asked: links between data
+        centres are dear.
+
+        :raises HistoryLost: that instance no longer knows these changes.
+        :raises PublishedError: it has no fresh answer.
         """
         peers = list(self._peers())
         if not peers:
             raise PublishedError(source="peers", problem="none is known")
-        changes = await self._read(self._random.choice(peers), PUBLISHED_PATH)
-        servers = tuple(c.server for c in changes.servers if c.server is not None)
-        return PublishedCopy(
-            position=changes.position,
-            table=changes.table,
-            servers=servers,
-            age=changes.age,
-        )
+        near = [peer for peer in peers if peer.data_centre == self._relay.data_centre]
+        if near and self._random.random() < NEAR_SHARE:
+            peers = near
+        return await self._read(self._random.choice(peers), _published_path(after))
 
     async def read_changes(self, *, after: int | None) -> PublishedChanges | None:
         """Return what a reader of the store knows to have changed.
@@ -176,9 +177,8 @@
         if reader is None:
             self._relay.answered()
             return None
-        path = PUBLISHED_PATH if after is None else f"{PUBLISHED_PATH}?after={after}"
         try:
-            changes = await self._read(reader, path)
+            changes = await self._read(reader, _published_path(after))
         except PublishedError:
             self._relay.failed()
             raise
@@ -217,6 +217,10 @@
             return await connection.request(request)
 
 
+def _published_path(after: int | None) -> str:
+    return PUBLISHED_PATH if after is None else f"{PUBLISHED_PATH}?after={after}"
+
+
 def _as_server(peer: Instance) -> RegisteredServer:
     """Return ``peer`` as the pools know the other end of connections."""
     return RegisteredServer(
--- a/src/savorypond/gateway/published.py
+++ b/src/savorypond/gateway/published.py
@@ -21,11 +21,9 @@
 
     :param position: changes after this position may be missing in the copy.
     :param table: the configuration, or None where there is none yet.
-    :param age: seconds since the store was read, where an instance tells it.
     """
 
     position: int
-    age: float = 0.0
     table: RouteTable | None
     servers: tuple[RegisteredServer, ...]
 
@@ -46,8 +44,13 @@
 class PeerSource(Protocol):
     """The other instances, as far as they know what is published."""
 
-    async def read_copy(self) -> PublishedCopy:
-        """Return what another instance has read of late; raise PublishedError."""
+    async def read_any(self, *, after: int | None) -> PublishedChanges:
+        """Return what some other instance knows to have changed.
+
+        :param after: position of the last change known, or None for everything.
+        :raises HistoryLost: that instance no longer knows these changes.
+        :raises PublishedError: it has no fresh answer.
+        """
 
     async def read_changes(self, *, after: int | None) -> PublishedChanges | None:
         """Return what a reader of the store knows to have changed.
--- a/src/savorypond/gateway/requestrun.py
+++ b/src/savorypond/gateway/requestrun.py
@@ -65,6 +65,10 @@
         """Return how many servers ``service`` has."""
         return len(self._registry.servers(service))
 
+    def is_far(self, server: RegisteredServer) -> bool:
+        """Return whether ``server`` is in another data centre."""
+        return self._loads.is_far(server)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RunResult:
@@ -157,7 +161,11 @@
                 answer_at=spec.answer_at,
                 end_at=spec.request.ends - END_MARGIN,
             ),
-            hedge_delay=tools.times.hedge_delay(route=route.name, goal=route.goal),
+            hedge_delays=tools.times.hedge_delays(
+                route=route.name,
+                goal=route.goal,
+                left=spec.answer_at - tools.clock.now(),
+            ),
             chooser=RegisteredChooser(
                 registry=tools.registry, loads=tools.loads, usual=self._usual
             ),
--- a/src/savorypond/gateway/serverload.py
+++ b/src/savorypond/gateway/serverload.py
@@ -29,7 +29,7 @@
     :param probe_time: how long others wait for the attempt that tries it again.
     """
 
-    distance_cost: float = 0.012
+    distance_cost: float = 0.025
     smoothing: float = 0.25
     memory: float = 4.0
     cold_factor: float = 1.6
@@ -171,6 +171,10 @@
                 best, best_cost = server, cost
         return best
 
+    def is_far(self, server: RegisteredServer) -> bool:
+        """Return whether ``server`` is in another data centre."""
+        return server.data_centre != self._data_centre
+
     def resting(self, server: RegisteredServer, now: float) -> float:
         """Return the seconds for which ``server`` gets no attempt."""
         load = self._loads.get(server.name)
@@ -188,7 +192,7 @@
         if load.in_flight:
             oldest = now - min(load.in_flight.values())
             cost += max(0.0, oldest - self._config.overdue_factor * usual)
-        if server.data_centre != self._data_centre:
+        if self.is_far(server):
             cost += self._config.distance_cost
         return cost * self._random.uniform(0.95, 1.05)
 
--- a/src/savorypond/gateway/usualtimes.py
+++ b/src/savorypond/gateway/usualtimes.py
@@ -1,6 +1,7 @@
 """How long answers of each route usually take, and when to hedge."""
 
 from savorypond.balancing.latency import LatencyConfig, LatencyTracker
+from savorypond.gateway.gatherplan import HedgeDelays
 
 # Answers of a route before its percentile is trusted.
 _LEAST_SAMPLES = 40
@@ -9,6 +10,9 @@
 # A hedge must leave the second server time before the goal.
 _MOST_SHARE = 0.5
 _LEAST_DELAY = 0.008  # seconds
+# A new connection to another data centre and the answer's way back: two round trips
+# of some 10 ms and a handshake of 6 ms.
+FAR_TIME = 0.026  # seconds
 
 
 class UsualTimes:
@@ -31,10 +35,22 @@
         """Return the mean answer time in seconds."""
         return self._means.get(route, goal * 0.25)
 
-    def hedge_delay(self, *, route: str, goal: float) -> float:
-        """Return the seconds after which another server is asked as well."""
+    def hedge_delays(self, *, route: str, goal: float, left: float) -> HedgeDelays:
+        """Return the seconds after which another server is asked as well.
+
+        A near one is asked once most answers have come. One that is far costs bytes
+        between data centres, and is asked when its answer would just be in time.
+
+        :param left: seconds until the answer need not hold every shard.
+        """
+        near = self._near_delay(route, goal)
+        return HedgeDelays(near=near, far=max(near, left - FAR_TIME - near))
+
+    def _near_delay(self, route: str, goal: float) -> float:
         latency = self._hedges.get(service=route)
-        if latency is None or latency.count < _LEAST_SAMPLES:
+        known = latency is not None and latency.count >= _LEAST_SAMPLES
+        # The percentile is worked out now and then, and is 0 before the first time.
+        if latency is None or not known or not latency.percentile:
             return goal * _FIRST_SHARE
         delay = max(latency.percentile, _LEAST_DELAY)
         return min(delay, goal * _MOST_SHARE)
--- a/tests/test_gateway_delegation.py
+++ b/tests/test_gateway_delegation.py
@@ -74,6 +74,21 @@
             keepers.setdefault(group.shards, set()).add(group.peer.name)
         self.assertTrue(all(len(names) <= KEEPERS for names in keepers.values()))
 
+    def test_far_shards_of_a_wide_query_cross_in_few_messages(self):
+        services = tuple(f"s{n}" for n in range(90))
+        self.registry.replace_all(
+            [
+                server(name, service=name, data_centre="b" if n % 4 == 0 else "a")
+                for n, name in enumerate(services)
+            ],
+            0.0,
+        )
+        peers = (*(peer(f"a{n}", "a") for n in range(2, 9)), B1, B2)
+        groups = self.delegation.choose(services, peers, 0.0)
+        far = [g.shards for g in groups if g.peer.data_centre == "b"]
+        self.assertEqual([len(shards) for shards in far], [12, 11])
+        self.assertEqual([n for shards in far for n in shards], list(range(0, 90, 4)))
+
     def test_few_shards_are_asked_from_here(self):
         self.place(*["ab"] * 7, *["bc"] * 2)
         self.assertEqual(self.choose(B1, C1), [])
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,20 @@
+"""A short run of the soak with a fixed seed: only promises without time bounds."""
+
+from unittest import TestCase
+
+from tests.soak.run import play_seed
+
+# Seeds that failed once, and why.
+# 2, 5, 8, 10, 13: the judge took a version that changed other routes for a missed one.
+REGRESSIONS = (2,)
+
+
+class SoakTests(TestCase):
+    def test_promises_hold_under_faults_from_outside(self):
+        for seed in REGRESSIONS:
+            with self.subTest(seed):
+                findings, folder, records = play_seed(
+                    seed, seconds=6.0, instances=3, callers=10, timed=False
+                )
+                self.assertEqual(findings, [], f"logs are in {folder}")
+                self.assertGreater(len(records.attempts), 0)
