--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -138,21 +138,23 @@
         )
         self._loads = ServerLoads(data_centre=settings.data_centre, random=random)
         self._budget = ExtraBudget(config=_budget_config(settings, ASSUMED_INSTANCES))
-        tools = RunTools(
+        self._handover = Handover(
             names=names,
-            handover=Handover(
-                names=names,
-                delegation=Delegation(
-                    own=settings.host,
-                    data_centre=settings.data_centre,
-                    registry=self._registry,
-                    random=random,
-                ),
-                client=client,
-                peers=self.peers,
-                clock=self._clock,
-                counters=counters,
+            data_centre=settings.data_centre,
+            delegation=Delegation(
+                own=settings.host,
+                data_centre=settings.data_centre,
+                registry=self._registry,
+                random=random,
             ),
+            client=client,
+            peers=self.peers,
+            clock=self._clock,
+            counters=counters,
+        )
+        tools = RunTools(
+            names=names,
+            handover=self._handover,
             registry=self._registry,
             loads=self._loads,
             runner=AttemptRunner(
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -13,19 +13,9 @@
 from savorypond.gateway.attempts import ForwardedRequest, forward_headers
 from savorypond.gateway.feed import PublishedFeed
 from savorypond.gateway.gatherplan import Verdict
-from savorypond.gateway.handover import (
-    CONFLICT,
-    group_response,
-    read_group_request,
-)
+from savorypond.gateway.handover import group_response, read_group_request
 from savorypond.gateway.headers import HeaderNames
-from savorypond.gateway.requestrun import (
-    GOAL_MARGIN,
-    RequestRun,
-    RunResult,
-    RunSpec,
-    RunTools,
-)
+from savorypond.gateway.requestrun import RequestRun, RunResult, RunSpec, RunTools
 from savorypond.gateway.routes import Route, RouteTable
 from savorypond.gateway.split import WeightedSplit
 from savorypond.http.httptypes import HttpRequest, HttpResponse
@@ -34,6 +24,21 @@
 from savorypond.reasons import Execution, RefusalReason
 
 _MILLISECONDS = 1000.0  # in a second
+# Merging an answer and sending it, on an instance with a share of a processor.
+OWN_TIME = 0.005  # seconds
+# A round trip measured on a busy link must not leave a query without time.
+_MOST_TRANSIT_SHARE = 0.25  # of a route's goal
+
+
+def waiting_time(goal: float, transit: float) -> float:
+    """Return the seconds after which an answer need not hold every shard.
+
+    The caller's clock starts before its request arrives here and stops after the
+    answer has left.
+
+    :param transit: seconds of the caller's waiting that pass on the way.
+    """
+    return goal - OWN_TIME - min(transit, _MOST_TRANSIT_SHARE * goal)
 
 
 class GatewayHandler:
@@ -66,7 +71,9 @@
             table, route = self._find_route(request, request_id)
             left = self._time_left(request, route)
             forwarded = self._forwarded(request, request_id, route, received + left)
-            return await self._serve(table, route, forwarded, received)
+            return await self._serve(
+                table, route, forwarded, received, transit=request.transit
+            )
         except RequestRefused as refusal:
             self._note_refusal(request, request_id, refusal, received)
             wait = retry_time(refusal, left, self._random)
@@ -76,18 +83,19 @@
         """Return the response to a request that a peer handed over."""
         received = self._clock.now()
         asked = read_group_request(request)
-        original = asked.request
-        request_id = original.header(self._names.request_id) or ""
-        table, route = self._find_route(original, request_id)
-        if asked.version != table.version:
-            # Its caller's instance answers by its own version.
-            return HttpResponse(status=CONFLICT)
-        left = self._time_left(original, route)
         spec = RunSpec(
-            route=route,
-            version=table.version,
-            services=tuple(route.shards[shard] for shard in asked.shards),
-            request=self._forwarded(original, request_id, route, received + left),
+            route=asked.route,
+            version=asked.version,
+            services=asked.route.shards,
+            request=ForwardedRequest(
+                method=asked.method,
+                path=asked.path,
+                headers=asked.headers,
+                body=asked.body,
+                request_id=asked.request_id,
+                ends=received + asked.left,
+                repeatable=asked.route.idempotent,
+            ),
             answer_at=received + asked.within,
             least_share=0.0,
             may_hand_over=False,
@@ -95,7 +103,7 @@
         result = await RequestRun(tools=self._tools, spec=spec).run()
         response = self._answer(spec, result)
         self._note_answer(spec, result, response, received)
-        return group_response(response, [asked.shards[i] for i in result.answered])
+        return group_response(response, result.answered)
 
     def _find_route(
         self, request: HttpRequest, request_id: str
@@ -158,13 +166,15 @@
         route: Route,
         request: ForwardedRequest,
         received: float,
+        *,
+        transit: float,
     ) -> HttpResponse:
         spec = RunSpec(
             route=route,
             version=table.version,
             services=route.shards or (self._split.choose(route),),
             request=request,
-            answer_at=received + route.goal - GOAL_MARGIN,
+            answer_at=received + waiting_time(route.goal, transit),
             least_share=route.least_share if route.shards else 1.0,
             may_hand_over=bool(route.shards),
         )
--- a/src/savorypond/gateway/handover.py
+++ b/src/savorypond/gateway/handover.py
@@ -1,34 +1,31 @@
 """Hands shards to other instances, and takes what they gathered."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from curio import TaskTimeout, timeout_after
+from msgspec import DecodeError, Struct
+from msgspec.msgpack import Decoder, encode
 
 from savorypond.clock import Clock
 from savorypond.exceptions import BackendServerError, PoolExhausted, RequestRefused
 from savorypond.gateway.attempts import ForwardedRequest
 from savorypond.gateway.delegation import Delegation, Group
 from savorypond.gateway.headers import HeaderNames
-from savorypond.gateway.peers import DELEGATED_PREFIX, PeerClient
+from savorypond.gateway.peers import DELEGATED_PATH, PeerClient
 from savorypond.gateway.rankedmerge import Part
+from savorypond.gateway.routes import Route
 from savorypond.http.httptypes import Header, HttpRequest, HttpResponse
 from savorypond.model import Counters, Instance
 from savorypond.reasons import RefusalReason
 
-_MILLISECONDS = 1000.0  # in a second
-# The merged answer crosses between data centres and is merged once more.
-RETURN_MARGIN = 0.014  # seconds
+# The merged answer of another instance is merged once more here.
+NEAR_RETURN_MARGIN = 0.007  # seconds
+FAR_RETURN_MARGIN = 0.014  # seconds; it crosses between data centres as well
 # A peer answers in time with what it has; one that does not is paused or cut off.
 PATIENCE_MARGIN = 0.02  # seconds after the moment at which its answer was due
-CONFLICT = 409  # the peer goes by another version of the configuration
-# Milliseconds until an answer need not hold every shard.
-_ANSWER_WITHIN = "peer-answer-within-ms"
-# Version of the configuration that the sender goes by.
-_VERSION = "peer-configuration-version"
-# Numbers of the shards asked for, or answered, in the order of the route.
+# Numbers of the shards answered, in the order in which they were asked.
 _SHARDS = "peer-shards"
-_OWN_HEADERS = (_ANSWER_WITHIN, _VERSION, _SHARDS)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,20 +44,32 @@
     problem: str = ""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GroupRequest:
-    """A request that a peer handed over.
+class GroupRequest(Struct, frozen=True, kw_only=True):
+    """A request for some of its shards, as one instance hands it to another.
+
+    It says all that is needed to run it, so that both instances need not go by the
+    same version of the configuration.
 
-    :param request: as its caller sent it.
+    :param route: the caller's route; its shards are those that are handed over.
+    :param version: of the configuration that the route is of.
+    :param left: seconds until the request must have its final answer.
     :param within: seconds until an answer need not hold every shard.
     """
 
-    request: HttpRequest
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    request_id: str
+    route: Route
     version: int
-    shards: tuple[int, ...]
+    left: float
     within: float
 
 
+_decoder = Decoder(GroupRequest)
+
+
 class Handover:
     """Hands shards to peers that are nearer to them.
 
@@ -71,6 +80,7 @@
         self,
         *,
         names: HeaderNames,
+        data_centre: str,
         delegation: Delegation,
         client: PeerClient,
         peers: Callable[[], Sequence[Instance]],
@@ -78,6 +88,7 @@
         counters: Counters,
     ) -> None:
         self._names = names
+        self._data_centre = data_centre
         self._delegation = delegation
         self._client = client
         self._peers = peers
@@ -93,18 +104,20 @@
         group: Group,
         request: ForwardedRequest,
         *,
+        route: Route,
         version: int,
         answer_at: float,
         give_up: bool,
     ) -> GroupResult:
         """Return what the peer of ``group`` has gathered.
 
+        :param route: the caller's route, which is of the configuration ``version``.
         :param answer_at: monotonic seconds from which the caller's answer need
             not hold every shard.
         :param give_up: stop waiting when the answer is overdue.
         """
         peer = group.peer
-        message = self._encode(group, request, version, answer_at)
+        message = self._encode(group, request, route, version, answer_at)
         now = self._clock.now()
         due = max(now, answer_at) + PATIENCE_MARGIN
         number = self._delegation.began(peer, due=due)
@@ -123,42 +136,45 @@
         finally:
             now = self._clock.now()
             self._delegation.ended(peer, number, answered=answered, now=now)
-        return self._take(peer, response)
+        return self._take(group, response)
 
     def _encode(
         self,
         group: Group,
         request: ForwardedRequest,
+        route: Route,
         version: int,
         answer_at: float,
     ) -> HttpRequest:
         now = self._clock.now()
-        left = max(1, int((request.ends - now) * _MILLISECONDS))
-        within = max(0, int((answer_at - now - RETURN_MARGIN) * _MILLISECONDS))
-        own = (
-            Header(name=self._names.time_left, value=str(left)),
-            Header(name=_ANSWER_WITHIN, value=str(within)),
-            Header(name=_VERSION, value=str(version)),
-            Header(name=_SHARDS, value=_join(group.shards)),
-        )
-        return HttpRequest(
+        near = group.peer.data_centre == self._data_centre
+        margin = NEAR_RETURN_MARGIN if near else FAR_RETURN_MARGIN
+        shards = tuple(route.shards[shard] for shard in group.shards)
+        message = GroupRequest(
             method=request.method,
-            path=DELEGATED_PREFIX + request.path,
-            headers=request.headers + own,
+            path=request.path,
+            headers=request.headers,
             body=request.body,
+            request_id=request.request_id,
+            route=replace(route, shards=shards),
+            version=version,
+            left=max(0.0, request.ends - now),
+            within=max(0.0, answer_at - now - margin),
         )
+        return HttpRequest(method="POST", path=DELEGATED_PATH, body=encode(message))
 
-    def _take(self, peer: Instance, response: HttpResponse) -> GroupResult:
+    def _take(self, group: Group, response: HttpResponse) -> GroupResult:
+        peer = group.peer
         signatures = response.header(self._names.part_signatures)
         answered = response.header(_SHARDS)
         if response.status != 200 or not signatures or not answered:
-            sent = response.status not in (CONFLICT, 503)
+            sent = response.status != 503
             return self._failed(peer, f"status {response.status}", sent=sent)
         self._counters.add("gateway_handovers", "answered")
         return GroupResult(
             peer=peer.name,
             part=Part(signatures=tuple(signatures.split(", ")), body=response.body),
-            answered=_split(answered),
+            answered=tuple(group.shards[int(n)] for n in answered.split(",")),
         )
 
     def _failed(self, peer: Instance, problem: str, *, sent: bool) -> GroupResult:
@@ -171,34 +187,16 @@
 def read_group_request(request: HttpRequest) -> GroupRequest:
     """Return what a peer asks for; raise RequestRefused."""
     try:
-        return GroupRequest(
-            request=HttpRequest(
-                method=request.method,
-                path=request.path.removeprefix(DELEGATED_PREFIX),
-                headers=tuple(h for h in request.headers if h.name not in _OWN_HEADERS),
-                body=request.body,
-            ),
-            version=int(request.header(_VERSION) or ""),
-            shards=_split(request.header(_SHARDS) or ""),
-            within=int(request.header(_ANSWER_WITHIN) or "") / _MILLISECONDS,
-        )
-    except ValueError as error:
+        return _decoder.decode(request.body)
+    except DecodeError as error:
         raise RequestRefused(
-            reason=RefusalReason.MALFORMED, detail=f"headers of a peer: {error}"
+            reason=RefusalReason.MALFORMED, detail=f"message of a peer: {error}"
         ) from error
 
 
 def group_response(response: HttpResponse, answered: Sequence[int]) -> HttpResponse:
     """Return ``response`` with the numbers of the shards that it holds."""
-    header = Header(name=_SHARDS, value=_join(answered))
+    header = Header(name=_SHARDS, value=",".join(str(number) for number in answered))
     return HttpResponse(
         status=response.status, headers=(*response.headers, header), body=response.body
     )
-
-
-def _join(numbers: Sequence[int]) -> str:
-    return ",".join(str(number) for number in numbers)
-
-
-def _split(text: str) -> tuple[int, ...]:
-    return tuple(int(number) for number in text.split(","))
--- a/src/savorypond/gateway/peers.py
+++ b/src/savorypond/gateway/peers.py
@@ -28,7 +28,7 @@
 from savorypond.reasons import RefusalReason
 
 PUBLISHED_PATH = "/peer/published"
-DELEGATED_PREFIX = "/peer/delegated"
+DELEGATED_PATH = "/peer/delegated"
 PEER_SERVICE = ""  # pools of connections to peers
 # Several round trips between data centres; a request must still be servable after.
 CONNECT_TIME = 0.05  # seconds
@@ -256,7 +256,7 @@
         path, _, query = request.path.partition("?")
         if path == PUBLISHED_PATH:
             return self._give_known(query.removeprefix("after="))
-        if path.startswith(DELEGATED_PREFIX):
+        if path == DELEGATED_PATH:
             return await self._delegated(request)
         raise RequestRefused(
             reason=RefusalReason.NOT_FOUND, detail=f"no resource at {request.path}"
--- a/src/savorypond/gateway/requestrun.py
+++ b/src/savorypond/gateway/requestrun.py
@@ -32,9 +32,6 @@
 from savorypond.http.httptypes import HttpResponse
 from savorypond.model import Counters
 
-# From an answer's last byte here to its arrival at the caller, and the start of
-# the caller's own clock before the request arrived here.
-GOAL_MARGIN = 0.010  # seconds
 END_MARGIN = 0.010  # seconds
 # An attempt that lost keeps its connection if it ends within this time.
 LINGER_TIME = 0.2  # seconds
@@ -312,6 +309,7 @@
         result = await self._tools.handover.run(
             group,
             self._spec.request,
+            route=self._spec.route,
             version=self._spec.version,
             answer_at=self._spec.answer_at,
             give_up=self._plan.can_fall_back(send),
--- a/src/savorypond/http/httpchannel.py
+++ b/src/savorypond/http/httpchannel.py
@@ -37,6 +37,7 @@
     HttpRequest,
     HttpResponse,
 )
+from savorypond.http.roundtrip import round_trip
 from savorypond.reasons import RefusalReason
 
 _RECEIVE_BYTES = 65536
@@ -81,6 +82,8 @@
         self._number = number
         self._limits = limits
         self._bodiless = False
+        # Opening the connection took the client a round trip before its request.
+        self._transit = 2.0 * round_trip(sock)
         self._http = Connection(SERVER, max_incomplete_event_size=limits().header_bytes)
 
     async def wait_first_byte(self) -> bool:
@@ -157,6 +160,7 @@
             for name, value in head.headers
         )
         self._bodiless = head.method == b"HEAD"
+        transit, self._transit = self._transit, round_trip(self._sock)
         return HttpRequest(
             method=head.method.decode("ascii"),
             path=head.target.decode("latin-1"),
@@ -164,6 +168,7 @@
             body=body,
             peer=self._peer,
             connection=self._number,
+            transit=transit,
         )
 
     async def _send_continue(self) -> None:
--- a/src/savorypond/http/httpserver.py
+++ b/src/savorypond/http/httpserver.py
@@ -145,9 +145,11 @@
 
     async def _serve_connection(self, sock: Any, peer: str) -> None:
         number = next(self._connections)
-        channel = HttpChannel(sock=sock, peer=peer, number=number, limits=self._limits)
         try:
             async with sock:
+                channel = HttpChannel(
+                    sock=sock, peer=peer, number=number, limits=self._limits
+                )
                 await self._admit(channel, peer, number)
         except (OSError, RemoteProtocolError):
             pass  # the other end has gone; nobody is left to tell
--- a/src/savorypond/http/httptypes.py
+++ b/src/savorypond/http/httptypes.py
@@ -52,6 +52,8 @@
 
     :param peer: IP number of the other end, empty on the client's side.
     :param connection: number of the server's connection it came over.
+    :param transit: seconds of the client's waiting that pass on the way to the
+        server and back, as far as the connection shows them.
     """
 
     method: str
@@ -60,6 +62,7 @@
     body: bytes = b""
     peer: str = ""
     connection: int = 0
+    transit: float = 0.0
 
     def header(self, name: str) -> str | None:
         """Return the first value of the header ``name`` (lower case), or None."""
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -5,6 +5,10 @@
 
 from curio import run, sleep, spawn, timeout_after
 
+from savorypond.clock import SystemClock
+from savorypond.gateway.attempts import ForwardedRequest
+from savorypond.gateway.delegation import Group
+from savorypond.gateway.routes import Route
 from savorypond.http.httpclient import HttpConnection
 from savorypond.http.httptypes import Header, HttpRequest
 from savorypond.platform.names import HEADERS, READY_PATH
@@ -362,6 +366,41 @@
 
         self.play(test)
 
+    def test_a_peer_gathers_by_a_version_that_it_does_not_know(self):
+        async def test(world, near):
+            later = Route(
+                name="later",
+                host="shop.example",
+                prefix="/later/",
+                idempotent=True,
+                time_limit=15.0,
+                goal=10.0,
+                shards=("s0", "s1"),
+                top=1,
+            )
+            request = ForwardedRequest(
+                method="GET",
+                path="/later/1",
+                headers=(Header(name=HEADERS.request_id, value="r9"),),
+                body=b"",
+                request_id="r9",
+                ends=SystemClock().now() + 15.0,
+                repeatable=True,
+            )
+            (peer,) = world.gateway.peers()
+            result = await world.gateway._handover.run(
+                Group(peer=peer, shards=(0, 1)),
+                request,
+                route=later,
+                version=99,
+                answer_at=request.ends,
+                give_up=False,
+            )
+            self.assertEqual(result.answered, (0, 1))
+            self.assertEqual(set(result.part.signatures), {"i0.r9", "i1.r9"})
+
+        self.play(test)
+
     def test_the_peer_says_what_it_lacks(self):
         async def test(world, near):
             response = await world.ask()
