--- a/src/savorypond/gateway/serverload.py
+++ b/src/savorypond/gateway/serverload.py
@@ -27,6 +27,8 @@
     :param first_rest: how long it is left alone; each next time twice as long.
     :param longest_rest: the longest time that it is left alone.
     :param probe_time: how long others wait for the attempt that tries it again.
+    :param dark_rest: the longest time where every server of a service is left
+        alone, since no request that needs the service is served meanwhile.
     """
 
     distance_cost: float = 0.025
@@ -38,6 +40,7 @@
     first_rest: float = 0.4
     longest_rest: float = 3.0
     probe_time: float = 0.5
+    dark_rest: float = 0.8
 
 
 DEFAULT_SERVER_LOAD = ServerLoadConfig()
@@ -169,6 +172,8 @@
             cost = self._cost(server, usual, now)
             if cost is not None and (best is None or cost < best_cost):
                 best, best_cost = server, cost
+        if best is None:
+            return self._longest_resting(servers, exclude, now)
         return best
 
     def is_far(self, server: RegisteredServer) -> bool:
@@ -180,6 +185,24 @@
         load = self._loads.get(server.name)
         return max(0.0, load.rest_until - now) if load is not None else 0.0
 
+    def _longest_resting(
+        self, servers: Sequence[RegisteredServer], exclude: Collection[str], now: float
+    ) -> RegisteredServer | None:
+        """Return the server to try again where all are left alone, or None.
+
+        None is tried while another attempt shows how one of them fares.
+        """
+        loads = [(self._load(server, now), server) for server in servers]
+        if any(load.in_flight for load, _ in loads):
+            return None
+        due = [
+            (load.measured, server)
+            for load, server in loads
+            if server.name not in exclude
+            and now - load.measured >= self._config.dark_rest
+        ]
+        return min(due, key=lambda one: one[0])[1] if due else None
+
     def _cost(self, server: RegisteredServer, usual: float, now: float) -> float | None:
         load = self._load(server, now)
         if now < load.rest_until:
--- a/tests/test_gateway_serverload.py
+++ b/tests/test_gateway_serverload.py
@@ -80,3 +80,14 @@
         self.near = server("near", cold_for=3.0)
         self.far = server("beside it")
         self.assertEqual(self.choose(0.0), "beside it")
+
+    def test_where_all_servers_rest_one_is_tried_again_soon(self):
+        for moment in (0.0, 1.0, 2.0):
+            for one in (self.near, self.far):
+                number = self.loads.begin(one, moment)
+                self.loads.failed(one, number, gone=True, now=moment)
+        self.assertIsNone(self.choose(2.1))
+        again = 2.01 + DEFAULT_SERVER_LOAD.dark_rest
+        self.assertIsNotNone(self.choose(again))
+        self.loads.begin(self.near, again)
+        self.assertIsNone(self.choose(again))
