--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -176,6 +176,7 @@
             clock=self._clock,
             random=random,
             metrics=self._metrics,
+            speed=settings.speed,
         )
         self._peer_server = HttpServer(
             address=settings.peer_address,
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -24,25 +24,31 @@
 from savorypond.reasons import Execution, RefusalReason
 
 _MILLISECONDS = 1000.0  # in a second
-# Merging an answer and sending it, on an instance with a share of a processor.
-OWN_TIME = 0.005  # seconds
+# Reading a request, merging its answer and sending it, on one whole processor.
+OWN_WORK = 0.005  # seconds
+_LONGEST_OWN_TIME = 0.02  # seconds
 # A round trip measured on a busy link must not leave a query without time.
 _MOST_TRANSIT_SHARE = 0.25  # of a route's goal
 
 
-def waiting_time(goal: float, transit: float) -> float:
+def waiting_time(*, goal: float, transit: float, speed: float) -> float:
     """Return the seconds after which an answer need not hold every shard.
 
-    The caller's clock starts before its request arrives here and stops after the
+    The caller's clock starts before its request is read here and stops after the
     answer has left.
 
     :param transit: seconds of the caller's waiting that pass on the way.
+    :param speed: of this instance, in relation to one whole processor.
     """
-    return goal - OWN_TIME - min(transit, _MOST_TRANSIT_SHARE * goal)
+    own = min(OWN_WORK / speed, _LONGEST_OWN_TIME)
+    return goal - own - min(transit, _MOST_TRANSIT_SHARE * goal)
 
 
 class GatewayHandler:
-    """Finds the route of each request, runs it, and answers."""
+    """Finds the route of each request, runs it, and answers.
+
+    :param speed: of this instance, in relation to one whole processor.
+    """
 
     def __init__(
         self,
@@ -53,8 +59,10 @@
         clock: Clock,
         random: Random,
         metrics: Metrics,
+        speed: float,
     ) -> None:
         self._names = names
+        self._speed = speed
         self._feed = feed
         self._tools = tools
         self._clock = clock
@@ -174,7 +182,8 @@
             version=table.version,
             services=route.shards or (self._split.choose(route),),
             request=request,
-            answer_at=received + waiting_time(route.goal, transit),
+            answer_at=received
+            + waiting_time(goal=route.goal, transit=transit, speed=self._speed),
             least_share=route.least_share if route.shards else 1.0,
             may_hand_over=bool(route.shards),
         )
--- a/src/savorypond/gateway/handover.py
+++ b/src/savorypond/gateway/handover.py
@@ -20,7 +20,7 @@
 from savorypond.reasons import RefusalReason
 
 # The merged answer of another instance is merged once more here.
-NEAR_RETURN_MARGIN = 0.007  # seconds
+NEAR_RETURN_MARGIN = 0.012  # seconds
 FAR_RETURN_MARGIN = 0.014  # seconds; it crosses between data centres as well
 # A peer answers in time with what it has; one that does not is paused or cut off.
 PATIENCE_MARGIN = 0.02  # seconds after the moment at which its answer was due
--- a/src/savorypond/gateway/settings.py
+++ b/src/savorypond/gateway/settings.py
@@ -19,6 +19,8 @@
     :param extra_ratio: extra sends that a service takes for each request for it.
     :param extra_slack: further extra sends a window, for all instances together.
     :param extra_window: seconds over which extra sends are counted.
+    :param speed: processor time that the instance gets, in relation to one whole
+        processor.
     :param descriptors: file descriptors that the process may have open.
     """
 
@@ -35,4 +37,5 @@
     extra_ratio: float
     extra_slack: float
     extra_window: float
+    speed: float
     descriptors: int
--- a/src/savorypond/platform/nodefile.py
+++ b/src/savorypond/platform/nodefile.py
@@ -31,6 +31,10 @@
 
 class _Limits(Struct, frozen=True):
     max_fds: int = 1024
+    # Share of the time in which the process may run.
+    cpu_share: float = 1.0
+    # How many times as fast as one processor it then is, not a count of them.
+    cpu_cores: float = 1.0
 
 
 class _Bounds(Struct, frozen=True):
@@ -89,6 +93,7 @@
         extra_ratio=bounds.retry_budget_ratio,
         extra_slack=bounds.retry_budget_slack,
         extra_window=bounds.budget_window_s,
+        speed=node.limits.cpu_share * node.limits.cpu_cores or 1.0,
         descriptors=node.limits.max_fds,
     )
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -257,6 +257,7 @@
         "extra_ratio": 0.2,
         "extra_slack": 100.0,
         "extra_window": 10.0,
+        "speed": 1.0,
         "descriptors": 1000,
         **changes,
     }
--- a/tests/test_gateway_handler.py
+++ b/tests/test_gateway_handler.py
@@ -1,6 +1,6 @@
 from unittest import TestCase
 
-from savorypond.gateway.handler import OWN_TIME, waiting_time
+from savorypond.gateway.handler import OWN_WORK, waiting_time
 
 
 class WaitingTimeTests(TestCase):
@@ -8,9 +8,13 @@
 
     def test_an_answer_leaves_so_early_that_it_arrives_within_the_goal(self):
         for transit in (0.0, 0.002, 0.012):
-            with self.subTest(transit):
-                waited = waiting_time(0.11, transit) + transit + OWN_TIME
-                self.assertAlmostEqual(waited, 0.11)
+            for speed in (0.5, 1.0, 2.0):
+                with self.subTest(transit=transit, speed=speed):
+                    waited = waiting_time(goal=0.11, transit=transit, speed=speed)
+                    self.assertAlmostEqual(waited + transit + OWN_WORK / speed, 0.11)
 
     def test_a_round_trip_out_of_all_proportion_leaves_most_of_the_time(self):
-        self.assertGreater(waiting_time(0.1, 5.0), 0.06)
+        self.assertGreater(waiting_time(goal=0.1, transit=5.0, speed=1.0), 0.06)
+
+    def test_a_very_slow_instance_still_waits(self):
+        self.assertGreater(waiting_time(goal=0.1, transit=0.0, speed=0.01), 0.07)
