--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 
 BENCHES := calls choice config links members overload path sheds slopes tail
 
-.PHONY: all install demo test lint types check clean bench bench-fleet $(BENCHES:%=bench-%)
+SEEDS ?= 1-5
+
+.PHONY: all install demo test soak lint types check clean bench bench-fleet $(BENCHES:%=bench-%)
 
 all: check
 
@@ -21,6 +23,9 @@
 test: $(STAMP)
 	$(VENV)/bin/python -m nose2
 
+soak: $(STAMP)
+	$(VENV)/bin/python -m tests.soak.run --seeds $(SEEDS)
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check src tests benchmarks
 	$(VENV)/bin/ruff check src tests benchmarks
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -207,6 +207,7 @@
         answer = failure.response if failure is not None else None
         if not spec.route.shards and answer is not None and self._is_signed(answer):
             return passed_response(answer)
+        log_event("given-up", **self._describe(spec, result), verdict=result.verdict)
         raise self._refusal(result, spec.services)
 
     def _is_signed(self, response: HttpResponse) -> bool:
@@ -267,20 +268,27 @@
         self._metrics.counters.add("gateway_answers", outcome)
         log_event(
             "answered",
-            request=spec.request.request_id,
-            route=spec.route.name,
-            version=spec.version,
+            **self._describe(spec, result),
             status=response.status,
             outcome=outcome,
             ms=self._since(received),
-            missing=result.missing,
-            hedges=result.hedges,
-            retries=result.retries,
-            denied=result.denied,
-            handed_over=result.handed_over,
-            problems=result.problems[:4],
-            registrations_age_ms=round(self._feed.age(now) * _MILLISECONDS),
         )
 
+    def _describe(self, spec: RunSpec, result: RunResult) -> dict[str, object]:
+        """Return what decided how a request ended, for its log line."""
+        age = self._feed.age(self._clock.now())
+        return {
+            "request": spec.request.request_id,
+            "route": spec.route.name,
+            "version": spec.version,
+            "missing": result.missing,
+            "hedges": result.hedges,
+            "retries": result.retries,
+            "denied": result.denied,
+            "handed_over": result.handed_over,
+            "problems": result.problems[:4],
+            "registrations_age_ms": round(age * _MILLISECONDS),
+        }
+
     def _since(self, moment: float) -> float:
         return round((self._clock.now() - moment) * _MILLISECONDS, 1)
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -2,6 +2,7 @@
 
 from contextlib import AsyncExitStack
 from unittest import TestCase
+from unittest.mock import patch
 
 from curio import run, sleep, spawn, timeout_after
 
@@ -135,6 +136,19 @@
         self.assertEqual(response.header(HEADERS.part_signatures), "i1.r1")
         self.assertEqual(response.header(HEADERS.missing_parts), "1")
 
+    @in_world(QUERY, servers=shards("failing", "failing"))
+    async def test_the_log_tells_why_a_query_was_given_up(self, world):
+        with patch("savorypond.gateway.handler.log_event") as log:
+            response = await world.ask()
+        self.assertEqual(response.status, 502)
+        given_up, refused = log.call_args_list
+        self.assertEqual(given_up.args, ("given-up",))
+        self.assertEqual(given_up.kwargs["request"], "r1")
+        self.assertEqual(set(given_up.kwargs["missing"]), {"s1", "s2"})
+        problems = {"i1: status 500", "i2: status 500"}
+        self.assertEqual(set(given_up.kwargs["problems"]), problems)
+        self.assertEqual(refused.args, ("refused",))
+
     @in_world(QUERY, servers=shards(second="crossed"))
     async def test_an_answer_to_another_request_is_no_part(self, world):
         response = await world.ask()
