Make the soak's callers leave long requests, and keep runs beside each other apart

Change: some repeatable requests take 0.9 s, and half of their callers leave; a run's IP numbers follow from its process id.

--- a/src/savorypond/gateway/serverload.py
+++ b/src/savorypond/gateway/serverload.py
@@ -16,7 +16,8 @@
 class ServerLoadConfig:
     """How servers are compared; times in seconds.
 
-    :param distance_cost: what another data centre costs, in answer time.
+    :param distance_cost: what another data centre costs, in answer time; more than
+        the way there takes, since bytes between data centres are dear.
     :param smoothing: weight of a new measurement.
     :param memory: after which a measurement counts for a third.
     :param cold_factor: how much slower a server is taken for that says it is
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,13 +19,16 @@
 
 from savorypond.platform.names import HEADERS
 from tests.soak.judge import PROMISED_NOT_RUN
-from tests.soak.records import AttemptRecord, Kind
+from tests.soak.records import LONG_MARK, AttemptRecord, Kind
 
 HOST = "soak.example"
 PORT = 8104
 PREFIXES = {Kind.GATHER: "/g/", Kind.SAFE: "/s/", Kind.ONCE: "/o/"}
 TIME_LEFT = 3.0  # seconds that a caller waits
 CONNECT_TIME = 1.0  # seconds
+EARLY_SHARE = 0.04  # of the requests, whose callers leave early
+EARLY_TIME = 0.02  # seconds after which they leave
+LONG_SHARE = 0.05  # of the repeatable requests, which take their server long
 _CONNECTION_ERRORS = (OSError, RemoteProtocolError, TaskTimeout)
 
 
@@ -73,8 +76,12 @@
             size = self._random.choice((0, 10, 1000, 30_000))
             body = self._random.randbytes(size)
         path = f"{PREFIXES[kind]}{self._number}?x=%2F{next(self._ids)}"
+        early = self._random.random() < EARLY_SHARE
+        if kind is Kind.SAFE and self._random.random() < LONG_SHARE:
+            path += LONG_MARK
+            early = self._random.random() < 0.5
         for _ in range(2):
-            attempt = await self._attempt(kind, method, path, body)
+            attempt = await self._attempt(kind, method, path, body, early=early)
             if attempt is None:
                 return False
             if 200 <= attempt.status < 300:
@@ -86,7 +93,7 @@
             await self._close()  # callers repeat on a new connection
         return False
 
-    async def _attempt(self, kind, method, path, body):
+    async def _attempt(self, kind, method, path, body, *, early):
         try:
             link = await self._connect()
         except _CONNECTION_ERRORS:
@@ -104,9 +111,8 @@
             sent=monotonic(),
         )
         self._records.attempts.append(attempt)
-        early = self._random.random() < 0.04
         try:
-            async with timeout_after(0.01 if early else TIME_LEFT + 0.5):
+            async with timeout_after(EARLY_TIME if early else TIME_LEFT + 0.5):
                 await self._exchange(link, attempt)
         except TaskTimeout:
             if early:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -272,7 +272,8 @@
                 continue
             limit = attempt.left + self._bounds.gone
             runs = [run for run in self._by_id[attempt.request_id] if run.ran]
-            total += bool(runs)
-            working += any(run.ended > limit and not run.gone for run in runs)
+            over = [run for run in runs if run.ended > limit and not run.gone]
+            total += bool(over) or any(run.gone for run in runs)
+            working += bool(over)
         if working > 3 and working > total / 4:
             yield f"gone: work for {working} of {total} callers went on after they left"
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+LONG_MARK = "&long"  # in the path of a request that takes its server long
+
 
 class Kind(StrEnum):
     """What may be done with a request."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,7 @@
 """Runs the soak: python -m tests.soak.run --seeds 1-50."""
 
 from contextlib import AsyncExitStack, suppress
+from os import getpid
 from pathlib import Path
 from random import Random
 from shutil import rmtree
@@ -10,7 +11,6 @@
 from time import monotonic
 
 from curio import TaskGroup, TaskTimeout, run as run_curio, sleep, spawn, timeout_after
-from curio.socket import AF_INET, SOCK_STREAM, socket
 from defopt import run as run_command
 
 from savorypond.exceptions import BackendServerError
@@ -75,7 +75,7 @@
         await self._add_service("plain-1")
         await self._add_service("once-1")
         self._publish([f"shard-{i}" for i in range(SHARDS)], "plain-1", "once-1")
-        base = _free_base(self._random)
+        base = _own_base()
         ips = [f"{base}.{i + 1}" for i in range(self._count)]
         for number, ip in enumerate(ips):
             proxy = Proxy(target=self._store.address, random=self._random)
@@ -428,18 +428,13 @@
                 self.records.exits.append(how)
 
 
-def _free_base(random):
-    """Return the first three numbers of IP numbers on which nobody listens."""
-    while True:
-        base = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
-        probe = socket(AF_INET, SOCK_STREAM)
-        try:
-            probe.bind((f"{base}.1", READY_PORT))
-        except OSError:
-            continue
-        finally:
-            probe._socket.close()
-        return base
+def _own_base():
+    """Return the first three of four parts of IP numbers that only this run uses.
+
+    Runs beside each other differ in their process id.
+    """
+    high, low = divmod(getpid(), 230)
+    return f"127.{20 + low}.{1 + high % 250}"
 
 
 def play_seed(seed, *, seconds, instances=4, callers=24, timed=True):
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -15,9 +15,10 @@
 from savorypond.platform.names import HEADERS
 from savorypond.reasons import Execution, RefusalReason
 from tests.soak.proxy import Proxy
-from tests.soak.records import RunRecord
+from tests.soak.records import LONG_MARK, RunRecord
 
 RECORDS = 8  # in each partial answer
+LONG_WORK = 0.9  # seconds
 _serials = count(1)
 
 
@@ -109,7 +110,9 @@
             async with self._free:
                 run.ran = True
                 spread = self._random.lognormvariate(0.0, 0.4)
-                await sleep(self._work * self.slowness * spread)
+                long = run.path.endswith(LONG_MARK)
+                work = LONG_WORK if long else self._work * self.slowness
+                await sleep(work * spread)
         finally:
             self._waiting -= 1
         if self.mood == "losing" and self._random.random() < 0.3:
