--- a/src/savorypond/gateway/program.py
+++ b/src/savorypond/gateway/program.py
@@ -107,7 +107,3 @@
     from defopt import run as run_command
 
     sys_exit(run_command(gateway))
-
-
-if __name__ == "__main__":
-    sys_exit(gateway())
--- a/src/savorypond/http/httpclient.py
+++ b/src/savorypond/http/httpclient.py
@@ -1,5 +1,6 @@
 """One HTTP/1.1 client connection on curio and httptools."""
 
+from collections.abc import Coroutine
 from contextlib import suppress
 from select import POLLIN, poll
 from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_NODELAY
@@ -7,7 +8,7 @@
 from types import TracebackType
 from typing import Any, Self
 
-from curio import CancelledError, TaskGroup, spawn
+from curio import TaskGroup, spawn
 from curio.socket import AF_INET, SOCK_STREAM, socket
 
 from savorypond.exceptions import BackendServerError, ResponseError
@@ -137,23 +138,35 @@
         if len(data) <= _SEND_AT_ONCE:
             await self._sock.sendall(data)
             return True
-        sender = await spawn(self._sock.sendall, data)
-        receiver = await spawn(self._sock.recv, _RECEIVE_BYTES)
+        sender = await spawn(_error_of, self._sock.sendall(data))
+        received: list[bytes] = []
+        receiver = await spawn(_error_of, self._receive_into(received))
         async with TaskGroup([sender, receiver], wait=any) as both:
             pass
-        whole = both.completed is sender
-        if whole:
-            _ = sender.result
-        # The receiver may have ended at the same moment, with the answer's bytes.
-        if not isinstance(receiver.exception, CancelledError):
-            _feed(parser, receiver.result)
-        return whole
+        if both.completed.result is not None:
+            raise both.completed.result
+        # Both may have ended at the same moment, with the answer's bytes.
+        for piece in received:
+            _feed(parser, piece)
+        return both.completed is sender
+
+    async def _receive_into(self, received: list[bytes]) -> None:
+        received.append(await self._sock.recv(_RECEIVE_BYTES))
 
     async def _receive(self, parser: ResponseParser) -> None:
         while not parser.complete:
             _feed(parser, await self._sock.recv(_RECEIVE_BYTES))
 
 
+async def _error_of(step: Coroutine[Any, Any, None]) -> OSError | None:
+    """Return the error that ``step`` ends with: one raised in a task is logged."""
+    try:
+        await step
+    except OSError as error:
+        return error
+    return None
+
+
 def _feed(parser: ResponseParser, data: bytes) -> None:
     if data:
         parser.feed(data)
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -178,6 +178,31 @@
         self.assertEqual(response.body, b"ok")
         self.assertTrue(reusable)
 
+    def test_a_long_request_that_is_reset_is_an_error_without_a_traceback(self):
+        class Reset:
+            async def sendall(self, data):
+                raise ConnectionResetError("reset")
+
+            async def recv(self, size):
+                await Event().wait()
+
+            async def close(self):
+                pass
+
+        async def main():
+            connection = HttpConnection(address=Address(host="127.0.0.1", port=1))
+            connection._sock = Reset()
+            await connection.request(
+                HttpRequest(method="POST", path="/", body=bytes(100_000))
+            )
+
+        with (
+            self.assertNoLogs("curio.kernel", "ERROR"),
+            self.assertRaises(BackendServerError) as raised,
+        ):
+            run(main)
+        self.assertTrue(raised.exception.sent)
+
     def test_line_breaks_in_a_request_are_refused_before_sending(self):
         async def main():
             async with server([OK]) as address, HttpConnection(address=address) as it:
