--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -22,7 +22,7 @@
     least_share: float = 0.75
     max_attempts: int = 2
     ratio: float = 0.2
-    slack: float = 40.0
+    slack: float = 10.0
     window: float = 10.0
     drain: float = 3.0
     apply: float = 3.0
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -232,6 +232,7 @@
             self._mute,
             self._reset,
             self._mood,
+            self._service_mood,
             self._slow,
             self._server_leaves,
             self._server_restarts,
@@ -288,7 +289,7 @@
 
     async def _reload(self, length):
         instance = self._instance()
-        instance.write_settings(slack=self._random.choice((38.0, 39.0, 40.0)))
+        instance.write_settings(slack=self._random.choice((9.0, 9.5, 10.0)))
         # The interpreter itself takes no signal in the first moments of a process.
         begun = monotonic() - instance.started > 0.2
         if self._random.random() < 0.7 and begun:
@@ -352,6 +353,17 @@
         await sleep(length)
         server.mood = "good"
 
+    async def _service_mood(self, length):
+        """Let every server of a service fail alike."""
+        service = self._server().service
+        servers = [one for one in self._servers.values() if one.service == service]
+        mood = self._random.choice(("failing", "shedding", "losing"))
+        for server in servers:
+            server.mood = mood
+        await sleep(length)
+        for server in servers:
+            server.mood = "good"
+
     async def _slow(self, length):
         server = self._server()
         server.slowness = self._random.choice((4.0, 10.0, 40.0))
