Split the soak into its site, its faults and its play

No change of what is played but the order of random draws; processes also end where the site cannot be built.

--- /dev/null
+++ b/tests/soak/site.py
@@ -0,0 +1,139 @@
+"""The site of a soak: store, backend servers, proxies and gateway processes."""
+
+from contextlib import AsyncExitStack
+from os import getpid
+from time import monotonic
+
+from tests.gateway_world import FakeStore, configuration, route
+from tests.soak.callers import HOST
+from tests.soak.instances import SoakInstance
+from tests.soak.judge import Bounds
+from tests.soak.proxy import Proxy
+from tests.soak.records import Records, Trouble, Version
+from tests.soak.servers import SoakServer
+
+SHARDS = 6
+REPLICAS = 2
+
+
+class Site:
+    """What is started, and what is published of it.
+
+    Leaving the context kills the processes and closes everything else.
+
+    :param count: gateway processes.
+    """
+
+    def __init__(self, *, random, count, folder):
+        self.records = Records()
+        self.bounds = Bounds()
+        self.store = FakeStore()
+        self.servers = {}
+        self.instances = []
+        self.store_proxies = {}
+        self.version = 0
+        self._random = random
+        self._count = count
+        self._folder = folder
+        self._names = 0
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self):
+        try:
+            await self._stack.enter_async_context(self.store)
+            await self._build()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *reason):
+        for instance in self.instances:
+            instance.end()
+        await self._stack.aclose()
+
+    def note(self, ip, kind, seconds):
+        """Note that something befalls an instance, or all for ""."""
+        now = monotonic()
+        trouble = Trouble(instance=ip, kind=kind, began=now, ended=now + seconds)
+        self.records.troubles.append(trouble)
+
+    async def _build(self):
+        for shard in range(SHARDS):
+            await self.add_service(f"shard-{shard}")
+        await self.add_service("plain-1")
+        await self.add_service("once-1")
+        self.publish([f"shard-{i}" for i in range(SHARDS)], "plain-1", "once-1")
+        base = _own_base()
+        ips = [f"{base}.{i + 1}" for i in range(self._count)]
+        for number, ip in enumerate(ips):
+            proxy = Proxy(target=self.store.address, random=self._random)
+            await self._stack.enter_async_context(proxy)
+            self.store_proxies[ip] = proxy
+            instance = SoakInstance(
+                name=f"gateway-{number + 1}",
+                ip=ip,
+                data_centre="abc"[number % 3],
+                seeds=ips[:3],
+                store=str(proxy.address),
+                folder=self._folder,
+                bounds=self.bounds,
+            )
+            self.instances.append(instance)
+            instance.start()
+
+    async def add_service(self, name):
+        """Start the servers of a new service."""
+        for _ in range(REPLICAS):
+            await self.add_server(name)
+
+    async def add_server(self, service):
+        """Start and register a server; return it."""
+        self._names += 1
+        return await self.start_server(f"i-{self._names}", service)
+
+    async def start_server(self, name, service, *, born=1):
+        """Start and register a server under a name; return it."""
+        server = SoakServer(
+            name=name, service=service, random=self._random, records=self.records
+        )
+        server.born = born
+        await self._stack.enter_async_context(server)
+        self.servers[server.name] = server
+        self.register(server)
+        return server
+
+    def register(self, server):
+        """Write what a server says of itself into the store."""
+        self.store.put(f"servers/{server.name}", server.entry())
+
+    def publish(self, shards, safe, once):
+        """Publish the next configuration."""
+        self.version += self._random.randint(1, 3)
+        limit = {"timeout_ms": 2500, "target_latency_ms": 400, "max_attempts": 2}
+        routes = (
+            route("g", "/g/", gather=shards, top_k=5, min_version=0.75, **limit),
+            route("s", "/s/", backend=safe, **limit),
+            route("o", "/o/", backend=once, type="unsafe", **limit),
+        )
+        for one in routes:
+            one["hostname"] = HOST
+        self.store.put("op/config", configuration(*routes, version=self.version))
+        self.records.versions.append(
+            Version(
+                number=self.version,
+                shards=tuple(shards),
+                safe=safe,
+                once=once,
+                published=monotonic(),
+            )
+        )
+
+
+def _own_base():
+    """Return the first three of four parts of IP numbers that only this run uses.
+
+    Runs beside each other differ in their process id.
+    """
+    high, low = divmod(getpid(), 230)
+    return f"127.{20 + low}.{1 + high % 250}"
