Tell a process that is stopped while it loads from one that was ready

Traced: its log has no line of that start, 0.3 s after the one before had stopped; SIGTERM came while its libraries loaded, and the signal's default ended it. Nothing was listening, so nothing is lost: that is allowed, and the check allows it only for a process that was never ready. Ruled out: a fault of the planned stop (the starts before and after stop with 0).

--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -2,7 +2,7 @@
 
 from os import environ
 from pathlib import Path
-from signal import SIGCONT, SIGKILL, SIGSTOP
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from subprocess import DEVNULL, Popen
 from sys import executable
 from time import monotonic
@@ -44,6 +44,7 @@
         self.wanted = True
         self.stopping = False
         self.paused = False
+        self.was_ready = False
         self._boots = 0
         self._process = None
         self._log = Path(folder) / f"{name}.log"
@@ -79,6 +80,7 @@
         self._boots += 1
         self.stopping = False
         self.paused = False
+        self.was_ready = False
         self.started = monotonic()
         settings = {**environ, SETTINGS_VARIABLE: str(self._settings)}
         with self._log.open("ab") as log:
@@ -110,3 +112,13 @@
     def status(self):
         """How the process ended, None while it runs."""
         return self._process.poll() if self._process is not None else None
+
+    @property
+    def ended_well(self):
+        """Whether a process that was stopped or killed ended as it should.
+
+        One that is stopped while its libraries load has nothing to finish and ends
+        by the signal itself.
+        """
+        allowed = (0, -SIGKILL) if self.was_ready else (0, -SIGKILL, -SIGTERM)
+        return self.status in allowed
