Hold a planned stop to nothing that a kill cuts

Traced: gateway-3 began to stop at 468.39 and has no line that it drained, but one of its next start at 470.13; the soak killed it in between. The judge only looked for troubles before the stop, where the promise asks for none from before the request to its end.

--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -213,3 +213,14 @@
             {"troubles": [trouble], "leavings": leavings},
         )
         self.assertEqual(judge(case), [])
+
+    def test_a_kill_during_a_planned_stop_may_cut_requests(self):
+        kill = Trouble(instance="g1", kind="kill", began=10.1, ended=12.1)
+        case = Case(
+            "killed",
+            "",
+            (attempt(status=0),),
+            (run(),),
+            {"stops": {"g1#1": 9.0}, "troubles": [kill]},
+        )
+        self.assertEqual(judge(case), [])
