--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 from tests.soak.run import play_seed
 
 # Seeds that failed once, and why. The order of random draws has changed since, so they
-# no longer play the same faults: test_soak_judge holds the causes that lay in the judge.
+# no longer play the same faults: test_soak_judge holds the causes in the judge.
 # 2, 5, 8, 10, 13: the judge took a version that changed other routes for a missed one.
 # 67: a process that was stopped while its libraries loaded ended by the signal, which
 #     loses nothing; the check now tells such a process from one that was ready.
