Limit what a backend server may send in one response, and all responses at once

Cause: trailers and chunk extensions counted towards no limit (100 MB of either were accepted), a field of a trailer became a header of the response, and a part could have 16 MB where its route uses a few hundred bytes. Ruled out: the status line, headers, runs of 1xx responses and bodies without a length, which had limits already. Change: the framing of a chunked body is limited in proportion to the body, trailers are discarded, a part is limited by what its route uses, and the bytes of all responses share a limit (a fifth of the instance's memory). Such an attempt fails with the figures and counts against its server.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -1,6 +1,6 @@
 """Sends attempts to backend servers and classifies their results."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from curio import CancelledError, TaskTimeout, timeout_after
@@ -9,9 +9,11 @@
 from savorypond.exceptions import BackendServerError, PoolExhausted
 from savorypond.gateway.connection_pool import ConnectionPools
 from savorypond.gateway.headers import CONNECTION_HEADERS, HeaderNames
+from savorypond.gateway.response_memory import ResponseMemory, ResponseReservation
 from savorypond.gateway.server_load import ServerLoadTracker
 from savorypond.gateway.servers import RegisteredServer
 from savorypond.http.messages import Header, HttpRequest, HttpResponse
+from savorypond.http.response_parser import MAX_BODY_BYTES
 from savorypond.model import Counters
 
 _MILLISECONDS = 1000.0  # per second
@@ -38,12 +40,15 @@
 
     :param problem: description of the failure, empty for a usable answer.
     :param response: the server's response to this request, if any.
+    :param reservation: the memory that the response occupies; released by the receiver
+        of the result.
     """
 
     outcome: AttemptOutcome
     server: RegisteredServer
     problem: str = ""
     response: HttpResponse | None = None
+    reservation: ResponseReservation | None = None
 
     @property
     def sent(self) -> bool:
@@ -68,6 +73,7 @@
 
     :param headers: headers that are the same for each attempt.
     :param caller_deadline: monotonic seconds until which the caller waits.
+    :param max_response_bytes: maximum size of the body of a server's response.
     """
 
     method: str
@@ -77,6 +83,7 @@
     request_id: str
     caller_deadline: float
     repeatable: bool
+    max_response_bytes: int = MAX_BODY_BYTES
 
 
 def forward_headers(request: HttpRequest, names: HeaderNames) -> tuple[Header, ...]:
@@ -99,10 +106,12 @@
         names: HeaderNames,
         pools: ConnectionPools,
         loads: ServerLoadTracker,
+        memory: ResponseMemory,
         clock: Clock,
         counters: Counters,
     ) -> None:
         self._names = names
+        self._memory = memory
         self._pools = pools
         self._loads = loads
         self._clock = clock
@@ -155,14 +164,23 @@
             return AttemptResult(
                 outcome=AttemptOutcome.NOT_SENT, server=server, problem=str(error)
             )
+        reservation = ResponseReservation(memory=self._memory)
         try:
             async with lease as connection:
-                response = await connection.request(self._encode(request, server))
+                response = await connection.request(
+                    self._encode(request, server),
+                    max_body_bytes=request.max_response_bytes,
+                    on_body=reservation.grow,
+                )
                 self._check_request_id(request, response, server)
         except BackendServerError as error:
+            reservation.release()
             outcome = AttemptOutcome.BROKEN if error.sent else AttemptOutcome.NOT_SENT
             return AttemptResult(outcome=outcome, server=server, problem=error.problem)
-        return self._classify(response, server)
+        except BaseException:
+            reservation.release()
+            raise
+        return replace(self._classify(response, server), reservation=reservation)
 
     def _encode(
         self, request: ForwardedRequest, server: RegisteredServer
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -26,6 +26,7 @@
 from savorypond.gateway.published_state import PublishedSource
 from savorypond.gateway.reader_selection import ReaderSelection
 from savorypond.gateway.request_run import RunDependencies
+from savorypond.gateway.response_memory import ResponseMemory
 from savorypond.gateway.retry_budget import ServiceRetryBudget, ServiceRetryBudgetConfig
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.server_load import ServerLoadTracker
@@ -165,6 +166,7 @@
                 names=names,
                 pools=self._pools,
                 loads=self._loads,
+                memory=ResponseMemory(limit=settings.response_bytes, counters=counters),
                 clock=self._clock,
                 counters=counters,
             ),
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -117,6 +117,7 @@
                 request_id=group_request.request_id,
                 caller_deadline=received + group_request.left,
                 repeatable=group_request.route.idempotent,
+                max_response_bytes=group_request.route.max_response_bytes,
             ),
             partial_after=received + group_request.within,
             least_share=0.0,
@@ -185,6 +186,7 @@
             request_id=request_id,
             caller_deadline=caller_deadline,
             repeatable=route.idempotent,
+            max_response_bytes=route.max_response_bytes,
         )
 
     async def _serve(
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -24,6 +24,7 @@
 )
 from savorypond.gateway.headers import HeaderNames
 from savorypond.gateway.ranked_merge import PartialAnswer
+from savorypond.gateway.response_memory import ResponseReservation
 from savorypond.gateway.retry_budget import ServiceRetryBudget
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.routes import Route
@@ -152,6 +153,8 @@
         self._may_run = False
         self._reached = False
         self._delegated = 0
+        self._ended = False
+        self._reservations: list[ResponseReservation] = []
         self._plan = GatherPlan(
             services=spec.services,
             limits=PlanLimits(
@@ -176,6 +179,14 @@
 
     async def run(self) -> RunResult:
         """Run the request and return its result."""
+        try:
+            return await self._run()
+        finally:
+            self._ended = True
+            for reservation in self._reservations:
+                reservation.release()
+
+    async def _run(self) -> RunResult:
         try:
             verdict = await self._run_until_verdict()
         except CancelledError:
@@ -308,6 +319,7 @@
         result = await dependencies.runner.run(
             self._spec.request, attempt.server, mean_latency=self._mean_latency
         )
+        self._keep(result.reservation)
         if result.outcome is AttemptOutcome.USABLE:
             now = dependencies.clock.now()
             route = self._spec.route.name
@@ -316,6 +328,15 @@
             )
         await self._results.put((attempt, result))
 
+    def _keep(self, reservation: ResponseReservation | None) -> None:
+        """Keep the memory of a response until the request has ended."""
+        if reservation is None:
+            return
+        if self._ended:
+            reservation.release()
+        else:
+            self._reservations.append(reservation)
+
     async def _run_group(self, group: ShardGroup, attempt: GroupAttempt) -> None:
         result = await self._dependencies.delegation_client.gather(
             group,
--- a/src/savorypond/gateway/routes.py
+++ b/src/savorypond/gateway/routes.py
@@ -3,7 +3,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from savorypond.gateway.ranked_merge import RECORD_BYTES
 from savorypond.http.channel import HttpLimits
+from savorypond.http.response_parser import MAX_BODY_BYTES
+
+# A shard may return many more records than are used, in any order.
+_MIN_PART_BYTES = 64 * 1024
+_RECORDS_PER_RESULT = 64
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,6 +49,13 @@
     top: int = 0
     least_share: float = 0.0
 
+    @property
+    def max_response_bytes(self) -> int:
+        """Maximum size of the body of one server's response."""
+        if not self.shards:
+            return MAX_BODY_BYTES
+        return max(_MIN_PART_BYTES, self.top * RECORD_BYTES * _RECORDS_PER_RESULT)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RoutedService:
--- a/src/savorypond/gateway/settings.py
+++ b/src/savorypond/gateway/settings.py
@@ -23,6 +23,7 @@
     :param retry_window: seconds over which hedges and retries are counted.
     :param cpu_capacity: processor time available to the instance, relative to one
         full processor.
+    :param response_bytes: memory for the bodies of responses from backend servers.
     :param max_descriptors: file descriptors that the process may have open.
     """
 
@@ -40,4 +41,5 @@
     retry_slack: float
     retry_window: float
     cpu_capacity: float
+    response_bytes: int
     max_descriptors: int
--- a/src/savorypond/http/client.py
+++ b/src/savorypond/http/client.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 client connection on curio and httptools."""
 
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from select import POLLIN, poll
 from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_NODELAY
@@ -13,7 +13,7 @@
 
 from savorypond.exceptions import BackendServerError, ResponseError
 from savorypond.http.messages import HttpRequest, HttpResponse
-from savorypond.http.response_parser import ResponseParser
+from savorypond.http.response_parser import MAX_BODY_BYTES, ResponseParser
 from savorypond.model import Address
 
 _RECEIVE_BYTES = 65536
@@ -105,22 +105,32 @@
         poller.register(self._sock.fileno(), POLLIN)
         return bool(poller.poll(0))
 
-    async def request(self, request: HttpRequest) -> HttpResponse:
+    async def request(
+        self,
+        request: HttpRequest,
+        *,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        on_body: Callable[[int], None] = lambda size: None,
+    ) -> HttpResponse:
         """Send ``request`` and return its response.
 
         After an error or a cancellation, the connection is not reusable.
 
+        :param max_body_bytes: maximum size of the response body.
+        :param on_body: called with the number of bytes by which the response body has
+            grown; may raise ResponseError.
         :raises BackendServerError: the connection failed, or the response violates
             the protocol.
         """
         self._sent = False
         self._reusable = False
         data = _encode(request, self._host)
-        parser = ResponseParser(method=request.method)
+        parser = ResponseParser(method=request.method, max_body_bytes=max_body_bytes)
         try:
             self._sent = True
             fully_sent = await self._send(data, parser)
-            await self._receive(parser)
+            on_body(parser.body_bytes)
+            await self._receive(parser, on_body)
         except (OSError, ResponseError) as error:
             raise BackendServerError(
                 server=self._host, problem=str(error) or repr(error), sent=True
@@ -156,9 +166,14 @@
     async def _receive_into(self, received: list[bytes]) -> None:
         received.append(await self._sock.recv(_RECEIVE_BYTES))
 
-    async def _receive(self, parser: ResponseParser) -> None:
+    async def _receive(
+        self, parser: ResponseParser, on_body: Callable[[int], None]
+    ) -> None:
         while not parser.complete:
+            received = parser.body_bytes
             _feed(parser, await self._sock.recv(_RECEIVE_BYTES))
+            if parser.body_bytes > received:
+                on_body(parser.body_bytes - received)
 
 
 async def _capture_error(operation: Coroutine[Any, Any, None]) -> OSError | None:
--- a/src/savorypond/http/response_parser.py
+++ b/src/savorypond/http/response_parser.py
@@ -10,7 +10,10 @@
 from savorypond.http.messages import Header, HttpResponse
 
 _MAX_HEAD_BYTES = 64 * 1024
-_MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# Chunk sizes, chunk extensions and trailers; a chunk has at least 5 bytes of framing.
+_MAX_FRAMING_BYTES = 16 * 1024
+_MAX_FRAMING_PER_BODY_BYTE = 6
 _SWITCHING_PROTOCOLS = 101
 _MIN_FINAL_STATUS = 200
 
@@ -18,16 +21,24 @@
 class ResponseParser:
     """Incremental parser for one response, which also detects trailing data.
 
+    Limits the size of everything that a server may send: the status line and headers,
+    together with those of informational responses, the body, and the framing of a
+    chunked body. Trailers are discarded, because a field of a trailer must not be taken
+    for a header (RFC 9110, section 6.5.1).
+
     :param method: method of the request; a response to HEAD has no body.
+    :param max_body_bytes: maximum size of the body.
     """
 
-    def __init__(self, *, method: str) -> None:
+    def __init__(self, *, method: str, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self._method = method
+        self._max_body_bytes = max_body_bytes
         self._parser = HttpResponseParser(self)
         self._headers: list[Header] = []
         self._body: list[bytes] = []
         self._head_bytes = 0
         self._body_bytes = 0
+        self._framing_bytes = 0
         self._has_head = False
         self._complete = False
         self._has_trailing_data = False
@@ -37,6 +48,11 @@
         """Whether the response is complete."""
         return self._complete
 
+    @property
+    def body_bytes(self) -> int:
+        """Number of bytes of the body that have arrived."""
+        return self._body_bytes
+
     @property
     def has_trailing_data(self) -> bool:
         """Whether bytes arrived after the end of the response."""
@@ -44,8 +60,8 @@
 
     def feed(self, data: bytes) -> None:
         """Parse ``data``; raise ResponseError if it is not a valid response."""
-        if not self._has_head:
-            self._head_bytes += len(data)
+        had_head = self._has_head
+        body_bytes = self._body_bytes
         try:
             self._parser.feed_data(data)
         except HttpParserError as error:
@@ -53,8 +69,29 @@
             if not self._complete:
                 raise ResponseError(problem=str(error)) from error
             self._has_trailing_data = True
+        if had_head:
+            self._framing_bytes += len(data) - (self._body_bytes - body_bytes)
+        else:
+            self._head_bytes += len(data)
+        self._check_sizes()
+
+    def _check_sizes(self) -> None:
+        if self._body_bytes > self._max_body_bytes:
+            raise ResponseError(
+                problem=f"response body exceeds {self._max_body_bytes} bytes"
+            )
+        if self._complete:
+            return
         if not self._has_head and self._head_bytes > _MAX_HEAD_BYTES:
-            raise ResponseError(problem="response headers are too large")
+            raise ResponseError(
+                problem=f"response headers exceed {_MAX_HEAD_BYTES} bytes"
+            )
+        max_framing = _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
+        if self._framing_bytes > max_framing:
+            raise ResponseError(
+                problem=f"{self._framing_bytes} bytes of chunk extensions or trailers"
+                f" for {self._body_bytes} bytes of body"
+            )
 
     def feed_eof(self) -> None:
         """Process the end of the connection.
@@ -83,8 +120,8 @@
             self._has_trailing_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header."""
-        if not self._complete:
+        """Store one header; discard a field of the trailer."""
+        if not self._has_head:
             self._headers.append(
                 Header(
                     name=name.decode("latin-1").lower(),
@@ -109,9 +146,8 @@
             self._has_trailing_data = True
             return
         self._body_bytes += len(data)
-        if self._body_bytes > _MAX_BODY_BYTES:
-            raise ResponseError(problem="response body is too large")
-        self._body.append(data)
+        if self._body_bytes <= self._max_body_bytes:
+            self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Process the end of the final or of an informational response."""
--- a/src/savorypond/platform/node_file.py
+++ b/src/savorypond/platform/node_file.py
@@ -13,6 +13,9 @@
 from savorypond.platform.names import SETTINGS_VARIABLE
 
 _MILLISECONDS = 1000.0  # per second
+_MEGABYTE = 1024 * 1024  # bytes
+# A response is held twice while its parts are joined, beside some 50 MB of the process.
+_RESPONSE_MEMORY_SHARE = 0.2
 
 
 class _Listen(Struct, frozen=True):
@@ -31,6 +34,7 @@
 
 class _Limits(Struct, frozen=True):
     max_fds: int = 1024
+    memory_mb: float = 256.0
     # Share of the time in which the process may run.
     cpu_share: float = 1.0
     # Speed relative to one processor while it runs; not a number of processors.
@@ -94,6 +98,7 @@
         retry_slack=bounds.retry_budget_slack,
         retry_window=bounds.budget_window_s,
         cpu_capacity=node.limits.cpu_share * node.limits.cpu_cores or 1.0,
+        response_bytes=int(node.limits.memory_mb * _MEGABYTE * _RESPONSE_MEMORY_SHARE),
         max_descriptors=node.limits.max_fds,
     )
 
--- a/tests/gateway_loopback.py
+++ b/tests/gateway_loopback.py
@@ -261,6 +261,7 @@
         "retry_slack": 100.0,
         "retry_window": 10.0,
         "cpu_capacity": 1.0,
+        "response_bytes": 40_000_000,
         "max_descriptors": 1000,
         **changes,
     }
