Cut no request that has arrived when an instance stops, and tell each connection once

Cause: at the project's own interface, refusals of a stop left their connections open, so that clients went on sending until the process closed them across a request. In both servers, the end of a stop cancelled the tasks of idle connections, also of one whose next request had arrived but had not been read; and a response that closes was followed by a close with unread input, which resets the connection. Tests: test_http_server (an arrived request is answered; 20 stops in series under busy connections; bytes beyond the last request) and test_daemon (each connection told once, none cut): on the code before, the arrived request ends in a reset and all three connections go on after their first answer in the stop. DrainPlan.closes_connections is no longer used; its assertion is replaced by that test, which checks what clients see. Conclusion: a planned stop answers what has arrived.

--- a/src/savorypond/controllers/drain.py
+++ b/src/savorypond/controllers/drain.py
@@ -1,7 +1,6 @@
 """Graceful stop of this instance."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 
 from curio import sleep
 
@@ -72,12 +71,9 @@
             if not self._plan.try_begin_request():
                 raise _refusal(request)
             try:
-                response = await handler(request)
+                return await handler(request)
             finally:
                 self._plan.end_request(now=self._clock.now())
-            if self._plan.closes_connections:
-                return replace(response, close=True)
-            return response
 
         return guarded
 
--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -47,6 +47,7 @@
 LINK_TIME = 0.003  # seconds that a link to another data centre is expected to add
 _INSTANCE_LIST_TIMEOUT = 2.0  # seconds that a start waits for the instance list
 MAX_REQUEST_TIME = MAX_TIME_LIMIT_MS / 1000.0  # seconds
+_CLOSE_TIMEOUT = 0.5  # seconds for callers to close their connections after a stop
 _HAND_OVER_TIMEOUT = 1.0  # seconds
 
 
@@ -106,7 +107,9 @@
 
     async def drain(self) -> None:
         """Stop gracefully: finish requests in flight, then hand over to the peers."""
+        self._caller_server.disable_keep_alive()
         await self._drain_controller.stop()
+        await self._caller_server.drain(seconds=_CLOSE_TIMEOUT)
 
     def resumed(self, paused: Paused) -> None:
         """Invalidate the state from before a pause of this process."""
@@ -327,14 +330,13 @@
                 limits=HttpLimits(),
             )
         )
-        await self._enter(
-            HttpServer(
-                address=settings.caller_address,
-                handler=self._drain_controller.guard(self._make_caller_api().handle),
-                limits=caller_limits(settings),
-                on_refusal=lambda reason: self._counters.add("refusals", reason),
-            )
+        self._caller_server = HttpServer(
+            address=settings.caller_address,
+            handler=self._drain_controller.guard(self._make_caller_api().handle),
+            limits=caller_limits(settings),
+            on_refusal=lambda reason: self._counters.add("refusals", reason),
         )
+        await self._enter(self._caller_server)
 
     def _make_peer_api(self) -> PeerApi:
         return PeerApi(
--- a/src/savorypond/drain.py
+++ b/src/savorypond/drain.py
@@ -84,11 +84,6 @@
         """Whether a request that arrives now is accepted."""
         return self._state <= DrainState.NOTICE_PERIOD
 
-    @property
-    def closes_connections(self) -> bool:
-        """Whether every answer asks the caller to close the connection."""
-        return self._state > DrainState.SERVING
-
     @property
     def in_flight(self) -> int:
         """Requests accepted and not yet answered."""
--- a/src/savorypond/http/channel.py
+++ b/src/savorypond/http/channel.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
+from select import POLLIN, poll
 from typing import Any
 
 from curio import (
@@ -100,6 +101,14 @@
         self._http.receive_data(data)
         return bool(data)
 
+    def has_input(self) -> bool:
+        """Return whether bytes of the client, or its disconnect, wait to be read."""
+        if self._sock.fileno() < 0:
+            return False
+        poller = poll()
+        poller.register(self._sock.fileno(), POLLIN)
+        return bool(poller.poll(0))
+
     async def wait_disconnect(self) -> None:
         """Return once the client has closed the connection.
 
--- a/src/savorypond/http/server.py
+++ b/src/savorypond/http/server.py
@@ -108,7 +108,8 @@
         self._on_refusal = on_refusal
         self._draining = False
         self._in_flight = 0
-        self._idle_tasks: set[Any] = set()
+        self._closing = 0
+        self._idle_channels: dict[Any, HttpChannel] = {}
         self._listener = Listener(address=address, serve=self._serve_connection)
 
     @property
@@ -135,18 +136,24 @@
     async def drain(self, *, seconds: float) -> bool:
         """Close idle connections and wait for the requests in flight.
 
+        A connection with unread input is not idle: its request is answered first.
+
         :param seconds: maximum time to wait.
         :return: whether every request in flight was answered.
         """
         self._draining = True
-        for task in list(self._idle_tasks):
-            await task.cancel(blocking=False)
+        for task, channel in list(self._idle_channels.items()):
+            if not channel.has_input():
+                await task.cancel(blocking=False)
         with suppress(TaskTimeout):
             async with timeout_after(seconds):
-                while self._in_flight:
+                while self._in_flight or self._closing or self._has_unread_request():
                     await sleep(0.005)
         return self._in_flight == 0
 
+    def _has_unread_request(self) -> bool:
+        return any(channel.has_input() for channel in self._idle_channels.values())
+
     async def _serve_connection(self, sock: Any, peer: str) -> None:
         connection_id = next(self._connection_ids)
         try:
@@ -170,6 +177,7 @@
             await self._limiter.acquire(peer, connection_id)
         except RequestRefused as refusal:
             await self._refuse(channel, refusal)
+            await self._close(channel)
             return
         try:
             await self._serve_requests(channel)
@@ -179,18 +187,28 @@
     async def _serve_requests(self, channel: HttpChannel) -> None:
         task = await current_task()
         while True:
-            self._idle_tasks.add(task)
+            self._idle_channels[task] = channel
             try:
                 if not await channel.wait_first_byte():
                     return
             finally:
-                self._idle_tasks.discard(task)
+                del self._idle_channels[task]
             self._in_flight += 1
             try:
-                if not await self._serve_one(channel):
-                    return
+                is_reusable = await self._serve_one(channel)
             finally:
                 self._in_flight -= 1
+            if not is_reusable:
+                await self._close(channel)
+                return
+
+    async def _close(self, channel: HttpChannel) -> None:
+        """Close a connection once its client has had the time to read the response."""
+        self._closing += 1
+        try:
+            await channel.linger()
+        finally:
+            self._closing -= 1
 
     async def _serve_one(self, channel: HttpChannel) -> bool:
         try:
@@ -243,7 +261,6 @@
     async def _refuse(self, channel: HttpChannel, refusal: RequestRefused) -> None:
         self._report_refusal(refusal.reason)
         await channel.send(problem_response(refusal), close=True)
-        await channel.linger()
 
 
 def _constant(limits: HttpLimits) -> Callable[[], HttpLimits]:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -2,9 +2,11 @@
 from functools import partial, wraps
 from unittest import TestCase
 
-from curio import TaskGroup, run, timeout_after
-from msgspec.json import decode
+from curio import Event, TaskGroup, run, sleep, timeout_after
+from msgspec.json import decode, encode
 
+from savorypond.http.client import HttpConnection
+from savorypond.http.messages import HttpRequest
 from savorypond.membership.pause import Paused
 from savorypond.standins.backend_server import Faults
 from savorypond.standins.platform import (
@@ -136,6 +138,34 @@
         covered = [answer["coverage"]["covered"] for answer in answers]
         self.assertEqual(covered, [ALL_SHARDS] * 5)
 
+    @in_site(instances=2)
+    async def test_a_stop_tells_each_connection_once_and_cuts_no_request(self, site):
+        """Refusals during a stop left connections open, and its end cut them."""
+        stopping, stopped = Event(), Event()
+        async with TaskGroup() as group:
+            for _ in range(3):
+                await group.spawn(self.keep_asking, site, stopping, stopped)
+            await sleep(0.1)
+            await stopping.set()
+            await site.daemons["entry-2"].drain()
+            await stopped.set()
+        self.assertEqual(group.exceptions, [None] * 3)
+
+    async def keep_asking(self, site, stopping, stopped):
+        """Send queries, on a new connection after each response that closes one.
+
+        A request without a response raises BackendServerError.
+        """
+        body = encode({"index": "boats", "query": 1})
+        request = HttpRequest(method="POST", path="/v1/query", body=body)
+        while not stopped.is_set():
+            async with HttpConnection(address=site.address("entry-2")) as connection:
+                closes = False
+                while not closes and not stopped.is_set():
+                    sent_in_stop = stopping.is_set()
+                    closes = (await connection.request(request)).close
+                    self.assertEqual(closes, sent_in_stop or closes)
+
 
 class CallTests(TestCase):
     async def get_ticket(self, site, name):
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,8 +1,11 @@
+from contextlib import suppress
 from dataclasses import dataclass
+from socket import SHUT_WR
 from unittest import TestCase
 
 from curio import Event, TaskGroup, run, sleep, timeout_after
 from curio.socket import AF_INET, SOCK_STREAM, socket
+from hypothesis import given, settings, strategies as st
 from msgspec.json import decode
 
 from savorypond.http.client import HttpConnection
@@ -12,6 +15,7 @@
 from savorypond.reasons import RefusalReason
 
 TEST_TIMEOUT = 30  # seconds
+STOPS = 20  # stops in series
 LOOPBACK = Address(host="127.0.0.1", port=0)
 LIMITS = HttpLimits(
     header_bytes=2048,
@@ -306,3 +310,105 @@
                 await connection.close()
 
         run(main)
+
+    @with_server
+    async def test_a_request_that_has_arrived_is_answered(self, running):
+        async with socket(AF_INET, SOCK_STREAM) as sock:
+            address = running.server.address
+            await sock.connect((address.host, address.port))
+            await sock.sendall(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.assertIn(b"GET /1", await sock.recv(65536))
+            await sock.sendall(b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.assertTrue(await running.server.drain(seconds=TEST_TIMEOUT))
+            data = await sock.recv(65536)
+        self.assertIn(b"connection: close", data)
+        self.assertIn(b"GET /2", data)
+
+    @with_server
+    async def test_the_last_response_arrives_although_the_client_sent_more(
+        self, running
+    ):
+        running.server.disable_keep_alive()
+        requests = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" + b"x" * 50_000
+        data = await running.exchange(requests)
+        self.assertIn(b"connection: close", data)
+        self.assertIn(b"GET /1", data)
+
+    def test_stops_cut_no_request_of_busy_connections(self):
+        async def main():
+            for _ in range(STOPS):
+                running = RunningServer(slow_echo)
+                async with timeout_after(TEST_TIMEOUT), running.server:
+                    async with TaskGroup() as group:
+                        for _ in range(LIMITS.connections_per_peer):
+                            await group.spawn(send_until_closed, running.server.address)
+                        await sleep(0.01)
+                        running.server.disable_keep_alive()
+                    cut = [error for error in group.exceptions if error is not None]
+                    self.assertEqual(cut, [])
+                    self.assertTrue(await running.server.drain(seconds=TEST_TIMEOUT))
+
+        run(main)
+
+
+class FuzzTests(TestCase):
+    @given(
+        fragments=st.lists(
+            st.one_of(
+                st.sampled_from(
+                    [
+                        b"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                        b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n",
+                        b"Transfer-Encoding: chunked\r\n",
+                        b"5\r\nhello\r\n0\r\n\r\n",
+                        b"\r\n",
+                        b"ab",
+                    ]
+                ),
+                st.binary(max_size=30),
+            ),
+            max_size=6,
+        )
+    )
+    @settings(max_examples=60)
+    def test_any_bytes_leave_the_server_usable(self, fragments):
+        async def main():
+            running = RunningServer()
+            async with timeout_after(TEST_TIMEOUT), running.server:
+                async with socket(AF_INET, SOCK_STREAM) as sock:
+                    address = running.server.address
+                    await sock.connect((address.host, address.port))
+                    for fragment in fragments:
+                        await sock.sendall(fragment)
+                    await sock.shutdown(SHUT_WR)
+                    data = b""
+                    with suppress(ConnectionError):
+                        while more := await sock.recv(65536):
+                            data += more
+                sent = b"".join(fragments)
+                request_count = sent.count(b" HTTP/1.1\r\n")
+                responses = data.count(b"HTTP/1.1 200 ")
+                self.assertLessEqual(responses, request_count)
+                data = await running.exchange(
+                    b"GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                )
+                self.assertIn(b"GET /last", data)
+
+        run(main)
+
+
+async def slow_echo(request):
+    await sleep(0.005)
+    return await echo(request)
+
+
+async def send_until_closed(address):
+    """Send requests on one connection until a response announces its end.
+
+    An unanswered request raises BackendServerError.
+    """
+    async with HttpConnection(address=address) as connection:
+        while True:
+            response = await connection.request(HttpRequest(method="GET", path="/"))
+            if response.close:
+                return
