Deliver late time-outs as time-outs, and end benchmarks at their first error

Ruled out: a wrong scope in ForwardRun; any two nested blocks do this. Change: savorypond.timeouts wraps both time limits and is used everywhere.

--- a/benchmarks/bench_links.py
+++ b/benchmarks/bench_links.py
@@ -15,11 +15,12 @@
     unary_unary_rpc_method_handler,
 )
 
+from benchmarks.task_errors import raise_first_error
 from savorypond.http.client import HttpConnection
 from savorypond.http.messages import HttpRequest, HttpResponse
 from savorypond.http.server import HttpLimits, HttpServer
 from savorypond.model import Address, Preference, Priority
-from savorypond.peers.link import PeerLinks, PeerServer
+from savorypond.peers.link import LinkError, PeerLinks, PeerServer
 from savorypond.peers.link_messages import ForwardAnswer, ForwardQuery, WirePartial
 
 REQUESTS = 2000
@@ -42,6 +43,7 @@
         async with TaskGroup(wait=all) as group:
             for _ in range(concurrency):
                 await group.spawn(work)
+        raise_first_error(group)
         wall, cpu = perf_counter() - wall, process_time() - cpu
         print(
             f"{name:<12} {concurrency} at once: "
@@ -98,7 +100,7 @@
     """Measure one message over a framed peer link."""
     numbers = count(1)
 
-    async def answer(message):
+    async def answer(message, send_early_reply):
         return ForwardAnswer(
             request_id=message.request_id,
             snapshot=1,
@@ -122,7 +124,9 @@
                 prefer=Preference.LATENCY,
                 priority=Priority.URGENT,
             )
-            await links.request(server.address, query, timeout=5.0)
+            reply = await links.request(server.address, query, timeout=5.0)
+            if not isinstance(reply, ForwardAnswer):
+                raise LinkError(peer=server.address, problem=str(reply), sent=True)
 
         await measure("frames", send)
 
--- a/benchmarks/slopes_wire.py
+++ b/benchmarks/slopes_wire.py
@@ -16,6 +16,7 @@
 from msgspec.json import encode
 
 from benchmarks.bench_config import make_services
+from benchmarks.task_errors import raise_first_error
 from savorypond.balancing.drain_detector import DrainDetector
 from savorypond.clock import SystemClock
 from savorypond.config.messages import PullReply, PullRequest, ReplyKind, Stamp
@@ -39,7 +40,7 @@
     ControlClient,
     ControlServer,
 )
-from savorypond.peers.link import PeerLinks, PeerServer
+from savorypond.peers.link import EarlyReplyCallback, LinkError, PeerLinks, PeerServer
 from savorypond.peers.link_messages import (
     ForwardAnswer,
     ForwardQuery,
@@ -107,6 +108,7 @@
     async with TaskGroup(wait=all) as group:
         for place in range(count):
             await group.spawn(repeat, place)
+    raise_first_error(group)
     return (thread_time() - started) / (ROUNDS // count * count) * 1e6
 
 
@@ -290,7 +292,9 @@
     )
 
 
-async def _answer_link(message: LinkMessage) -> LinkMessage:
+async def _answer_link(
+    message: LinkMessage, send_early_reply: EarlyReplyCallback
+) -> LinkMessage:
     assert isinstance(message, ForwardQuery)
     return forward_answer(message.services)
 
@@ -298,9 +302,13 @@
 async def _forwards(address: Address, count: int, services: int) -> float:
     message = forward_query(services)
     async with PeerLinks(fleet="baric", source_host="") as links:
-        return await measure_concurrent(
-            count, lambda _: links.request(address, message, timeout=5)
-        )
+
+        async def send(_: int) -> None:
+            reply = await links.request(address, message, timeout=5)
+            if not isinstance(reply, ForwardAnswer):
+                raise LinkError(peer=address, problem=str(reply), sent=True)
+
+        return await measure_concurrent(count, send)
 
 
 def print_links() -> None:
--- a/src/savorypond/config/platform_client.py
+++ b/src/savorypond/config/platform_client.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
-from curio import TaskTimeout, timeout_after
+from curio import TaskTimeout
 from msgspec import DecodeError, Raw, Struct
 from msgspec.json import Decoder
 
@@ -12,6 +12,7 @@
 from savorypond.http.client import HttpConnection
 from savorypond.http.messages import HttpRequest, HttpResponse
 from savorypond.model import Address, Instance, InstanceState
+from savorypond.timeouts import timeout_after
 
 _READ_TIMEOUT = 2.0  # seconds for one read
 _WATCH_MARGIN = 2.0  # seconds beyond the wait of a watch
--- a/src/savorypond/controllers/active.py
+++ b/src/savorypond/controllers/active.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any, Self
 
-from curio import Event, ignore_after, sleep, spawn
+from curio import Event, sleep, spawn
 
 from savorypond.balancing.sweep_throttle import SweepThrottle
 from savorypond.clock import Clock
@@ -18,6 +18,7 @@
 from savorypond.model import Bundle, Service
 from savorypond.placement.policies import BoundedPlacement
 from savorypond.protocols import ConfigView, MembershipView
+from savorypond.timeouts import ignore_after
 
 IDLE_LIMIT = 60.0  # seconds after which an unused service is dropped if not owned
 _CHECK_INTERVAL = 0.1  # seconds
@@ -112,7 +113,8 @@
             if bundle is not None:
                 await self._apply_changes(bundle)
                 await self._drop_idle()
-            await ignore_after(_CHECK_INTERVAL, self._wake.wait)
+            async with ignore_after(_CHECK_INTERVAL):
+                await self._wake.wait()
 
     async def _apply_changes(self, bundle: Bundle) -> None:
         version = self._view.version
--- a/src/savorypond/controllers/config.py
+++ b/src/savorypond/controllers/config.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol, Self
 
 from absl.logging import error as log_error, info as log_info, warning
-from curio import Event, TaskTimeout, spawn, timeout_after
+from curio import Event, TaskTimeout, spawn
 
 from savorypond.clock import Clock
 from savorypond.config.messages import PullReply, PullRequest, Stamp
@@ -17,6 +17,7 @@
 from savorypond.exceptions import SavorypondError
 from savorypond.model import Bundle, Counters
 from savorypond.protocols import MembershipView
+from savorypond.timeouts import timeout_after
 
 CALL_TIMEOUT = 2.0  # seconds for a read of the service, on top of a watch's wait
 PULL_TIMEOUT = 2.0  # seconds for one reply of a peer
--- a/src/savorypond/controllers/config_propagation.py
+++ b/src/savorypond/controllers/config_propagation.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Any, Protocol, Self
 
-from curio import TaskGroup, ignore_after, sleep
+from curio import TaskGroup, sleep
 
 from savorypond.config.messages import Stamp
 from savorypond.controllers.active import ActiveServices
@@ -12,6 +12,7 @@
 from savorypond.logs import log_event
 from savorypond.membership.settings import ConfigMismatch
 from savorypond.model import Service
+from savorypond.timeouts import ignore_after
 
 _CHECK_INTERVAL = 0.05  # seconds
 # Services prepared before their first query. The others of a large fleet are left to
@@ -101,5 +102,6 @@
             log_event("config-in-force", revision=revision)
             await self._active.config_changed()
             services = tuple(bundle.services.values())[:MAX_PREPARED_SERVICES]
-            await ignore_after(PREPARE_TIMEOUT, self._holdings.refresh, services)
+            async with ignore_after(PREPARE_TIMEOUT):
+                await self._holdings.refresh(services)
             self._prepared = True
--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Self
 
-from curio import Event, TaskTimeout, spawn, timeout_after
+from curio import Event, TaskTimeout, spawn
 
 from savorypond.balancing.pool import (
     ConnectionOutcome,
@@ -21,6 +21,7 @@
 from savorypond.http.client import HttpConnection
 from savorypond.http.messages import HttpRequest, HttpResponse
 from savorypond.model import Address, Counters
+from savorypond.timeouts import timeout_after
 
 PROBE_TIMEOUT = 0.03  # seconds for a connection to answer a probe
 CONNECT_TIMEOUT = 0.25  # seconds for a connection to open
--- a/src/savorypond/controllers/membership.py
+++ b/src/savorypond/controllers/membership.py
@@ -7,7 +7,7 @@
 from typing import Protocol, Self
 
 from absl.logging import warning
-from curio import Event, TaskGroup, TaskTimeout, ignore_after, sleep, timeout_after
+from curio import Event, TaskGroup, TaskTimeout, sleep
 from curio.socket import AF_INET, AF_INET6, SOCK_DGRAM, socket
 
 from savorypond.clock import Clock
@@ -22,6 +22,7 @@
 from savorypond.membership.wire import MAX_DATAGRAM, decode, encode
 from savorypond.model import Address, Counters, Instance, InstanceState
 from savorypond.reasons import DatagramReason, InstanceListReason
+from savorypond.timeouts import ignore_after, timeout_after
 
 DATAGRAMS = "member_datagrams"  # counter, by DatagramReason
 DATAGRAM_BYTES = "member_datagram_bytes"  # counter of bytes sent and received
@@ -174,7 +175,8 @@
 
     async def wait_for_list(self, *, seconds: float) -> bool:
         """Wait up to ``seconds`` for the first list; return whether it was read."""
-        await ignore_after(seconds, self._list_available.wait)
+        async with ignore_after(seconds):
+            await self._list_available.wait()
         return bool(self._list_available.is_set())
 
     async def leave(self) -> None:
--- a/src/savorypond/controllers/slots.py
+++ b/src/savorypond/controllers/slots.py
@@ -3,7 +3,7 @@
 from types import TracebackType
 from typing import Self
 
-from curio import Event, TaskTimeout, timeout_after
+from curio import Event, TaskTimeout
 
 from savorypond.balancing.limiter import (
     Granted,
@@ -16,6 +16,7 @@
 from savorypond.clock import Clock
 from savorypond.model import Priority, ServerLimits
 from savorypond.reasons import RefusalReason
+from savorypond.timeouts import timeout_after
 
 _MIN_WAIT = 0.0005  # seconds
 
--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -5,7 +5,7 @@
 from time import time, time_ns
 from typing import Any, Self
 
-from curio import TaskGroup, ignore_after, sleep
+from curio import TaskGroup, sleep
 
 from savorypond.balancing.drain_detector import DrainDetector
 from savorypond.calls.api import CallApi
@@ -42,6 +42,7 @@
 from savorypond.queries.shard_calls import ShardCaller
 from savorypond.settings import Settings
 from savorypond.status_page import StatusPage
+from savorypond.timeouts import ignore_after
 from savorypond.wiring import caller_limits, make_chain, make_placement
 
 LINK_TIME = 0.003  # seconds that a link to another data centre is expected to add
@@ -400,4 +401,5 @@
         return link_delay(self._source_host, peer, delay=delay) if delay else 0.0
 
     async def _hand_over(self) -> None:
-        await ignore_after(_HAND_OVER_TIMEOUT, self._shard_caller.drain)
+        async with ignore_after(_HAND_OVER_TIMEOUT):
+            await self._shard_caller.drain()
--- a/src/savorypond/filters/deadline.py
+++ b/src/savorypond/filters/deadline.py
@@ -1,12 +1,13 @@
 """Ends every query by its deadline."""
 
-from curio import TaskTimeout, timeout_after
+from curio import TaskTimeout
 
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused
 from savorypond.filters.chain import Exchange, Handler
 from savorypond.model import Answer
 from savorypond.reasons import Execution, RefusalReason
+from savorypond.timeouts import timeout_after
 
 ABORT_GRACE = 0.05  # seconds after the deadline until an overdue query is aborted
 
--- a/src/savorypond/gateway/peers.py
+++ b/src/savorypond/gateway/peers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from curio import TaskTimeout, timeout_after
+from curio import TaskTimeout
 from msgspec import DecodeError, Struct
 from msgspec.msgpack import Decoder, encode
 
@@ -26,6 +26,7 @@
 from savorypond.http.messages import Handler, Header, HttpRequest, HttpResponse
 from savorypond.model import Address, Instance, InstanceState
 from savorypond.reasons import RefusalReason
+from savorypond.timeouts import timeout_after
 
 PUBLISHED_PATH = "/peer/published"
 DELEGATED_PATH = "/peer/delegated"
--- a/src/savorypond/http/channel.py
+++ b/src/savorypond/http/channel.py
@@ -9,7 +9,6 @@
 from curio import (
     Event,
     TaskTimeout,
-    timeout_after,
 )
 from h11 import (
     CLIENT,
@@ -40,6 +39,7 @@
 )
 from savorypond.http.tcp_info import round_trip_time
 from savorypond.reasons import RefusalReason
+from savorypond.timeouts import timeout_after
 
 _RECEIVE_BYTES = 65536
 _MAX_READ_AHEAD = 65536  # bytes buffered while the current request is handled
--- a/src/savorypond/http/server.py
+++ b/src/savorypond/http/server.py
@@ -12,7 +12,6 @@
     TaskTimeout,
     current_task,
     sleep,
-    timeout_after,
 )
 from h11 import (
     RemoteProtocolError,
@@ -29,6 +28,7 @@
 )
 from savorypond.model import Address
 from savorypond.reasons import Execution, RefusalReason
+from savorypond.timeouts import timeout_after
 
 _BACKLOG = 512  # connections that wait in the kernel to be accepted
 
--- a/src/savorypond/peers/link.py
+++ b/src/savorypond/peers/link.py
@@ -20,7 +20,6 @@
     current_task,
     sleep,
     spawn,
-    timeout_after,
 )
 from curio.socket import AF_INET, SOCK_STREAM, socket
 
@@ -36,6 +35,7 @@
     LinkMessage,
 )
 from savorypond.reasons import Execution, RefusalReason
+from savorypond.timeouts import timeout_after
 
 _CONNECT_TIMEOUT = 0.5  # seconds to open a link
 
--- a/src/savorypond/placement/forward_run.py
+++ b/src/savorypond/placement/forward_run.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 from absl.logging import exception as log_exception
-from curio import CancelledError, Queue, TaskTimeout, spawn, timeout_after
+from curio import CancelledError, Queue, TaskTimeout, spawn
 
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused, WireError
@@ -34,6 +34,7 @@
 from savorypond.queries.merge import build_answer
 from savorypond.queries.query_run import QueryDependencies, QueryRun
 from savorypond.reasons import CancelReason, DropReason
+from savorypond.timeouts import timeout_after
 
 RETURN_TIME = 0.004  # seconds to return an owner's answer, in addition to the link time
 MERGE_TIME = 0.001  # seconds to merge and send the complete answer
--- a/src/savorypond/platform/store.py
+++ b/src/savorypond/platform/store.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 from urllib.parse import quote
 
-from curio import TaskTimeout, timeout_after
+from curio import TaskTimeout
 from msgspec import DecodeError, Struct
 from msgspec.json import Decoder
 
@@ -22,6 +22,7 @@
 from savorypond.logs import log_event
 from savorypond.model import Address
 from savorypond.platform.documents import read_registration, read_route_table
+from savorypond.timeouts import timeout_after
 
 _CONFIGURATION = "op/config"
 _SERVERS = "servers/"
--- a/src/savorypond/queries/query_run.py
+++ b/src/savorypond/queries/query_run.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 
-from curio import CancelledError, Event, ignore_after
+from curio import CancelledError, Event
 from msgspec import Raw
 from msgspec.json import encode
 
@@ -26,6 +26,7 @@
 from savorypond.queries.fanout_policies import FanoutPolicies
 from savorypond.queries.partials import ServerAnswer
 from savorypond.queries.shard_calls import RunningCall, ShardCaller
+from savorypond.timeouts import ignore_after
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -155,7 +156,8 @@
         if self._early is not None:
             self._wakes_at = min(self._wakes_at, self._early.at)
         seconds = max(self._wakes_at - self._now(), 0.0)
-        await ignore_after(seconds, self._wakeup.wait)
+        async with ignore_after(seconds):
+            await self._wakeup.wait()
 
     async def _apply_queued(self) -> None:
         while self._actions and self._answer is None:
--- a/src/savorypond/standins/backend_server.py
+++ b/src/savorypond/standins/backend_server.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Self, TypeVar
 
-from curio import Event, Semaphore, TaskTimeout, ignore_after, sleep, timeout_after
+from curio import Event, Semaphore, TaskTimeout, sleep
 from msgspec import Struct, ValidationError, convert
 from pydantic import BaseModel, ConfigDict
 
@@ -25,6 +25,7 @@
 from savorypond.http.server import HttpLimits, HttpServer
 from savorypond.model import Address, ServerLimits, Service
 from savorypond.reasons import RefusalReason
+from savorypond.timeouts import ignore_after, timeout_after
 
 _SILENCE_TIME = 3600.0  # seconds for which a request on a silent connection hangs
 _MAX_WAITING_PER_SLOT = 4  # queued requests per slot before new ones are shed
@@ -301,7 +302,8 @@
             self._counts["peak_running"], len(self._running)
         )
         try:
-            await ignore_after(self._draw_service_time(), cancelled.wait)
+            async with ignore_after(self._draw_service_time()):
+                await cancelled.wait()
         finally:
             self._running.pop(request_id, None)
         if cancelled.is_set():
--- a/src/savorypond/standins/platform.py
+++ b/src/savorypond/standins/platform.py
@@ -8,7 +8,7 @@
 from typing import Self
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from curio import Event, TaskTimeout, sleep, timeout_after
+from curio import Event, TaskTimeout, sleep
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from savorypond.exceptions import RequestRefused
@@ -21,6 +21,7 @@
 from savorypond.http.server import HttpLimits, HttpServer
 from savorypond.model import Address
 from savorypond.reasons import RefusalReason
+from savorypond.timeouts import timeout_after
 
 VALUES_PATH = "/v1/values/"
 INSTANCES_PATH = "/v1/instances"
--- a/src/savorypond/tools/load_run.py
+++ b/src/savorypond/tools/load_run.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from curio import TaskGroup, TaskTimeout, sleep, timeout_after
+from curio import TaskGroup, TaskTimeout, sleep
 from msgspec import DecodeError, Struct
 from msgspec.json import Decoder, encode
 
@@ -19,6 +19,7 @@
 from savorypond.http.messages import Header, HttpRequest, HttpResponse
 from savorypond.metrics import LatencyHistogram
 from savorypond.model import Address
+from savorypond.timeouts import timeout_after
 
 _ANSWER_GRACE = 2.0  # seconds after the time limit before an answer counts as lost
 _JSON = Header(name="content-type", value="application/json")
--- a/src/savorypond/tools/status.py
+++ b/src/savorypond/tools/status.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from sys import exit as sys_exit, stderr
 
-from curio import TaskGroup, TaskTimeout, run as run_curio, timeout_after
+from curio import TaskGroup, TaskTimeout, run as run_curio
 from defopt import run as run_command
 from msgspec import DecodeError
 from msgspec.json import Decoder, encode
@@ -16,6 +16,7 @@
 from savorypond.operator_api import Status
 from savorypond.services.units import parse_address
 from savorypond.settings import load_settings
+from savorypond.timeouts import timeout_after
 
 EXIT_DISAGREE = 1
 EXIT_UNREACHABLE = 2
