Accept no answer without an id on a reused connection, and await late delegates

An id of another request was refused already. - A delegate that did not answer by 20 ms after its time had its connection closed, so that its running work ended, and its shards were asked from here. Now they are asked from here as well, within the budget, and its answer is still taken until the deadline: it replaces the single answers of its shards, so that each part is in once. - An unexpected error while reading what is published ended the reading task for good; it is logged with its traceback and read again. Invalid shard numbers from a peer failed the task of the group; they are a failure of the peer. Also tested: 200 random datagrams and 80 random messages at the ports for peers, and unreadable items in the store, leave the instance serving (no fault found).

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
-from curio import CancelledError, TaskTimeout, timeout_after
+from curio import CancelledError, TaskTimeout
 
 from savorypond.clock import Clock
 from savorypond.exceptions import BackendServerError, PoolExhausted
@@ -15,6 +15,7 @@
 from savorypond.http.messages import Header, HttpRequest, HttpResponse
 from savorypond.http.response_parser import MAX_BODY_BYTES
 from savorypond.model import Counters
+from savorypond.timeouts import timeout_after
 
 _MILLISECONDS = 1000.0  # per second
 _MISDIRECTED = 421
@@ -172,7 +173,7 @@
                     max_body_bytes=request.max_response_bytes,
                     on_body=reservation.grow,
                 )
-                self._check_request_id(request, response, server)
+                self._check_request_id(request, response, server, reused=lease.reused)
         except BackendServerError as error:
             reservation.release()
             outcome = AttemptOutcome.BROKEN if error.sent else AttemptOutcome.NOT_SENT
@@ -204,9 +205,21 @@
         request: ForwardedRequest,
         response: HttpResponse,
         server: RegisteredServer,
+        *,
+        reused: bool,
     ) -> None:
-        """Raise BackendServerError if the response is to another request."""
+        """Raise BackendServerError if the response may be to another request.
+
+        On a connection that was used before, a response without an id cannot be told
+        from a late second copy of an earlier one.
+        """
         received_id = response.header(self._names.request_id)
+        if received_id is None and reused and response.header(self._names.signature):
+            raise BackendServerError(
+                server=server.name,
+                problem="answer without a request id on a reused connection",
+                sent=True,
+            )
         if received_id is not None and received_id != request.request_id:
             raise BackendServerError(
                 server=server.name, problem="answer to another request", sent=True
--- a/src/savorypond/gateway/connection_pool.py
+++ b/src/savorypond/gateway/connection_pool.py
@@ -4,13 +4,14 @@
 from collections.abc import Callable
 from typing import Any, Self
 
-from curio import TaskTimeout, timeout_after
+from curio import TaskTimeout
 
 from savorypond.clock import Clock
 from savorypond.exceptions import BackendServerError, PoolExhausted
 from savorypond.gateway.servers import RegisteredServer
 from savorypond.http.client import HttpConnection
 from savorypond.model import Counters
+from savorypond.timeouts import timeout_after
 
 # Connecting takes a few milliseconds, or 150 ms to a paused server.
 CONNECT_TIMEOUT = 0.4  # seconds
@@ -87,7 +88,7 @@
         connection = await self._take_idle(pool, fresh=fresh)
         if connection is not None:
             self._counters.add("gateway_connections", "reused")
-            return Lease(pools=self, pool=pool, connection=connection)
+            return Lease(pools=self, pool=pool, connection=connection, reused=True)
         limit = self._connection_limit(server.service)
         if pool.open >= limit:
             raise PoolExhausted(server=server.name, max_connections=limit)
@@ -109,7 +110,7 @@
             pool.open -= 1
             raise
         self._counters.add("gateway_connections", "opened")
-        return Lease(pools=self, pool=pool, connection=connection)
+        return Lease(pools=self, pool=pool, connection=connection, reused=False)
 
     async def close_expired(self) -> None:
         """Close connections that have been idle for too long."""
@@ -188,11 +189,20 @@
 
 
 class Lease:
-    """A connection in use; leaving the context releases or closes it."""
+    """A connection in use; leaving the context releases or closes it.
+
+    :param reused: whether the connection has carried a request before.
+    """
 
     def __init__(
-        self, *, pools: ConnectionPools, pool: _ServerPool, connection: HttpConnection
+        self,
+        *,
+        pools: ConnectionPools,
+        pool: _ServerPool,
+        connection: HttpConnection,
+        reused: bool,
     ) -> None:
+        self._reused = reused
         self._pools = pools
         self._pool = pool
         self._connection = connection
@@ -202,6 +212,11 @@
         """The connection."""
         return self._connection
 
+    @property
+    def reused(self) -> bool:
+        """Whether the connection has carried a request before."""
+        return self._reused
+
     async def __aenter__(self) -> HttpConnection:
         return self._connection
 
--- a/src/savorypond/gateway/delegation_client.py
+++ b/src/savorypond/gateway/delegation_client.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
-from curio import TaskTimeout, timeout_after
+from curio import TaskTimeout
 from msgspec import DecodeError, Struct
 from msgspec.msgpack import Decoder, encode
 
@@ -18,6 +18,7 @@
 from savorypond.http.messages import Header, HttpRequest, HttpResponse
 from savorypond.model import Counters, Instance
 from savorypond.reasons import RefusalReason
+from savorypond.timeouts import timeout_after
 
 # Time to return the merged answer of a peer and merge it with the others.
 LOCAL_RETURN_MARGIN = 0.012  # seconds
@@ -108,25 +109,22 @@
         route: Route,
         version: int,
         partial_after: float,
-        stop_when_overdue: bool,
+        due: float,
     ) -> GroupResult:
         """Let the peer of ``group`` gather its shards; return the result.
 
         :param route: the caller's route in the configuration ``version``.
         :param partial_after: monotonic seconds from which the caller's answer may be
             partial.
-        :param stop_when_overdue: whether to stop waiting when the answer is overdue,
-            instead of at the caller's deadline.
+        :param due: monotonic seconds by which a healthy peer has answered.
         """
         peer = group.peer
         message = self._encode(group, request, route, version, partial_after)
         now = self._clock.now()
-        due = max(now, partial_after) + OVERDUE_MARGIN
         number = self._policy.group_started(peer, due=due)
         answered = False
         try:
-            wait_until = due if stop_when_overdue else max(due, request.caller_deadline)
-            async with timeout_after(wait_until - now):
+            async with timeout_after(max(due, request.caller_deadline) - now):
                 response = await self._client.send(peer, message)
             answered = True
         except TaskTimeout:
@@ -172,13 +170,19 @@
         if response.status != 200 or not signatures or not answered:
             sent = response.status != 503
             return self._failure(peer, f"status {response.status}", sent=sent)
+        try:
+            shards = tuple(group.shards[int(index)] for index in answered.split(","))
+        except (ValueError, IndexError):
+            shards = ()
+        names = tuple(signatures.split(", "))
+        if len(set(shards)) != len(names):
+            problem = f"{len(names)} signatures for the shards {answered!r}"
+            return self._failure(peer, problem, sent=True)
         self._counters.add("gateway_handovers", "answered")
         return GroupResult(
             peer=peer.name,
-            part=PartialAnswer(
-                signatures=tuple(signatures.split(", ")), body=response.body
-            ),
-            answered=tuple(group.shards[int(n)] for n in answered.split(",")),
+            part=PartialAnswer(signatures=names, body=response.body),
+            answered=shards,
         )
 
     def _failure(self, peer: Instance, problem: str, *, sent: bool) -> GroupResult:
--- a/src/savorypond/gateway/gather_plan.py
+++ b/src/savorypond/gateway/gather_plan.py
@@ -71,10 +71,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GroupAttempt:
-    """A group of shards delegated to another instance."""
+    """A group of shards delegated to another instance.
+
+    :param due: monotonic seconds by which a healthy instance has answered.
+    """
 
     number: int
     shards: tuple[int, ...]
+    due: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -146,6 +150,7 @@
         self._chooser = chooser
         self._budget = budget
         self._shard_of: dict[int, int] = {}
+        self._groups: dict[int, GroupAttempt] = {}
         self._charged: set[int] = set()
         self._last_number = 0
         self._answered = 0
@@ -180,12 +185,17 @@
         """Return the services of the shards without an answer."""
         return tuple(s.service for s in self._shards if not s.answered)
 
-    def delegate(self, shards: tuple[int, ...]) -> GroupAttempt:
-        """Mark ``shards`` as gathered by another instance; call before ``start``."""
+    def delegate(self, shards: tuple[int, ...], *, due: float) -> GroupAttempt:
+        """Mark ``shards`` as gathered by another instance; call before ``start``.
+
+        :param due: monotonic seconds by which a healthy instance has answered.
+        """
         self._last_number += 1
         for index in shards:
             self._shards[index].running.add(self._last_number)
-        return GroupAttempt(number=self._last_number, shards=shards)
+        group = GroupAttempt(number=self._last_number, shards=shards, due=due)
+        self._groups[group.number] = group
+        return group
 
     def start(self, now: float) -> list[Attempt]:
         """Return the first attempts, or none if too few shards have a server."""
@@ -202,16 +212,24 @@
 
     def record_group_answer(
         self, group: GroupAttempt, answered: Collection[int]
-    ) -> None:
-        """Record the shards of ``group`` that its instance got answers from."""
+    ) -> bool:
+        """Record the shards of ``group`` that its instance got answers from.
+
+        Return whether the answer is used. It is not if every shard that it covers has
+        been answered meanwhile; otherwise it replaces the answers of those that have.
+        """
+        self._groups.pop(group.number, None)
+        is_used = any(not self._shards[index].answered for index in answered)
         for index in group.shards:
             shard = self._shards[index]
             shard.running.discard(group.number)
             shard.sent = self._limits.max_attempts
-            if index in answered:
+            if index in answered and not shard.answered:
                 shard.answered = True
+                shard.hedge_at = inf
                 self._answered += 1
         self._count_pending()
+        return is_used
 
     def record_group_failure(
         self, group: GroupAttempt, now: float, *, may_have_run: bool
@@ -221,21 +239,35 @@
         :param may_have_run: whether backend servers may have received the request.
         """
         attempts = []
+        is_overdue = self._groups.pop(group.number, None) is None
         for index in group.shards:
             shard = self._shards[index]
             shard.running.discard(group.number)
-            shard.sent = self._assumed_sent(shard) if may_have_run else 0
+            if shard.answered or shard.running:
+                continue
+            if not is_overdue:
+                shard.sent = self._assumed_sent(shard) if may_have_run else 0
             if now < self._limits.deadline:
                 attempts += self._retry(index, now)
         self._count_pending()
         return attempts
 
-    def can_fall_back(self, group: GroupAttempt) -> bool:
-        """Return whether this instance may still ask every shard of ``group``."""
-        max_attempts = self._limits.max_attempts
-        return all(
-            self._assumed_sent(self._shards[i]) < max_attempts for i in group.shards
-        )
+    def due_fallbacks(self, now: float) -> list[Attempt]:
+        """Return attempts at the shards of overdue groups.
+
+        The instance of such a group may only be paused or disconnected for a moment, so
+        its answer is still awaited.
+        """
+        overdue = [group for group in self._groups.values() if now >= group.due]
+        attempts = []
+        for group in overdue:
+            del self._groups[group.number]
+            for index in group.shards:
+                shard = self._shards[index]
+                shard.sent = self._assumed_sent(shard)
+                if now < self._limits.deadline:
+                    attempts += self._retry(index, now)
+        return attempts
 
     def _assumed_sent(self, shard: _Shard) -> int:
         """Return the number of attempts to assume of an instance that was lost.
@@ -308,8 +340,12 @@
         return attempts
 
     def next_wakeup(self) -> float:
-        """Return the time at which to call ``due_hedges`` and ``verdict`` again."""
-        wakeup = self._limits.deadline
+        """Return the time at which to check the plan again."""
+        wakeup = min(
+            (group.due for group in self._groups.values()),
+            default=self._limits.deadline,
+        )
+        wakeup = min(wakeup, self._limits.deadline)
         if self._answered >= self._min_answered:
             wakeup = min(wakeup, self._limits.partial_after)
         for shard in self._shards:
--- a/src/savorypond/gateway/published_feed.py
+++ b/src/savorypond/gateway/published_feed.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Any, Self
 
+from absl.logging import exception as log_exception
 from curio import sleep, spawn
 
 from savorypond.clock import Clock
@@ -133,6 +134,12 @@
                 log_event("history-lost", why=str(error))
             except PublishedStateError as error:
                 await self._back_off(error)
+            except Exception as error:
+                # Without this task the instance would never learn of a change again.
+                log_exception("reading the published state failed")
+                await self._back_off(
+                    PublishedStateError(source="reader", problem=repr(error))
+                )
             else:
                 self._record_success()
                 await sleep(max(0.0, started_at + READ_INTERVAL - self._clock.now()))
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from curio import CancelledError, Queue, TaskTimeout, ignore_after, spawn, timeout_after
+from curio import CancelledError, Queue, TaskTimeout, spawn
 
 from savorypond.clock import Clock
 from savorypond.gateway.attempts import (
@@ -14,7 +14,11 @@
     ForwardedRequest,
 )
 from savorypond.gateway.delegation import ShardGroup
-from savorypond.gateway.delegation_client import DelegationClient, GroupResult
+from savorypond.gateway.delegation_client import (
+    OVERDUE_MARGIN,
+    DelegationClient,
+    GroupResult,
+)
 from savorypond.gateway.gather_plan import (
     Attempt,
     GatherPlan,
@@ -32,6 +36,7 @@
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.http.messages import HttpResponse
 from savorypond.model import Counters
+from savorypond.timeouts import ignore_after, timeout_after
 
 DEADLINE_MARGIN = 0.010  # seconds left for the answer before the caller's deadline
 # An attempt still running when its request ends keeps its connection if it finishes
@@ -133,6 +138,14 @@
     may_delegate: bool
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Part:
+    """An answer that covers one or more shards, by their index in the query."""
+
+    answer: PartialAnswer
+    shards: tuple[int, ...]
+
+
 class RequestRun:
     """One request and its attempts."""
 
@@ -145,8 +158,7 @@
         )
         self._results: Queue = Queue()
         self._running: dict[int, Any] = {}
-        self._parts: list[PartialAnswer] = []
-        self._answered: list[int] = []
+        self._parts: dict[int, _Part] = {}
         self._response: HttpResponse | None = None
         self._last_failure: AttemptResult | None = None
         self._problems: list[str] = []
@@ -197,8 +209,10 @@
         plan = self._plan
         return RunResult(
             verdict=verdict,
-            parts=tuple(self._parts),
-            answered=tuple(self._answered),
+            parts=tuple(part.answer for part in self._parts.values()),
+            answered=tuple(
+                shard for part in self._parts.values() for shard in part.shards
+            ),
             response=self._response,
             missing=plan.missing(),
             last_failure=self._last_failure,
@@ -219,6 +233,7 @@
             verdict = self._plan.verdict(now)
             if verdict is not None:
                 return verdict
+            await self._spawn_attempts(self._plan.due_fallbacks(now))
             await self._spawn_attempts(self._plan.due_hedges(now))
             await self._wait_for_results(self._plan.next_wakeup() - clock.now())
 
@@ -229,7 +244,8 @@
         groups: dict[int, tuple[ShardGroup, GroupAttempt]] = {}
         if spec.may_delegate:
             for group in dependencies.delegation_client.choose(spec.services):
-                attempt = self._plan.delegate(group.shards)
+                due = max(now, spec.partial_after) + OVERDUE_MARGIN
+                attempt = self._plan.delegate(group.shards, due=due)
                 groups[attempt.number] = (group, attempt)
         delegated = {shard for group, _ in groups.values() for shard in group.shards}
         for shard, service in enumerate(spec.services):
@@ -268,9 +284,8 @@
 
     async def _record_group(self, attempt: GroupAttempt, result: GroupResult) -> None:
         if result.part is not None:
-            self._plan.record_group_answer(attempt, result.answered)
-            self._parts.append(result.part)
-            self._answered.extend(result.answered)
+            if self._plan.record_group_answer(attempt, result.answered):
+                self._record_group_part(attempt, result.part, result.answered)
             return
         self._may_run = self._may_run or result.may_have_run
         self._reached = self._reached or result.may_have_run
@@ -300,13 +315,25 @@
             )
         await self._spawn_attempts(attempts)
 
+    def _record_group_part(
+        self, attempt: GroupAttempt, answer: PartialAnswer, shards: tuple[int, ...]
+    ) -> None:
+        """Keep a merged answer instead of the single answers of its shards."""
+        covered = set(shards)
+        for number, part in list(self._parts.items()):
+            if covered.issuperset(part.shards):
+                del self._parts[number]
+        self._parts[attempt.number] = _Part(answer=answer, shards=shards)
+
     def _record_part(self, attempt: Attempt, result: AttemptResult) -> None:
         response = result.response
         assert response is not None
         self._response = response
         signature = response.header(self._dependencies.names.signature) or ""
-        self._parts.append(PartialAnswer(signatures=(signature,), body=response.body))
-        self._answered.append(attempt.shard)
+        self._parts[attempt.number] = _Part(
+            answer=PartialAnswer(signatures=(signature,), body=response.body),
+            shards=(attempt.shard,),
+        )
 
     async def _spawn_attempts(self, attempts: list[Attempt]) -> None:
         for attempt in attempts:
@@ -344,7 +371,7 @@
             route=self._spec.route,
             version=self._spec.version,
             partial_after=self._spec.partial_after,
-            stop_when_overdue=self._plan.can_fall_back(attempt),
+            due=attempt.due,
         )
         await self._results.put((attempt, result))
 
@@ -358,5 +385,6 @@
 
 
 async def _cancel_after(task: Any, seconds: float) -> None:
-    await ignore_after(seconds, task.wait)
+    async with ignore_after(seconds):
+        await task.wait()
     await task.cancel(blocking=False)
--- a/tests/gateway_loopback.py
+++ b/tests/gateway_loopback.py
@@ -191,6 +191,13 @@
         )
 
 
+class RemoteServer(FakeServer):
+    """A server in another data centre, which is asked only after a local one."""
+
+    def entry(self, **changes):
+        return super().entry(zone="b", **changes)
+
+
 class DroppingServer(FakeServer):
     """Closes each connection as soon as a request has arrived."""
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -13,7 +13,7 @@
 from savorypond.http.response_parser import ResponseParser
 from savorypond.model import Counters
 from savorypond.platform.names import HEADERS
-from tests.gateway_loopback import LOOPBACK, FakeServer, route
+from tests.gateway_loopback import LOOPBACK, FakeServer, RemoteServer, route
 from tests.test_gateway_daemon import with_gateway
 
 OK_LINE = b"HTTP/1.1 200 OK\r\n"
@@ -178,13 +178,6 @@
             await self.closed.set()
 
 
-class RemoteServer(FakeServer):
-    """A server in another data centre, which is asked only after a local one."""
-
-    def entry(self, **changes):
-        return super().entry(zone="b", **changes)
-
-
 QUERY = route(
     "q",
     "/q/",
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -419,7 +419,7 @@
                 route=newer_route,
                 version=99,
                 partial_after=request.caller_deadline,
-                stop_when_overdue=False,
+                due=request.caller_deadline,
             )
             self.assertEqual(result.answered, (0, 1))
             self.assertEqual(set(result.part.signatures), {"i0.r9", "i1.r9"})
--- /dev/null
+++ b/tests/test_gateway_robustness.py
@@ -0,0 +1,139 @@
+"""Tests of malformed messages, stray responses and unexpected errors at a gateway."""
+
+from contextlib import suppress
+from random import Random
+from unittest import TestCase
+
+from curio.socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
+
+from savorypond.http.listener import Listener
+from savorypond.platform.names import HEADERS
+from tests.gateway_loopback import (
+    LOOPBACK,
+    PEER_PORT,
+    FakeServer,
+    RemoteServer,
+    configuration,
+    route,
+)
+from tests.test_gateway_daemon import with_gateway
+
+READ = route("r", "/r/", backend="s1")
+LATER = route("l", "/l/", backend="s1")
+MESSAGES = 200  # malformed messages of each kind
+REQUESTS = 40
+
+
+class RepeatingServer(FakeServer):
+    """Sends each response a second time, just ahead of the next response.
+
+    :param echoes_ids: whether its responses carry the id of their request.
+    """
+
+    def __init__(self, name, *, service, echoes_ids):
+        super().__init__(name, service=service)
+        self.sent_copies = 0
+        self._echoes_ids = echoes_ids
+        self._server = Listener(address=LOOPBACK, serve=self._serve)
+
+    async def _serve(self, sock, peer):
+        previous = b""
+        async with sock:
+            with suppress(OSError):
+                while head := await sock.recv(65536):
+                    response = self._response(head)
+                    await sock.sendall(previous + response)
+                    self.sent_copies += bool(previous)
+                    previous = response
+
+    def _response(self, head):
+        name = HEADERS.request_id.encode() + b": "
+        request_id = head.partition(name)[2].partition(b"\r\n")[0]
+        lines = [
+            b"HTTP/1.1 200 OK",
+            f"{HEADERS.signature}: {self.name}.".encode() + request_id,
+            b"Content-Length: 2",
+        ]
+        if self._echoes_ids:
+            lines.append(name + request_id)
+        return b"\r\n".join(lines) + b"\r\n\r\nok"
+
+
+class SecondCopyTests(TestCase):
+    """A late second copy of a response must not answer the next request."""
+
+    def check(self, *, echoes_ids):
+        servers = (
+            RepeatingServer("i1", service="s1", echoes_ids=echoes_ids),
+            RemoteServer("i2", service="s1", body=b"ok"),
+        )
+
+        @with_gateway(READ, servers=lambda: servers, retry_slack=5000.0)
+        async def ask(self, env):
+            for number in range(REQUESTS):
+                response = await env.ask("/r/", request_id=f"r{number}")
+                self.assertEqual(response.status, 200)
+                signature = response.header(HEADERS.signature)
+                self.assertEqual(signature.partition(".")[2], f"r{number}")
+            self.assertGreater(servers[0].sent_copies, 0)
+
+        ask(self)
+
+    def test_a_copy_with_the_id_of_its_request(self):
+        self.check(echoes_ids=True)
+
+    def test_a_copy_without_an_id(self):
+        self.check(echoes_ids=False)
+
+
+class MalformedMessageTests(TestCase):
+    @with_gateway(READ, servers=lambda: (FakeServer("i1", service="s1"),))
+    async def test_malformed_messages_of_peers_leave_the_instance_serving(self, env):
+        random = Random(1)
+        target = ("127.0.0.1", PEER_PORT)
+        async with socket(AF_INET, SOCK_DGRAM) as sock:
+            for _ in range(MESSAGES):
+                await sock.sendto(random.randbytes(random.randrange(200)), target)
+        for path in ("/peer/delegated", "/peer/published?after=x", "/", "//?"):
+            for _ in range(MESSAGES // 10):
+                body = random.randbytes(random.randrange(100))
+                head = f"POST {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                head += f"Content-Length: {len(body)}\r\n\r\n"
+                async with socket(AF_INET, SOCK_STREAM) as sock:
+                    await sock.connect(target)
+                    await sock.sendall(head.encode() + body)
+                    self.assertRegex(await sock.recv(65536), rb"^HTTP/1.1 [245]")
+        self.assertEqual((await env.ask("/r/")).status, 200)
+        env.store.put("op/config", configuration(READ, LATER, version=2))
+        await env.wait_until(lambda: env.gateway.version == 2)
+
+    @with_gateway(READ, servers=lambda: (FakeServer("i1", service="s1"),))
+    async def test_malformed_items_in_the_store_name_no_server(self, env):
+        random = Random(2)
+        values = [b"", b"{", b"[]", b"null", b"\xff\xfe", b'{"backend": 5}']
+        values += [random.randbytes(30) for _ in range(20)]
+        for number, value in enumerate(values):
+            env.store.put_bytes(f"servers/x{number}", value)
+            env.store.put_bytes("op/config", value)
+        env.store.put("op/config", configuration(READ, LATER, version=3))
+        await env.wait_until(lambda: env.gateway.version == 3)
+        self.assertEqual([s.name for s in env.gateway.servers("s1")], ["i1"])
+        self.assertEqual((await env.ask("/l/")).status, 200)
+
+
+class UnexpectedErrorTests(TestCase):
+    @with_gateway(READ, servers=lambda: (FakeServer("i1", service="s1"),))
+    async def test_reading_goes_on_after_an_unexpected_error(self, env):
+        feed = env.gateway._feed
+        apply_changes = feed._apply_changes
+        errors = [ZeroDivisionError("unexpected")]
+
+        def fail_once(changes):
+            if errors:
+                raise errors.pop()
+            apply_changes(changes)
+
+        feed._apply_changes = fail_once
+        env.store.put("op/config", configuration(READ, LATER, version=2))
+        await env.wait_until(lambda: env.gateway.version == 2)
+        self.assertEqual(errors, [])
