Refuse other HTTP versions, and end every request over a link

Causes: h11 accepts any version number, so that GET / HTTP/9.9 got 404; the time-out of a request over a link left out the time to send, which a peer that reads nothing makes endless; a reply over the frame limit failed at its sender and left the requester waiting. A request that is cut while it is sent now closes its link, since part of its frame may be out. An unused constant is gone. Tests: test_http_server (505), test_link (both); the two of the link time out on the code before. Conclusion: each such request ends with its cause.

--- a/src/savorypond/http/channel.py
+++ b/src/savorypond/http/channel.py
@@ -152,6 +152,7 @@
                 self._http.receive_data(await self._sock.recv(_RECEIVE_BYTES))
             elif isinstance(event, Request):
                 head = event
+                _check_version(event)
                 _check_head_size(event, limits.header_bytes)
                 _check_framing(event)
                 _check_declared_length(event, limits.body_bytes)
@@ -221,6 +222,16 @@
                     pass
 
 
+def _check_version(head: Request) -> None:
+    """Refuse other major versions; h11 accepts any version number."""
+    if not head.http_version.startswith(b"1."):
+        version = head.http_version.decode("ascii")
+        raise RequestRefused(
+            reason=RefusalReason.UNSUPPORTED_VERSION,
+            detail=f"HTTP/{version} is not supported",
+        )
+
+
 def _check_head_size(head: Request, max_bytes: int) -> None:
     """Limit the size of a complete head; h11 limits only incomplete ones."""
     size = len(head.method) + len(head.target)
--- a/src/savorypond/http/messages.py
+++ b/src/savorypond/http/messages.py
@@ -31,6 +31,7 @@
     RefusalReason.TICKET_EXPIRED: 410,
     RefusalReason.INSTANCE_GONE: 410,
     RefusalReason.TOO_MANY_CONNECTIONS: 429,
+    RefusalReason.UNSUPPORTED_VERSION: 505,
     RefusalReason.TIMED_OUT: 504,
     RefusalReason.CONNECTION_LOST: 502,
     RefusalReason.INTERNAL: 500,
--- a/src/savorypond/http/server.py
+++ b/src/savorypond/http/server.py
@@ -30,8 +30,6 @@
 from savorypond.reasons import Execution, RefusalReason
 from savorypond.timeouts import timeout_after
 
-_BACKLOG = 512  # connections that wait in the kernel to be accepted
-
 
 class ConnectionLimiter(Protocol):
     """Decides which connections are admitted."""
--- a/src/savorypond/peers/frame_stream.py
+++ b/src/savorypond/peers/frame_stream.py
@@ -27,6 +27,11 @@
         self._buffer = bytearray()
         self._write_lock = Lock()
 
+    @property
+    def peer(self) -> str:
+        """The address of the other end."""
+        return self._peer
+
     async def send(self, number: int, message: LinkMessage) -> None:
         """Write ``message`` in a frame with ``number``."""
         frame = Frame(
--- a/src/savorypond/peers/link.py
+++ b/src/savorypond/peers/link.py
@@ -153,8 +153,20 @@
     ) -> None:
         if delay:
             await sleep(delay)
-        with suppress(OSError):  # the connection is lost
+        try:
             await stream.send(number, reply)
+        except OSError:
+            pass  # the connection is lost
+        except WireError as error:
+            warning("replacing a reply to peer %s: %s", stream.peer, error)
+            refusal = ForwardRefusal(
+                reason=RefusalReason.INTERNAL,
+                detail=f"the reply cannot be sent: {error.problem}",
+                execution=Execution.UNKNOWN,
+                retry_after=None,
+            )
+            with suppress(OSError):
+                await stream.send(number, refusal)
 
     async def _reply(
         self, message: LinkMessage, send_early_reply: EarlyReplyCallback
@@ -226,15 +238,23 @@
         pending = _PendingRequest(on_early_reply=on_early_reply)
         self._pending[number] = pending
         received_before = self._frames_received
+        is_sent = False
         try:
-            await stream.send(number, message)
             async with timeout_after(timeout):
+                await stream.send(number, message)
+                is_sent = True
                 await pending.done.wait()
         except TaskTimeout as error:
-            await self._handle_timeout(stream, number, received_before)
+            if is_sent:
+                await self._handle_timeout(stream, number, received_before)
+            else:
+                await self._reset_stream(stream)  # part of a frame may be sent
             raise LinkError(peer=self._peer, problem="timed out", sent=True) from error
         except CancelledError:
-            await self._cancel(stream, number)
+            if is_sent:
+                await self._cancel(stream, number)
+            else:
+                await self._reset_stream(stream)
             raise
         except OSError as error:
             await self.reset()
@@ -289,6 +309,10 @@
             while (frame := await stream.receive()) is not None:
                 self._frames_received += 1
                 await self._handle_reply(frame)
+        await self._reset_stream(stream)
+
+    async def _reset_stream(self, stream: FrameStream) -> None:
+        """Close the link unless it has been opened again on another stream."""
         if self._stream is stream:
             await self.reset()
 
@@ -308,8 +332,8 @@
     async def _handle_timeout(
         self, stream: FrameStream, number: int, received_before: int
     ) -> None:
-        if self._frames_received == received_before and self._stream is stream:
-            await self.reset()  # no frame arrived at all: the link may be dead
+        if self._frames_received == received_before:
+            await self._reset_stream(stream)  # the link may be dead
         else:
             await self._cancel(stream, number)
 
--- a/src/savorypond/reasons.py
+++ b/src/savorypond/reasons.py
@@ -14,6 +14,7 @@
     """Why a caller's request was refused."""
 
     MALFORMED = "malformed"
+    UNSUPPORTED_VERSION = "unsupported-version"
     TOO_LARGE = "too-large"
     TOO_SLOW = "too-slow"
     NOT_FOUND = "not-found"
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -86,6 +86,12 @@
         400,
         RefusalReason.MALFORMED,
     ),
+    Case(
+        "another major version",
+        (b"GET / HTTP/9.9\r\nHost: h\r\n\r\n",),
+        505,
+        RefusalReason.UNSUPPORTED_VERSION,
+    ),
     Case(
         "header too large",
         (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 4096 + b"\r\n\r\n",),
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -4,11 +4,13 @@
 from curio import CancelledError, Event, TaskGroup, run, sleep, spawn, timeout_after
 
 from savorypond.exceptions import RequestRefused, WireError
+from savorypond.http.listener import Listener
 from savorypond.model import Address
 from savorypond.peers.link import LinkError, PeerLinks, PeerServer
 from savorypond.peers.link_messages import (
     LENGTH_BYTES,
     LINK_VERSION,
+    MAX_FRAME_BYTES,
     ForwardRefusal,
     Frame,
     HoldingsReply,
@@ -51,6 +53,38 @@
 
 
 class PeerLinkTests(TestCase):
+    def test_a_reply_that_is_too_large_is_replaced_by_a_refusal(self):
+        async def answer(message, send):
+            return HoldingsReply(
+                services=(ServiceHoldings("x" * (MAX_FRAME_BYTES + 1), ()),)
+            )
+
+        @with_link(answer)
+        async def reply(server, links):
+            return await links.request(
+                server.address, make_request("a"), timeout=TEST_TIMEOUT
+            )
+
+        self.assertIsInstance(reply, ForwardRefusal)
+        self.assertIn("too large", reply.detail)
+
+    def test_the_timeout_includes_sending(self):
+        """A peer that reads nothing blocks the sender once the buffers are full."""
+
+        async def main():
+            async def read_nothing(sock, peer):
+                async with sock:
+                    await Event().wait()
+
+            listener = Listener(address=LOOPBACK, serve=read_nothing)
+            links = PeerLinks(fleet="f", source_host="")
+            message = make_request("x" * (MAX_FRAME_BYTES - 1000))
+            async with timeout_after(TEST_TIMEOUT), listener, links:
+                with self.assertRaises(LinkError):
+                    await links.request(listener.address, message, timeout=0.1)
+
+        run(main)
+
     def test_replies_out_of_order_reach_their_own_request(self):
         async def slow_first(message, send):
             await sleep(0.1 if message.services[0] == "a" else 0.0)
