Read the store less, and time the parts of an answer by what is observed

Causes looked at: (1) while the store turned readers away, every instance of their data centre read it itself at each failure, so calls grew with the fleet; a failed reader is now passed over for 5 s and the next by rank takes its place. (2) All instances read everything at the first start; now they let membership settle for 2 s and ask a reader. (3) What a delegate sends leaves some milliseconds after it was due, with fixed margins; the margins now follow the 90th percentile of what is observed. (4) A data centre's own shards were split into six delegations of about six shards; now ranges are as wide as it takes for about fifteen.

--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -10,6 +10,7 @@
 
 from savorypond.clock import SystemClock
 from savorypond.controllers.membership import MembershipController
+from savorypond.gateway.answer_timing import AnswerTiming
 from savorypond.gateway.attempts import AttemptRunner
 from savorypond.gateway.connection_pool import ConnectionPools
 from savorypond.gateway.delegation import MAX_DIRECT_SHARDS, DelegationPolicy
@@ -45,6 +46,8 @@
 FLEET = "gateway"  # name of the fleet in the membership protocol
 # Lower bound, because a fleet that has just started does not know all its members.
 MIN_INSTANCES = 6
+# Callers come later, so instances first find out which of them read the store.
+FIRST_START_SETTLE_TIME = 2.0  # seconds
 ASSUMED_INSTANCES = 100  # until peers are known
 PEER_CONNECTIONS = 64  # to each other instance
 PEER_HEADER_BYTES = 64 * 1024  # the headers of a caller and a few added ones
@@ -129,6 +132,7 @@
             reader_selection=ReaderSelection(
                 own_name=settings.host, data_centre=settings.data_centre
             ),
+            clock=self._clock,
             random=random,
         )
         self._feed = PublishedFeed(
@@ -138,14 +142,18 @@
             random=random,
             counters=counters,
             peers=client,
+            settle_time=FIRST_START_SETTLE_TIME if settings.first_start else 0.0,
         )
         self._loads = ServerLoadTracker(data_centre=settings.data_centre, random=random)
         self._budget = ServiceRetryBudget(
             config=_budget_config(settings, ASSUMED_INSTANCES)
         )
+        timing = AnswerTiming(
+            data_centre=settings.data_centre, cpu_capacity=settings.cpu_capacity
+        )
         self._delegation_client = DelegationClient(
             names=names,
-            data_centre=settings.data_centre,
+            timing=timing,
             policy=DelegationPolicy(
                 own_name=settings.host,
                 data_centre=settings.data_centre,
@@ -183,6 +191,7 @@
             random=random,
             metrics=self._metrics,
             cpu_capacity=settings.cpu_capacity,
+            timing=timing,
         )
         self._peer_server = HttpServer(
             address=settings.peer_address,
--- a/src/savorypond/gateway/delegation.py
+++ b/src/savorypond/gateway/delegation.py
@@ -148,12 +148,14 @@
                 shards[i : i + chunk_size] for i in range(0, len(shards), chunk_size)
             ]
             return [(services[members[0]], members) for members in chunks]
-        by_chunk: dict[int, list[int]] = {}
+        # Fixed ranges keep most chunks as they are when a server comes or goes.
+        width = size * max(1, round(len(services) / max(1, len(shards))))
+        by_range: dict[int, list[int]] = {}
         for shard in shards:
-            by_chunk.setdefault(shard // size, []).append(shard)
+            by_range.setdefault(shard // width, []).append(shard)
         return [
-            (services[chunk * size], tuple(members))
-            for chunk, members in by_chunk.items()
+            (services[number * width], tuple(members))
+            for number, members in by_range.items()
         ]
 
     def _delegates_of(self, key: str, data_centre: str) -> tuple[Instance | None, ...]:
--- a/src/savorypond/gateway/delegation_client.py
+++ b/src/savorypond/gateway/delegation_client.py
@@ -9,6 +9,7 @@
 
 from savorypond.clock import Clock
 from savorypond.exceptions import BackendServerError, PoolExhausted, RequestRefused
+from savorypond.gateway.answer_timing import AnswerTiming
 from savorypond.gateway.attempts import ForwardedRequest
 from savorypond.gateway.delegation import DelegationPolicy, ShardGroup
 from savorypond.gateway.headers import HeaderNames
@@ -20,9 +21,6 @@
 from savorypond.reasons import RefusalReason
 from savorypond.timeouts import timeout_after
 
-# Time to return the merged answer of a peer and merge it with the others.
-LOCAL_RETURN_MARGIN = 0.012  # seconds
-REMOTE_RETURN_MARGIN = 0.014  # seconds; includes the link between data centres
 # A healthy peer answers in time, if only partially. One that does not is paused or
 # disconnected.
 OVERDUE_MARGIN = 0.02  # seconds after which a due answer is overdue
@@ -82,7 +80,7 @@
         self,
         *,
         names: HeaderNames,
-        data_centre: str,
+        timing: AnswerTiming,
         policy: DelegationPolicy,
         client: PeerClient,
         peers: Callable[[], Sequence[Instance]],
@@ -90,7 +88,7 @@
         counters: Counters,
     ) -> None:
         self._names = names
-        self._data_centre = data_centre
+        self._timing = timing
         self._policy = policy
         self._client = client
         self._peers = peers
@@ -119,8 +117,9 @@
         :param due: monotonic seconds by which a healthy peer has answered.
         """
         peer = group.peer
-        message = self._encode(group, request, route, version, partial_after)
         now = self._clock.now()
+        return_by = max(now, partial_after - self._timing.return_delay(peer))
+        message = self._encode(group, request, route, version, return_by)
         number = self._policy.group_started(peer, due=due)
         answered = False
         try:
@@ -136,7 +135,10 @@
         finally:
             now = self._clock.now()
             self._policy.group_finished(peer, number, answered=answered, now=now)
-        return self._decode(group, response)
+        result = self._decode(group, response)
+        if result.part is not None and len(result.answered) < len(group.shards):
+            self._timing.record_return(peer, due=return_by, now=now)
+        return result
 
     def _encode(
         self,
@@ -144,11 +146,9 @@
         request: ForwardedRequest,
         route: Route,
         version: int,
-        partial_after: float,
+        return_by: float,
     ) -> HttpRequest:
         now = self._clock.now()
-        is_local = group.peer.data_centre == self._data_centre
-        margin = LOCAL_RETURN_MARGIN if is_local else REMOTE_RETURN_MARGIN
         shards = tuple(route.shards[shard] for shard in group.shards)
         message = GroupRequest(
             method=request.method,
@@ -159,7 +159,7 @@
             route=replace(route, shards=shards),
             version=version,
             left=max(0.0, request.caller_deadline - now),
-            within=max(0.0, partial_after - now - margin),
+            within=max(0.0, return_by - now),
         )
         return HttpRequest(method="POST", path=DELEGATED_PATH, body=encode(message))
 
--- a/src/savorypond/gateway/gather_plan.py
+++ b/src/savorypond/gateway/gather_plan.py
@@ -166,6 +166,11 @@
         """Number of shards that have answered."""
         return self._answered
 
+    @property
+    def may_answer(self) -> bool:
+        """Whether the answers so far cover enough shards."""
+        return self._answered >= self._min_answered and self._answered > 0
+
     @property
     def hedges(self) -> int:
         """Number of attempts started while another one of the shard was running."""
@@ -356,14 +361,13 @@
     def verdict(self, now: float) -> Verdict | None:
         """Return how the request ends, or None while it is running."""
         total = len(self._shards)
-        may_answer = self._answered >= self._min_answered and self._answered > 0
         if self._answered == total:
             return Verdict.ANSWER
         if not self._pending:
-            return Verdict.ANSWER if may_answer else Verdict.UNSERVABLE
+            return Verdict.ANSWER if self.may_answer else Verdict.UNSERVABLE
         if self._answered + self._pending < self._min_answered:
             return Verdict.UNSERVABLE
-        if may_answer and now >= self._limits.partial_after:
+        if self.may_answer and now >= self._limits.partial_after:
             return Verdict.ANSWER
         if now >= self._limits.deadline:
             return Verdict.TIMED_OUT
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -4,6 +4,7 @@
 
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused
+from savorypond.gateway.answer_timing import AnswerTiming
 from savorypond.gateway.attempts import ForwardedRequest, forward_headers
 from savorypond.gateway.delegation_client import decode_group_request, group_response
 from savorypond.gateway.gather_plan import Verdict
@@ -32,12 +33,13 @@
 # Time to read a request, merge its answer and send it, on one full processor.
 PROCESSING_TIME = 0.005  # seconds
 _MAX_PROCESSING_TIME = 0.02  # seconds
+READ_AND_SEND_SHARE = 0.6  # of the processing time; the rest is for merging
 # A long round trip, measured on a busy link, must leave enough time for the query.
 _MAX_NETWORK_SHARE = 0.25  # of a route's goal
 
 
 def partial_answer_delay(
-    *, goal: float, network_delay: float, cpu_capacity: float
+    *, goal: float, network_delay: float, cpu_capacity: float, merge_delay: float = 0.0
 ) -> float:
     """Return the seconds after which an answer may be partial.
 
@@ -48,8 +50,11 @@
     :param network_delay: seconds of that latency spent on the network.
     :param cpu_capacity: processor time available to this instance, relative to one
         full processor.
+    :param merge_delay: seconds from the end of the wait until the answer is merged.
     """
     processing = min(PROCESSING_TIME / cpu_capacity, _MAX_PROCESSING_TIME)
+    reading_and_sending = READ_AND_SEND_SHARE * processing
+    processing = max(processing, reading_and_sending + merge_delay)
     return goal - processing - min(network_delay, _MAX_NETWORK_SHARE * goal)
 
 
@@ -70,7 +75,9 @@
         random: Random,
         metrics: Metrics,
         cpu_capacity: float,
+        timing: AnswerTiming,
     ) -> None:
+        self._timing = timing
         self._names = names
         self._cpu_capacity = cpu_capacity
         self._feed = feed
@@ -119,7 +126,8 @@
                 repeatable=group_request.route.idempotent,
                 max_response_bytes=group_request.route.max_response_bytes,
             ),
-            partial_after=received + group_request.within,
+            partial_after=received
+            + max(0.0, group_request.within - self._timing.merge_delay),
             least_share=0.0,
             may_delegate=False,
         )
@@ -208,6 +216,7 @@
                 goal=route.goal,
                 network_delay=network_delay,
                 cpu_capacity=self._cpu_capacity,
+                merge_delay=self._timing.merge_delay,
             ),
             least_share=route.least_share if route.shards else 1.0,
             may_delegate=bool(route.shards),
@@ -291,6 +300,8 @@
         received: float,
     ) -> None:
         now = self._clock.now()
+        if result.cut_off:
+            self._timing.record_merge(due=spec.partial_after, now=now)
         self._metrics.latency("gateway_answer").record(now - received)
         late = now - received > spec.route.goal
         outcome = "late" if late else ("partial" if result.missing else "full")
--- a/src/savorypond/gateway/peers.py
+++ b/src/savorypond/gateway/peers.py
@@ -7,6 +7,7 @@
 from msgspec import DecodeError, Struct
 from msgspec.msgpack import Decoder, encode
 
+from savorypond.clock import Clock
 from savorypond.exceptions import (
     BackendServerError,
     HistoryLost,
@@ -143,11 +144,13 @@
         pools: ConnectionPools,
         peers: Callable[[], Sequence[Instance]],
         reader_selection: ReaderSelection,
+        clock: Clock,
         random: Random,
     ) -> None:
         self._pools = pools
         self._peers = peers
         self._reader_selection = reader_selection
+        self._clock = clock
         self._random = random
 
     async def read_any(self, *, after: int | None) -> PublishedChanges:
@@ -179,17 +182,14 @@
         :raises HistoryLost: the reader no longer has these changes.
         :raises PublishedStateError: the reader has no recent state.
         """
-        reader = self._reader_selection.reader(self._peers())
+        reader = self._reader_selection.reader(self._peers(), self._clock.now())
         if reader is None:
-            self._reader_selection.record_success()
             return None
         try:
-            changes = await self._read(reader, _published_path(after))
+            return await self._read(reader, _published_path(after))
         except PublishedStateError:
-            self._reader_selection.record_failure()
+            self._reader_selection.record_failure(reader, self._clock.now())
             raise
-        self._reader_selection.record_success()
-        return changes
 
     async def _read(self, peer: Instance, path: str) -> PublishedChanges:
         request = HttpRequest(method="GET", path=path)
--- a/src/savorypond/gateway/published_feed.py
+++ b/src/savorypond/gateway/published_feed.py
@@ -32,6 +32,7 @@
 BASE_BACKOFF = 0.2  # seconds; doubled for each failed read
 # Failed reads are expensive as well, and peers keep this instance up to date meanwhile.
 MAX_BACKOFF = 2.0  # seconds after a failed read
+MAX_READERS_ASKED = 3  # one after the other, before the source is read instead
 PEER_INTERVAL = 0.7  # seconds between reads from peers meanwhile
 _LOGGED_FAILURES = (1, 10, 100, 1000)  # numbers of consecutive failures to log
 
@@ -43,6 +44,8 @@
 
     :param peers: other instances, some of which read the source for this one, and all
         of which may be asked while it cannot be read.
+    :param settle_time: seconds to wait for other instances, some of which may read the
+        source for this one, before the first read.
     :param on_table: called with each new configuration.
     """
 
@@ -55,6 +58,7 @@
         random: Random,
         counters: Counters,
         peers: PeerSource,
+        settle_time: float = 0.0,
         on_table: Callable[[RouteTable], None] = lambda table: None,
     ) -> None:
         self._source = source
@@ -63,6 +67,7 @@
         self._clock = clock
         self._random = random
         self._counters = counters
+        self._settle_time = settle_time
         self._on_table = on_table
         self._table: RouteTable | None = None
         self._position: int | None = None
@@ -124,7 +129,27 @@
         await self._source.close()
         self._task = await spawn(self._poll)
 
+    async def _settle(self) -> None:
+        """Wait until the instances that read the source can be asked.
+
+        Saves the source the complete reads of a whole fleet that starts at once.
+        """
+        if not self._settle_time:
+            return
+        settle_time, self._settle_time = self._settle_time, 0.0
+        await sleep(settle_time)
+        while True:
+            try:
+                relayed = await self._peers.read_changes(after=None)
+            except PublishedStateError as error:
+                log_event("reader-failed", why=str(error))
+                continue
+            if relayed is not None:
+                self._apply_relayed(relayed)
+            return
+
     async def _poll(self) -> None:
+        await self._settle()
         while True:
             started_at = self._clock.now()
             try:
@@ -145,12 +170,7 @@
                 await sleep(max(0.0, started_at + READ_INTERVAL - self._clock.now()))
 
     async def _read(self) -> None:
-        try:
-            relayed = await self._peers.read_changes(after=self._position)
-        except PublishedStateError as error:
-            log_event("reader-failed", why=str(error))
-            self._counters.add("published_reads", "peer-failed")
-            relayed = None
+        relayed = await self._read_from_reader()
         if relayed is not None:
             self._counters.add("published_reads", "relayed")
             self._apply_relayed(relayed)
@@ -159,6 +179,19 @@
         self._read_at = self._clock.now()
         self._counters.add("published_reads", "read")
 
+    async def _read_from_reader(self) -> PublishedChanges | None:
+        """Return the changes from a reader, or None to read the source.
+
+        One that fails is passed over from then on, so another one is asked.
+        """
+        for _ in range(MAX_READERS_ASKED):
+            try:
+                return await self._peers.read_changes(after=self._position)
+            except PublishedStateError as error:
+                log_event("reader-failed", why=str(error))
+                self._counters.add("published_reads", "peer-failed")
+        return None
+
     async def _read_source(self) -> None:
         if self._position is None:
             state = await self._source.read_all()
--- a/src/savorypond/gateway/reader_selection.py
+++ b/src/savorypond/gateway/reader_selection.py
@@ -2,11 +2,12 @@
 
 Limits the load of the store, whose calls are expensive and whose allowed rate grows
 more slowly than the fleet: in a large data centre two instances read the store, and
-the others read from them.
+the others read from them. Where the store turns these away, or they are slow or gone,
+the next ones by rank take their place, so that the others need not all read the store.
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from xxhash import xxh64_intdigest
 
@@ -14,7 +15,7 @@
 
 READERS_PER_DATA_CENTRE = 2  # one of them may fail
 MAX_DIRECT_READERS = 4  # instances of a data centre up to which all read the store
-MAX_FAILURES = 3  # consecutive failures after which an instance reads the store itself
+SUSPICION_TIME = 5.0  # seconds for which a reader without recent state is passed over
 
 
 @dataclass(slots=True, kw_only=True)
@@ -23,33 +24,38 @@
 
     own_name: str
     data_centre: str
-    failures: int = 0
+    _suspected_until: dict[str, float] = field(default_factory=dict)
 
-    def reader(self, live: Sequence[Instance]) -> Instance | None:
+    def reader(self, live: Sequence[Instance], now: float) -> Instance | None:
         """Return the instance to read from, or None to read the store.
 
         :param live: the live instances, with or without this one.
         """
-        local = [
-            instance for instance in live if instance.data_centre == self.data_centre
-        ]
-        others = [instance for instance in local if instance.name != self.own_name]
-        if len(others) < MAX_DIRECT_READERS or self.failures >= MAX_FAILURES:
+        others = {
+            instance.name: instance
+            for instance in live
+            if instance.data_centre == self.data_centre
+            and instance.name != self.own_name
+        }
+        if len(others) < MAX_DIRECT_READERS:
             return None
-        names = {instance.name for instance in others} | {self.own_name}
+        names = [name for name in others if not self._is_suspected(name, now)]
+        names.append(self.own_name)
         readers = sorted(names, key=_rank)[:READERS_PER_DATA_CENTRE]
         if self.own_name in readers:
             return None
-        selected = readers[self.failures % READERS_PER_DATA_CENTRE]
-        return next(instance for instance in others if instance.name == selected)
-
-    def record_success(self) -> None:
-        """Record that a reader answered or that the store is read instead."""
-        self.failures = 0
-
-    def record_failure(self) -> None:
-        """Record that a reader had no recent state."""
-        self.failures += 1
+        return others[readers[_rank(self.own_name) % len(readers)]]
+
+    def record_failure(self, reader: Instance, now: float) -> None:
+        """Record that ``reader`` had no recent state or did not answer."""
+        self._suspected_until[reader.name] = now + SUSPICION_TIME
+
+    def _is_suspected(self, name: str, now: float) -> bool:
+        until = self._suspected_until.get(name)
+        if until is not None and now >= until:
+            del self._suspected_until[name]
+            return False
+        return until is not None
 
 
 def _rank(name: str) -> int:
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -86,6 +86,8 @@
     :param may_run: whether a server may have run the request.
     :param reached: whether anything was sent to a server.
     :param delegated: number of shards that were delegated to other instances.
+    :param cut_off: whether the answer covered enough shards early and left, without
+        the missing ones, when an answer may be partial.
     """
 
     verdict: Verdict
@@ -101,6 +103,7 @@
     denied: int
     delegated: int
     problems: tuple[str, ...]
+    cut_off: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -166,6 +169,7 @@
         self._reached = False
         self._delegated = 0
         self._ended = False
+        self._cut_off = False
         self._reservations: list[ResponseReservation] = []
         self._plan = GatherPlan(
             services=spec.services,
@@ -223,16 +227,22 @@
             denied=plan.denied,
             delegated=self._delegated,
             problems=tuple(self._problems),
+            cut_off=self._cut_off,
         )
 
     async def _run_until_verdict(self) -> Verdict:
         clock = self._dependencies.clock
         await self._start_first()
+        covers_enough = False
         while True:
             now = clock.now()
             verdict = self._plan.verdict(now)
             if verdict is not None:
+                is_partial = self._plan.answered < len(self._spec.services)
+                is_due = now >= self._spec.partial_after
+                self._cut_off = covers_enough and is_partial and is_due
                 return verdict
+            covers_enough = self._plan.may_answer
             await self._spawn_attempts(self._plan.due_fallbacks(now))
             await self._spawn_attempts(self._plan.due_hedges(now))
             await self._wait_for_results(self._plan.next_wakeup() - clock.now())
--- a/src/savorypond/gateway/settings.py
+++ b/src/savorypond/gateway/settings.py
@@ -15,6 +15,7 @@
     :param peer_address: serves requests of other instances.
     :param seeds: IP addresses of instances to contact first.
     :param store_address: the store that holds configuration and registrations.
+    :param first_start: whether the whole system starts for the first time.
     :param termination_grace: seconds from a request to stop until the process is
         killed.
     :param retry_ratio: hedges and retries allowed for each request to a service.
@@ -36,6 +37,7 @@
     peer_address: Address
     seeds: tuple[str, ...]
     store_address: Address
+    first_start: bool
     termination_grace: float
     retry_ratio: float
     retry_slack: float
--- a/src/savorypond/platform/node_file.py
+++ b/src/savorypond/platform/node_file.py
@@ -57,6 +57,8 @@
     listen_addrs: _Listen
     platform: _Platform
     seeds: tuple[str, ...] = ()
+    # Whether the whole system starts for the first time.
+    bootstrap: bool = False
     limits: _Limits = field(default_factory=_Limits)
     bounds: _Bounds = field(default_factory=_Bounds)
 
@@ -93,6 +95,7 @@
         peer_address=Address(host=node.ip, port=node.internal_ports[0] + 1),
         seeds=tuple(seed.rpartition(":")[0] for seed in node.seeds),
         store_address=_parse_address(node.platform.address),
+        first_start=node.bootstrap,
         termination_grace=bounds.grace_s,
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.retry_budget_slack,
--- a/tests/gateway_loopback.py
+++ b/tests/gateway_loopback.py
@@ -263,6 +263,7 @@
         "peer_address": Address(host=host, port=PEER_PORT),
         "seeds": (),
         "store_address": store.address,
+        "first_start": False,
         "termination_grace": 10.0,
         "retry_ratio": 0.2,
         "retry_slack": 100.0,
--- /dev/null
+++ b/tests/test_gateway_published_feed.py
@@ -0,0 +1,107 @@
+"""Tests of savorypond.gateway.published_feed."""
+
+from random import Random
+from unittest import TestCase
+
+from curio import run, sleep, timeout_after
+
+from savorypond.clock import SystemClock
+from savorypond.exceptions import PublishedStateError
+from savorypond.gateway.published_feed import MAX_READERS_ASKED, PublishedFeed
+from savorypond.gateway.published_state import (
+    PublishedChanges,
+    PublishedState,
+    ServerChange,
+)
+from savorypond.gateway.routes import RouteTable
+from savorypond.gateway.servers import ServerRegistry
+from savorypond.model import Counters
+from tests.gateway_fakes import server
+
+TEST_TIMEOUT = 30  # seconds
+TABLE = RouteTable(version=1, routes=())
+
+
+class FakeSource:
+    """Counts the reads of the store."""
+
+    def __init__(self):
+        self.reads = 0
+
+    async def read_all(self):
+        self.reads += 1
+        return PublishedState(position=5, table=TABLE, servers=(server("x"),))
+
+    async def changes(self, *, after, wait):
+        self.reads += 1
+        await sleep(wait)
+        return PublishedChanges(position=after, table=None, servers=())
+
+    async def close(self):
+        pass
+
+
+class FakePeers:
+    """Other instances of which some cannot read the store.
+
+    :param failures: number of reads that fail before one succeeds.
+    :param is_reader: whether this instance reads the store itself.
+    """
+
+    def __init__(self, *, failures=0, is_reader=False):
+        self.reads = 0
+        self._failures = failures
+        self._is_reader = is_reader
+
+    async def read_changes(self, *, after):
+        if self._is_reader:
+            return None
+        self.reads += 1
+        if self.reads <= self._failures:
+            raise PublishedStateError(source="a1", problem="turned away")
+        servers = (ServerChange(name="x", server=server("x")),)
+        return PublishedChanges(position=5, table=TABLE, servers=servers)
+
+    async def read_any(self, *, after):
+        raise PublishedStateError(source="peers", problem="no live peer is known")
+
+
+def start(peers, *, settle_time=0.0):
+    """Run a feed until it is ready; return the number of reads of the store."""
+
+    async def main():
+        source = FakeSource()
+        feed = PublishedFeed(
+            source=source,
+            registry=ServerRegistry(),
+            clock=SystemClock(),
+            random=Random(1),
+            counters=Counters(),
+            peers=peers,
+            settle_time=settle_time,
+        )
+        async with timeout_after(TEST_TIMEOUT), feed:
+            while not feed.ready:
+                await sleep(0.005)
+        return source.reads
+
+    return run(main)
+
+
+class StartTests(TestCase):
+    def test_a_reader_of_the_store_reads_it(self):
+        self.assertEqual(start(FakePeers(is_reader=True)), 1)
+        self.assertEqual(start(FakePeers(is_reader=True), settle_time=0.01), 1)
+
+    def test_other_instances_do_not_read_the_store_at_the_first_start(self):
+        self.assertEqual(start(FakePeers(), settle_time=0.01), 0)
+
+    def test_a_reader_that_is_not_ready_is_replaced_by_another_one(self):
+        peers = FakePeers(failures=MAX_READERS_ASKED - 1)
+        self.assertEqual(start(peers), 0)
+        peers = FakePeers(failures=MAX_READERS_ASKED - 1)
+        self.assertEqual(start(peers, settle_time=0.01), 0)
+
+    def test_without_any_reader_the_store_is_read(self):
+        peers = FakePeers(failures=MAX_READERS_ASKED)
+        self.assertEqual(start(peers), 1)
