Ask delegates for the rest of an answer that lacks too many shards

With more slow shards than may be missing, the query then failed with 502 long before its deadline, although the servers were only slow. If the query lacks too many shards when it may be partial, the delegate is asked for the rest, and the caller gets a late answer. If enough have answered, nothing waits for it. Tests: test_gateway_daemon (a server that takes 0.8 s with a goal of 0.3 s: three complete answers, and a partial one in time where one shard may be missing), test_gateway_gather_plan.

--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -198,6 +198,7 @@
             handler=PeerHandler(
                 changes_since=self._feed.changes_since,
                 handle_delegated=handler.handle_delegated,
+                handle_follow_up=handler.handle_follow_up,
             ).handle,
             limits=HttpLimits(header_bytes=PEER_HEADER_BYTES),
             limiter=PerPeerLimiter(max_connections=settings.max_descriptors),
--- a/src/savorypond/gateway/delegation_client.py
+++ b/src/savorypond/gateway/delegation_client.py
@@ -13,7 +13,7 @@
 from savorypond.gateway.attempts import ForwardedRequest
 from savorypond.gateway.delegation import DelegationPolicy, ShardGroup
 from savorypond.gateway.headers import HeaderNames
-from savorypond.gateway.peers import DELEGATED_PATH, PeerClient
+from savorypond.gateway.peers import DELEGATED_PATH, FOLLOW_UP_PATH, PeerClient
 from savorypond.gateway.ranked_merge import PartialAnswer
 from savorypond.gateway.routes import Route
 from savorypond.http.messages import Header, HttpRequest, HttpResponse
@@ -26,6 +26,8 @@
 OVERDUE_MARGIN = 0.02  # seconds after which a due answer is overdue
 # Response header with the indexes of the answered shards in the group.
 _SHARDS_HEADER = "peer-shards"
+# Response header with the indexes of those that the peer is still waiting for.
+_PENDING_HEADER = "peer-pending-shards"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,12 +36,14 @@
 
     :param part: the merged answer, or None if the peer failed.
     :param answered: indexes of the shards that the answer covers.
+    :param pending: indexes of the shards that the peer is still waiting for.
     :param may_have_run: whether backend servers may have received the request.
     """
 
     peer: str
     part: PartialAnswer | None
     answered: tuple[int, ...] = ()
+    pending: tuple[int, ...] = ()
     may_have_run: bool = True
     problem: str = ""
 
@@ -52,6 +56,7 @@
 
     :param route: the caller's route, reduced to the delegated shards.
     :param version: version of the configuration that contains the route.
+    :param number: number of the group within the request.
     :param left: seconds until the request must have its final answer.
     :param within: seconds until the answer may be partial.
     """
@@ -63,11 +68,20 @@
     request_id: str
     route: Route
     version: int
+    number: int
     left: float
     within: float
 
 
+class GroupFollowUp(Struct, frozen=True, kw_only=True):
+    """The message that asks for the shards that were missing in a group's answer."""
+
+    request_id: str
+    number: int
+
+
 _decoder = Decoder(GroupRequest)
+_follow_up_decoder = Decoder(GroupFollowUp)
 
 
 class DelegationClient:
@@ -108,6 +122,7 @@
         version: int,
         partial_after: float,
         due: float,
+        number: int,
     ) -> GroupResult:
         """Let the peer of ``group`` gather its shards; return the result.
 
@@ -115,12 +130,13 @@
         :param partial_after: monotonic seconds from which the caller's answer may be
             partial.
         :param due: monotonic seconds by which a healthy peer has answered.
+        :param number: number of the group within the request.
         """
         peer = group.peer
         now = self._clock.now()
         return_by = max(now, partial_after - self._timing.return_delay(peer))
-        message = self._encode(group, request, route, version, return_by)
-        number = self._policy.group_started(peer, due=due)
+        message = self._encode(group, request, route, version, return_by, number)
+        policy_number = self._policy.group_started(peer, due=due)
         answered = False
         try:
             async with timeout_after(max(due, request.caller_deadline) - now):
@@ -134,12 +150,37 @@
             return self._failure(peer, str(error), sent=False)
         finally:
             now = self._clock.now()
-            self._policy.group_finished(peer, number, answered=answered, now=now)
+            self._policy.group_finished(peer, policy_number, answered=answered, now=now)
         result = self._decode(group, response)
         if result.part is not None and len(result.answered) < len(group.shards):
             self._timing.record_return(peer, due=return_by, now=now)
         return result
 
+    async def gather_rest(
+        self, group: ShardGroup, request: ForwardedRequest, *, number: int
+    ) -> GroupResult:
+        """Let the peer of ``group`` wait for further shards; return the next ones.
+
+        :param number: number of the group within the request.
+        """
+        peer = group.peer
+        follow_up = GroupFollowUp(request_id=request.request_id, number=number)
+        message = HttpRequest(
+            method="POST", path=FOLLOW_UP_PATH, body=encode(follow_up)
+        )
+        try:
+            async with timeout_after(
+                max(0.0, request.caller_deadline - self._clock.now())
+            ):
+                response = await self._client.send(peer, message)
+        except TaskTimeout:
+            return self._failure(peer, "no further answer in time", sent=True)
+        except BackendServerError as error:
+            return self._failure(peer, error.problem, sent=True)
+        except PoolExhausted as error:
+            return self._failure(peer, str(error), sent=True)
+        return self._decode(group, response)
+
     def _encode(
         self,
         group: ShardGroup,
@@ -147,6 +188,7 @@
         route: Route,
         version: int,
         return_by: float,
+        number: int,
     ) -> HttpRequest:
         now = self._clock.now()
         shards = tuple(route.shards[shard] for shard in group.shards)
@@ -158,6 +200,7 @@
             request_id=request.request_id,
             route=replace(route, shards=shards),
             version=version,
+            number=number,
             left=max(0.0, request.caller_deadline - now),
             within=max(0.0, return_by - now),
         )
@@ -165,25 +208,22 @@
 
     def _decode(self, group: ShardGroup, response: HttpResponse) -> GroupResult:
         peer = group.peer
-        signatures = response.header(self._names.part_signatures)
-        answered = response.header(_SHARDS_HEADER)
-        if response.status != 200 or not signatures or not answered:
+        if response.status != 200:
             sent = response.status != 503
             return self._failure(peer, f"status {response.status}", sent=sent)
+        signatures = response.header(self._names.part_signatures) or ""
+        names = tuple(signatures.split(", ")) if signatures else ()
         try:
-            shards = tuple(group.shards[int(index)] for index in answered.split(","))
-        except (ValueError, IndexError):
-            shards = ()
-        names = tuple(signatures.split(", "))
+            shards = _decode_shards(group, response.header(_SHARDS_HEADER))
+            pending = _decode_shards(group, response.header(_PENDING_HEADER))
+        except (ValueError, IndexError) as error:
+            return self._failure(peer, f"invalid shard numbers: {error}", sent=True)
         if len(set(shards)) != len(names):
-            problem = f"{len(names)} signatures for the shards {answered!r}"
+            problem = f"{len(names)} signatures for {len(shards)} shards"
             return self._failure(peer, problem, sent=True)
         self._counters.add("gateway_handovers", "answered")
-        return GroupResult(
-            peer=peer.name,
-            part=PartialAnswer(signatures=names, body=response.body),
-            answered=shards,
-        )
+        part = PartialAnswer(signatures=names, body=response.body) if names else None
+        return GroupResult(peer=peer.name, part=part, answered=shards, pending=pending)
 
     def _failure(self, peer: Instance, problem: str, *, sent: bool) -> GroupResult:
         self._counters.add("gateway_handovers", "may-have-run" if sent else "not-run")
@@ -203,11 +243,42 @@
         ) from error
 
 
-def group_response(response: HttpResponse, answered: Sequence[int]) -> HttpResponse:
-    """Return ``response`` with the indexes of the shards that it covers."""
-    header = Header(
-        name=_SHARDS_HEADER, value=",".join(str(shard) for shard in answered)
+def decode_follow_up(request: HttpRequest) -> GroupFollowUp:
+    """Return the follow-up request of a peer; raise RequestRefused."""
+    try:
+        return _follow_up_decoder.decode(request.body)
+    except DecodeError as error:
+        raise RequestRefused(
+            reason=RefusalReason.MALFORMED,
+            detail=f"invalid message from a peer: {error}",
+        ) from error
+
+
+def group_response(
+    response: HttpResponse, *, answered: Sequence[int], pending: Sequence[int]
+) -> HttpResponse:
+    """Return ``response`` with the indexes of the shards that it covers.
+
+    :param pending: indexes of the shards that this instance is still waiting for.
+    """
+    headers = (
+        Header(name=_SHARDS_HEADER, value=_encode_shards(answered)),
+        Header(name=_PENDING_HEADER, value=_encode_shards(pending)),
     )
     return HttpResponse(
-        status=response.status, headers=(*response.headers, header), body=response.body
+        status=response.status,
+        headers=(*response.headers, *headers),
+        body=response.body,
     )
+
+
+def _encode_shards(shards: Sequence[int]) -> str:
+    return ",".join(str(shard) for shard in shards)
+
+
+def _decode_shards(group: ShardGroup, text: str | None) -> tuple[int, ...]:
+    """Return the shards of ``group`` at the indexes in ``text``.
+
+    :raises ValueError, IndexError: ``text`` does not list indexes in the group.
+    """
+    return tuple(group.shards[int(n)] for n in text.split(",")) if text else ()
--- a/src/savorypond/gateway/gather_plan.py
+++ b/src/savorypond/gateway/gather_plan.py
@@ -151,6 +151,7 @@
         self._budget = budget
         self._shard_of: dict[int, int] = {}
         self._groups: dict[int, GroupAttempt] = {}
+        self._unfinished: dict[int, GroupAttempt] = {}
         self._charged: set[int] = set()
         self._last_number = 0
         self._answered = 0
@@ -186,6 +187,10 @@
         """Number of extra attempts that the budget denied."""
         return self._denied
 
+    def pending(self) -> tuple[int, ...]:
+        """Return the shards whose attempts may still answer."""
+        return tuple(i for i, shard in enumerate(self._shards) if shard.pending)
+
     def missing(self) -> tuple[str, ...]:
         """Return the services of the shards without an answer."""
         return tuple(s.service for s in self._shards if not s.answered)
@@ -216,18 +221,27 @@
         return attempts
 
     def record_group_answer(
-        self, group: GroupAttempt, answered: Collection[int]
+        self,
+        group: GroupAttempt,
+        answered: Collection[int],
+        *,
+        pending: Collection[int] = (),
     ) -> bool:
         """Record the shards of ``group`` that its instance got answers from.
 
         Return whether the answer is used. It is not if every shard that it covers has
         been answered meanwhile; otherwise it replaces the answers of those that have.
+
+        :param pending: shards that the instance is still waiting for.
         """
         self._groups.pop(group.number, None)
+        if pending:
+            self._unfinished[group.number] = group
         is_used = any(not self._shards[index].answered for index in answered)
         for index in group.shards:
             shard = self._shards[index]
-            shard.running.discard(group.number)
+            if index not in pending:
+                shard.running.discard(group.number)
             shard.sent = self._limits.max_attempts
             if index in answered and not shard.answered:
                 shard.answered = True
@@ -245,6 +259,7 @@
         """
         attempts = []
         is_overdue = self._groups.pop(group.number, None) is None
+        self._unfinished.pop(group.number, None)
         for index in group.shards:
             shard = self._shards[index]
             shard.running.discard(group.number)
@@ -274,6 +289,17 @@
                     attempts += self._retry(index, now)
         return attempts
 
+    def due_follow_ups(self, now: float) -> list[GroupAttempt]:
+        """Return the groups whose remaining shards have to be awaited.
+
+        Their answers so far left too many shards out. The caller is answered late if
+        the remaining servers are only slow.
+        """
+        if self.may_answer or now < self._limits.partial_after:
+            return []
+        unfinished, self._unfinished = list(self._unfinished.values()), {}
+        return unfinished
+
     def _assumed_sent(self, shard: _Shard) -> int:
         """Return the number of attempts to assume of an instance that was lost.
 
@@ -350,14 +376,19 @@
             (group.due for group in self._groups.values()),
             default=self._limits.deadline,
         )
-        wakeup = min(wakeup, self._limits.deadline)
-        if self._answered >= self._min_answered:
+        wakeup = min(wakeup, self.next_hedge())
+        if self._unfinished or self._answered >= self._min_answered:
             wakeup = min(wakeup, self._limits.partial_after)
-        for shard in self._shards:
-            if shard.pending and shard.hedge_at < wakeup:
-                wakeup = shard.hedge_at
         return wakeup
 
+    def next_hedge(self) -> float:
+        """Return the time of the next hedge, or the deadline if that is earlier."""
+        due = self._limits.deadline
+        for shard in self._shards:
+            if shard.pending and shard.hedge_at < due:
+                due = shard.hedge_at
+        return due
+
     def verdict(self, now: float) -> Verdict | None:
         """Return how the request ends, or None while it is running."""
         total = len(self._shards)
@@ -367,12 +398,22 @@
             return Verdict.ANSWER if self.may_answer else Verdict.UNSERVABLE
         if self._answered + self._pending < self._min_answered:
             return Verdict.UNSERVABLE
-        if self.may_answer and now >= self._limits.partial_after:
+        if self.may_answer and (
+            now >= self._limits.partial_after or self._awaits_only_unfinished_groups()
+        ):
             return Verdict.ANSWER
         if now >= self._limits.deadline:
             return Verdict.TIMED_OUT
         return None
 
+    def _awaits_only_unfinished_groups(self) -> bool:
+        """Return whether no answer is due unless a follow-up asks for one."""
+        return bool(self._unfinished) and all(
+            shard.running <= self._unfinished.keys()
+            for shard in self._shards
+            if shard.pending
+        )
+
     def _retry(self, index: int, now: float) -> list[Attempt]:
         shard = self._shards[index]
         if shard.sent >= self._limits.max_attempts or shard.unsent > _MAX_UNSENT:
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -6,7 +6,11 @@
 from savorypond.exceptions import RequestRefused
 from savorypond.gateway.answer_timing import AnswerTiming
 from savorypond.gateway.attempts import ForwardedRequest, forward_headers
-from savorypond.gateway.delegation_client import decode_group_request, group_response
+from savorypond.gateway.delegation_client import (
+    decode_follow_up,
+    decode_group_request,
+    group_response,
+)
 from savorypond.gateway.gather_plan import Verdict
 from savorypond.gateway.headers import HeaderNames
 from savorypond.gateway.published_feed import PublishedFeed
@@ -23,6 +27,11 @@
     retry_delay,
 )
 from savorypond.gateway.routes import Route, RouteTable
+from savorypond.gateway.unfinished_groups import (
+    GroupKey,
+    UnfinishedGroup,
+    UnfinishedGroups,
+)
 from savorypond.gateway.weighted_split import WeightedSplit
 from savorypond.http.messages import HttpRequest, HttpResponse
 from savorypond.logs import log_event
@@ -30,6 +39,7 @@
 from savorypond.reasons import Execution, RefusalReason
 
 _MILLISECONDS = 1000.0  # per second
+_GONE = 410
 # Time to read a request, merge its answer and send it, on one full processor.
 PROCESSING_TIME = 0.005  # seconds
 _MAX_PROCESSING_TIME = 0.02  # seconds
@@ -86,6 +96,7 @@
         self._random = random
         self._metrics = metrics
         self._split = WeightedSplit(random=random)
+        self._unfinished_groups = UnfinishedGroups()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to ``request``."""
@@ -131,10 +142,41 @@
             least_share=0.0,
             may_delegate=False,
         )
-        result = await RequestRun(dependencies=self._dependencies, spec=spec).run()
+        run = RequestRun(dependencies=self._dependencies, spec=spec)
+        result = await run.run(resumable=True)
+        key = GroupKey(
+            peer=request.peer,
+            request_id=group_request.request_id,
+            number=group_request.number,
+        )
+        group = UnfinishedGroup(run=run, spec=spec, received=received)
+        return await self._answer_group(key, group, result)
+
+    async def handle_follow_up(self, request: HttpRequest) -> HttpResponse:
+        """Return the next answers of a group that a peer delegated."""
+        follow_up = decode_follow_up(request)
+        key = GroupKey(
+            peer=request.peer,
+            request_id=follow_up.request_id,
+            number=follow_up.number,
+        )
+        group = self._unfinished_groups.take(key)
+        if group is None:
+            return HttpResponse(status=_GONE)
+        result = await group.run.resume()
+        return await self._answer_group(key, group, result)
+
+    async def _answer_group(
+        self, key: GroupKey, group: UnfinishedGroup, result: RunResult
+    ) -> HttpResponse:
+        spec = group.spec
+        if result.pending:
+            await self._unfinished_groups.keep(key, group)
         response = self._build_response(spec, result)
-        self._record_answer(spec, result, response, received)
-        return group_response(response, result.answered)
+        self._record_answer(spec, result, response, group.received)
+        return group_response(
+            response, answered=result.answered, pending=result.pending
+        )
 
     def _find_route(
         self, request: HttpRequest, request_id: str
--- a/src/savorypond/gateway/peers.py
+++ b/src/savorypond/gateway/peers.py
@@ -31,6 +31,7 @@
 
 PUBLISHED_PATH = "/peer/published"
 DELEGATED_PATH = "/peer/delegated"
+FOLLOW_UP_PATH = "/peer/delegated/rest"
 PEER_SERVICE = ""  # service name of peers in the connection pools
 # Several round trips between data centres, after which a request can still be answered.
 CONNECT_TIMEOUT = 0.05  # seconds
@@ -248,6 +249,7 @@
     :param changes_since: returns the changes after a position, or everything for None;
         raises HistoryLost or PublishedStateError if they are not known.
     :param handle_delegated: handles requests for delegated shards.
+    :param handle_follow_up: handles requests for shards that an answer left out.
     """
 
     def __init__(
@@ -255,9 +257,11 @@
         *,
         changes_since: Callable[[int | None], PublishedChanges],
         handle_delegated: Handler,
+        handle_follow_up: Handler,
     ) -> None:
         self._changes_since = changes_since
         self._handle_delegated = handle_delegated
+        self._handle_follow_up = handle_follow_up
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to ``request``."""
@@ -266,6 +270,8 @@
             return self._send_published(query.removeprefix("after="))
         if path == DELEGATED_PATH:
             return await self._handle_delegated(request)
+        if path == FOLLOW_UP_PATH:
+            return await self._handle_follow_up(request)
         raise RequestRefused(
             reason=RefusalReason.NOT_FOUND, detail=f"no resource at {request.path}"
         )
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -78,8 +78,9 @@
 class RunResult:
     """The result of a request.
 
-    :param parts: usable answers.
+    :param parts: usable answers that no earlier result of the request held.
     :param answered: indexes of the shards that they cover.
+    :param pending: indexes of the shards whose attempts go on.
     :param response: the last usable response of a backend server.
     :param missing: services without a usable answer.
     :param last_failure: the latest attempt without a usable answer.
@@ -93,6 +94,7 @@
     verdict: Verdict
     parts: tuple[PartialAnswer, ...]
     answered: tuple[int, ...]
+    pending: tuple[int, ...]
     response: HttpResponse | None
     missing: tuple[str, ...]
     last_failure: AttemptResult | None
@@ -161,13 +163,15 @@
         )
         self._results: Queue = Queue()
         self._running: dict[int, Any] = {}
-        self._parts: dict[int, _Part] = {}
+        self._parts: list[_Part] = []
+        self._reported = 0
         self._response: HttpResponse | None = None
         self._last_failure: AttemptResult | None = None
         self._problems: list[str] = []
         self._may_run = False
         self._reached = False
         self._delegated = 0
+        self._groups: dict[int, ShardGroup] = {}
         self._ended = False
         self._cut_off = False
         self._reservations: list[ResponseReservation] = []
@@ -193,30 +197,56 @@
             budget=dependencies.budget,
         )
 
-    async def run(self) -> RunResult:
-        """Run the request and return its result."""
-        try:
-            return await self._run()
-        finally:
-            self._ended = True
-            for reservation in self._reservations:
-                reservation.release()
+    async def run(self, *, resumable: bool = False) -> RunResult:
+        """Run the request and return its result.
 
-    async def _run(self) -> RunResult:
+        :param resumable: whether the attempts of shards without an answer go on. Then
+            ``resume`` or ``abandon`` must follow if the result has pending shards.
+        """
         try:
             verdict = await self._run_until_verdict()
         except CancelledError:
             idempotent = self._spec.route.idempotent
-            await self._abandon_running(wait=0.0 if idempotent else LINGER_TIME)
+            await self.abandon(wait=0.0 if idempotent else LINGER_TIME)
+            raise
+        return await self._finish(verdict, resumable=resumable)
+
+    async def resume(self) -> RunResult:
+        """Return the next answers once one has arrived, or none by the deadline."""
+        clock = self._dependencies.clock
+        deadline = self._spec.request.caller_deadline - DEADLINE_MARGIN
+        try:
+            while len(self._parts) == self._reported and self._plan.pending():
+                now = clock.now()
+                if now >= deadline:
+                    break
+                await self._spawn_attempts(self._plan.due_hedges(now))
+                await self._wait_for_results(self._plan.next_hedge() - clock.now())
+        except CancelledError:
+            await self.abandon(wait=0.0)
             raise
-        await self._abandon_running(wait=LINGER_TIME)
+        return await self._finish(Verdict.ANSWER, resumable=clock.now() < deadline)
+
+    async def abandon(self, *, wait: float) -> None:
+        """End the request; cancel its running attempts in ``wait`` seconds."""
+        self._ended = True
+        for reservation in self._reservations:
+            reservation.release()
+        self._reservations.clear()
+        await self._abandon_running(wait=wait)
+
+    async def _finish(self, verdict: Verdict, *, resumable: bool) -> RunResult:
         plan = self._plan
+        pending = plan.pending() if resumable and verdict is Verdict.ANSWER else ()
+        if not pending:
+            await self.abandon(wait=LINGER_TIME)
+        parts = self._parts[self._reported :]
+        self._reported = len(self._parts)
         return RunResult(
             verdict=verdict,
-            parts=tuple(part.answer for part in self._parts.values()),
-            answered=tuple(
-                shard for part in self._parts.values() for shard in part.shards
-            ),
+            parts=tuple(part.answer for part in parts),
+            answered=tuple(shard for part in parts for shard in part.shards),
+            pending=pending,
             response=self._response,
             missing=plan.missing(),
             last_failure=self._last_failure,
@@ -245,6 +275,9 @@
             covers_enough = self._plan.may_answer
             await self._spawn_attempts(self._plan.due_fallbacks(now))
             await self._spawn_attempts(self._plan.due_hedges(now))
+            for group in self._plan.due_follow_ups(now):
+                task = await spawn(self._run_follow_up, group, daemon=True)
+                self._running[group.number] = task
             await self._wait_for_results(self._plan.next_wakeup() - clock.now())
 
     async def _start_first(self) -> None:
@@ -257,6 +290,7 @@
                 due = max(now, spec.partial_after) + OVERDUE_MARGIN
                 attempt = self._plan.delegate(group.shards, due=due)
                 groups[attempt.number] = (group, attempt)
+                self._groups[attempt.number] = group
         delegated = {shard for group, _ in groups.values() for shard in group.shards}
         for shard, service in enumerate(spec.services):
             # The request to a delegated shard is counted by the peer that gathers it.
@@ -293,9 +327,12 @@
             await self._record_attempt(attempt, result)
 
     async def _record_group(self, attempt: GroupAttempt, result: GroupResult) -> None:
-        if result.part is not None:
-            if self._plan.record_group_answer(attempt, result.answered):
-                self._record_group_part(attempt, result.part, result.answered)
+        if not result.problem:
+            is_used = self._plan.record_group_answer(
+                attempt, result.answered, pending=result.pending
+            )
+            if is_used and result.part is not None:
+                self._record_group_part(result.part, result.answered)
             return
         self._may_run = self._may_run or result.may_have_run
         self._reached = self._reached or result.may_have_run
@@ -326,24 +363,22 @@
         await self._spawn_attempts(attempts)
 
     def _record_group_part(
-        self, attempt: GroupAttempt, answer: PartialAnswer, shards: tuple[int, ...]
+        self, answer: PartialAnswer, shards: tuple[int, ...]
     ) -> None:
         """Keep a merged answer instead of the single answers of its shards."""
         covered = set(shards)
-        for number, part in list(self._parts.items()):
-            if covered.issuperset(part.shards):
-                del self._parts[number]
-        self._parts[attempt.number] = _Part(answer=answer, shards=shards)
+        self._parts = [
+            part for part in self._parts if not covered.issuperset(part.shards)
+        ]
+        self._parts.append(_Part(answer=answer, shards=shards))
 
     def _record_part(self, attempt: Attempt, result: AttemptResult) -> None:
         response = result.response
         assert response is not None
         self._response = response
         signature = response.header(self._dependencies.names.signature) or ""
-        self._parts[attempt.number] = _Part(
-            answer=PartialAnswer(signatures=(signature,), body=response.body),
-            shards=(attempt.shard,),
-        )
+        answer = PartialAnswer(signatures=(signature,), body=response.body)
+        self._parts.append(_Part(answer=answer, shards=(attempt.shard,)))
 
     async def _spawn_attempts(self, attempts: list[Attempt]) -> None:
         for attempt in attempts:
@@ -382,6 +417,13 @@
             version=self._spec.version,
             partial_after=self._spec.partial_after,
             due=attempt.due,
+            number=attempt.number,
+        )
+        await self._results.put((attempt, result))
+
+    async def _run_follow_up(self, attempt: GroupAttempt) -> None:
+        result = await self._dependencies.delegation_client.gather_rest(
+            self._groups[attempt.number], self._spec.request, number=attempt.number
         )
         await self._results.put((attempt, result))
 
--- a/tests/gateway_loopback.py
+++ b/tests/gateway_loopback.py
@@ -19,6 +19,7 @@
 from savorypond.platform.store import PlatformStore
 
 LOOPBACK = Address(host="127.0.0.1", port=0)
+SLOW_TIME = 0.8  # seconds
 
 
 class FakeStore:
@@ -122,8 +123,8 @@
     """A backend server with a fixed behaviour.
 
     :param behaviour: ``good``, ``failing`` (500), ``full`` (refuses to run requests),
-        ``silent``, ``other`` (another server has the address) or ``crossed`` (answers
-        another request).
+        ``silent``, ``slow`` (after SLOW_TIME), ``other`` (another server has the
+        address) or ``crossed`` (answers another request).
     """
 
     def __init__(self, name, *, service, body=b"", behaviour="good"):
@@ -168,6 +169,8 @@
                 await Event().wait()
             finally:
                 await self.cancelled.set()
+        if self.behaviour == "slow":
+            await sleep(SLOW_TIME)
         request_id = request.header(HEADERS.request_id)
         headers = {
             HEADERS.request_id: request_id,
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -339,7 +339,7 @@
 class PeerTests(TestCase):
     """Two gateways in two data centres; all servers are in that of the delegate."""
 
-    def run_test(self, test, *, behaviour="good"):
+    def run_test(self, test, *, behaviour="good", **route_changes):
         async def run_test():
             async with AsyncExitStack() as stack:
                 store = await stack.enter_async_context(FakeStore())
@@ -358,7 +358,8 @@
                 for server in servers:
                     entry = server.entry(zone="b")
                     store.put(f"servers/{server.name}", entry)
-                query = route("q", "/q/", gather=names, top_k=2, min_version=0.5)
+                changes = {"min_version": 0.5, **route_changes}
+                query = route("q", "/q/", gather=names, top_k=2, **changes)
                 store.put("op/config", configuration(query))
                 delegate = await stack.enter_async_context(
                     make_gateway(
@@ -420,6 +421,7 @@
                 version=99,
                 partial_after=request.caller_deadline,
                 due=request.caller_deadline,
+                number=1,
             )
             self.assertEqual(result.answered, (0, 1))
             self.assertEqual(set(result.part.signatures), {"i0.r9", "i1.r9"})
@@ -435,6 +437,26 @@
 
         self.run_test(test, behaviour="failing")
 
+    def test_an_answer_that_lacks_too_much_waits_for_a_slow_server(self):
+        async def test(env, delegate):
+            for number in range(3):
+                response = await env.ask(request_id=f"r{number}")
+                self.assertEqual(response.status, 200)
+                self.assertEqual(response.header(HEADERS.missing_parts), "0")
+                self.assertEqual(response.body, b"d" * 16 + b"c" * 16)
+                signatures = response.header(HEADERS.part_signatures).split(", ")
+                self.assertEqual(set(signatures), {f"i{n}.r{number}" for n in range(4)})
+
+        self.run_test(test, behaviour="slow", min_version=1.0, target_latency_ms=300)
+
+    def test_a_partial_answer_does_not_wait_for_a_slow_server(self):
+        async def test(env, delegate):
+            response = await env.ask()
+            self.assertEqual(response.status, 200)
+            self.assertEqual(response.header(HEADERS.missing_parts), "1")
+
+        self.run_test(test, behaviour="slow", min_version=0.5, target_latency_ms=300)
+
     def test_falls_back_to_direct_requests_without_the_peer(self):
         async def test(env, delegate):
             await delegate.__aexit__(None, None, None)
--- a/tests/test_gateway_gather_plan.py
+++ b/tests/test_gateway_gather_plan.py
@@ -317,3 +317,36 @@
         )
         for attempt in attempts:
             self.assertTrue(plan.record_answer(attempt.number))
+
+    def test_unfinished_shards_are_asked_for_once_they_are_needed(self):
+        plan = make_plan(least_share=1.0)
+        group = plan.delegate((2, 3), due=GROUP_DUE)
+        for attempt in plan.start(0.0):
+            plan.record_answer(attempt.number)
+        plan.record_group_answer(group, (2,), pending=(3,))
+        self.assertIsNone(plan.verdict(0.05))
+        self.assertEqual(plan.due_follow_ups(0.05), [])
+        self.assertEqual(plan.next_wakeup(), TARGET)
+        self.assertEqual(plan.due_follow_ups(TARGET), [group])
+        self.assertEqual(plan.due_follow_ups(TARGET), [])
+        self.assertIsNone(plan.verdict(TARGET))
+        plan.record_group_answer(group, (3,))
+        self.assertIs(plan.verdict(0.5), Verdict.ANSWER)
+
+    def test_unfinished_shards_are_not_awaited_if_enough_have_answered(self):
+        plan = make_plan(least_share=0.75)
+        group = plan.delegate((2, 3), due=GROUP_DUE)
+        for attempt in plan.start(0.0):
+            plan.record_answer(attempt.number)
+        plan.record_group_answer(group, (2,), pending=(3,))
+        self.assertIs(plan.verdict(0.05), Verdict.ANSWER)
+
+    def test_a_group_that_cannot_be_asked_for_the_rest_fails(self):
+        plan = make_plan(least_share=1.0)
+        group = plan.delegate((2, 3), due=GROUP_DUE)
+        for attempt in plan.start(0.0):
+            plan.record_answer(attempt.number)
+        plan.record_group_answer(group, (2,), pending=(3,))
+        plan.due_follow_ups(TARGET)
+        self.assertEqual(plan.record_group_failure(group, 0.2, may_have_run=True), [])
+        self.assertIs(plan.verdict(0.2), Verdict.UNSERVABLE)
