--- a/src/savorypond/membership/membership.py
+++ b/src/savorypond/membership/membership.py
@@ -30,8 +30,8 @@
 from savorypond.model import Address, Instance, InstanceState
 
 HINT_ROUNDS = 10  # probe intervals for which a reachability change is announced
-# A datagram holds few updates, so that a large fleet that starts at once would need tens
-# of seconds to learn of all its members from probes alone.
+# A datagram holds few updates: from probes alone, a large fleet that starts at once
+# learns of all its members only after tens of seconds.
 SYNC_TIME = 4.0  # seconds after a start or a pause in which members are asked for
 RELAY_ROUNDS = 2  # probe intervals until an indirect probe for a peer times out
 
