Let a request's deadline run while it waits to be read

Weighed: the age of the accept loop, which says nothing of one connection, and the kernel's time since data last arrived, which TCP_INFO reports beside the round-trip time that is read anyway; the latter is taken. A request whose deadline has passed when it is read is refused as not run. Tests: test_tcp_info and test_gateway_daemon block the event loop while a request arrives; both fail on the code before (the server gets all of the 15 s; a request with 0.25 s is run after 0.5 s).

--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -100,7 +100,7 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to ``request``."""
-        received = self._clock.now()
+        received = self._clock.now() - request.unread_time
         request_id = request.header(self._names.request_id) or ""
         time_left = None
         try:
@@ -121,7 +121,7 @@
 
     async def handle_delegated(self, request: HttpRequest) -> HttpResponse:
         """Return the response to a request that a peer delegated."""
-        received = self._clock.now()
+        received = self._clock.now() - request.unread_time
         group_request = decode_group_request(request)
         spec = RunSpec(
             route=group_request.route,
@@ -214,7 +214,7 @@
                 reason=RefusalReason.MALFORMED,
                 detail=f"header {self._names.time_left} is not a number: {text!r}",
             ) from error
-        if time_left <= 0.0:
+        if time_left <= request.unread_time:
             raise RequestRefused(
                 reason=RefusalReason.TIME_TOO_SHORT,
                 detail="the caller's deadline has passed",
--- a/src/savorypond/http/channel.py
+++ b/src/savorypond/http/channel.py
@@ -37,7 +37,7 @@
     HttpRequest,
     HttpResponse,
 )
-from savorypond.http.tcp_info import round_trip_time
+from savorypond.http.tcp_info import tcp_times
 from savorypond.reasons import RefusalReason
 from savorypond.timeouts import timeout_after
 
@@ -84,7 +84,7 @@
         self._limits = limits
         self._omit_body = False
         # Before its first request, the client also spent a round trip on connecting.
-        self._network_delay = 2.0 * round_trip_time(sock)
+        self._network_delay = 2.0 * tcp_times(sock).round_trip
         self._http = Connection(SERVER, max_incomplete_event_size=limits().header_bytes)
 
     async def wait_first_byte(self) -> bool:
@@ -171,10 +171,8 @@
             for name, value in head.headers
         )
         self._omit_body = head.method == b"HEAD"
-        network_delay, self._network_delay = (
-            self._network_delay,
-            round_trip_time(self._sock),
-        )
+        times = tcp_times(self._sock)
+        network_delay, self._network_delay = self._network_delay, times.round_trip
         return HttpRequest(
             method=head.method.decode("ascii"),
             path=head.target.decode("latin-1"),
@@ -183,6 +181,7 @@
             peer=self._peer,
             connection_id=self._connection_id,
             network_delay=network_delay,
+            unread_time=times.since_data,
         )
 
     async def _send_continue(self) -> None:
--- a/src/savorypond/http/messages.py
+++ b/src/savorypond/http/messages.py
@@ -55,6 +55,8 @@
     :param connection_id: id of the server's connection; 0 on the client side.
     :param network_delay: seconds of the client's waiting time that are spent in the
         network, as estimated from the connection's round-trip time.
+    :param unread_time: seconds since the end of the request arrived, which it has
+        waited for a busy process to read it.
     """
 
     method: str
@@ -64,6 +66,7 @@
     peer: str = ""
     connection_id: int = 0
     network_delay: float = 0.0
+    unread_time: float = 0.0
 
     def header(self, name: str) -> str | None:
         """Return the first value of the header ``name`` (lower case), or None."""
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -1,10 +1,12 @@
 """Tests of savorypond.gateway.daemon over loopback."""
 
 from contextlib import AsyncExitStack
+from time import sleep as block
 from unittest import TestCase
 from unittest.mock import patch
 
 from curio import run, sleep, spawn, timeout_after
+from curio.socket import AF_INET, SOCK_STREAM, socket
 
 from savorypond.clock import SystemClock
 from savorypond.gateway.attempts import ForwardedRequest
@@ -22,6 +24,7 @@
     route,
 )
 
+BUSY_TIME = 0.5  # seconds for which the event loop is blocked
 A_RECORD = b"a" * 16
 B_RECORD = b"b" * 16
 C_RECORD = b"c" * 16
@@ -253,6 +256,36 @@
         await env.ask("/r/1", request_id=request_id)
 
 
+class UnreadRequestTests(TestCase):
+    """An overloaded instance reads requests late; their deadlines run meanwhile."""
+
+    async def ask_busy(self, env, *, time_left):
+        """Return the response to a request that arrives while the loop is blocked."""
+        address = env.gateway.caller_address
+        head = (
+            "GET /r/1 HTTP/1.1\r\nhost: shop.example\r\n"
+            f"{HEADERS.request_id}: r1\r\n{HEADERS.time_left}: {time_left}\r\n\r\n"
+        )
+        async with socket(AF_INET, SOCK_STREAM) as sock:
+            await sock.connect((address.host, address.port))
+            await sock.sendall(head.encode())
+            block(BUSY_TIME)
+            return await sock.recv(65536)
+
+    @with_gateway(READ, servers=replicas("good", "good"))
+    async def test_servers_get_the_time_that_is_left(self, env):
+        self.assertIn(b" 200 ", await self.ask_busy(env, time_left=15000))
+        (request,) = (r for server in env.servers for r in server.requests)
+        time_left = int(request.header(HEADERS.time_left))
+        self.assertLessEqual(time_left, 15000 - 800 * BUSY_TIME)
+
+    @with_gateway(READ, servers=replicas("good", "good"))
+    async def test_a_request_whose_deadline_has_passed_is_not_run(self, env):
+        time_left = int(500 * BUSY_TIME)
+        self.assertIn(b" 503 ", await self.ask_busy(env, time_left=time_left))
+        self.assertEqual([len(server.requests) for server in env.servers], [0, 0])
+
+
 class ProtocolTests(TestCase):
     @with_gateway()
     async def test_is_not_ready_before_the_first_configuration(self, env):
--- a/tests/test_tcp_info.py
+++ b/tests/test_tcp_info.py
@@ -1,4 +1,5 @@
 from struct import pack_into
+from time import sleep as block
 from unittest import TestCase
 
 from curio import run, sleep
@@ -7,10 +8,15 @@
 from savorypond.http.channel import HttpLimits
 from savorypond.http.messages import text_response
 from savorypond.http.server import HttpServer
-from savorypond.http.tcp_info import round_trip_time
+from savorypond.http.tcp_info import TcpTimes, tcp_times
 from savorypond.model import Address
 
-RTT_OFFSET = 68  # bytes, in struct tcp_info of Linux
+# Offsets in struct tcp_info of Linux, in bytes.
+LAST_DATA_OFFSET = 52
+RTT_OFFSET = 68
+
+
+BUSY_TIME = 0.3  # seconds for which the event loop is blocked
 
 
 class FakeSocket:
@@ -23,14 +29,39 @@
         return bytes(self._info[:size])
 
 
-class RoundTripTimeTests(TestCase):
-    def test_smoothed_round_trip_time_is_read(self):
+class TcpTimesTests(TestCase):
+    def test_times_are_read_in_seconds(self):
         info = bytearray(232)
+        pack_into("=I", info, LAST_DATA_OFFSET, 850)
         pack_into("=I", info, RTT_OFFSET, 2400)
-        self.assertEqual(round_trip_time(FakeSocket(info)), 0.0024)
+        times = tcp_times(FakeSocket(info))
+        self.assertEqual(times, TcpTimes(round_trip=0.0024, since_data=0.85))
 
     def test_shorter_tcp_info_gives_zero(self):
-        self.assertEqual(round_trip_time(FakeSocket(bytearray(RTT_OFFSET))), 0.0)
+        self.assertEqual(tcp_times(FakeSocket(bytearray(RTT_OFFSET))), TcpTimes())
+
+    def test_a_request_that_waited_unread_is_as_old_as_its_last_byte(self):
+        async def main():
+            unread = []
+
+            async def record(request):
+                unread.append(request.unread_time)
+                return text_response("")
+
+            server = HttpServer(
+                address=Address(host="127.0.0.1", port=0),
+                handler=record,
+                limits=HttpLimits(),
+            )
+            async with server, socket(AF_INET, SOCK_STREAM) as sock:
+                await sock.connect((server.address.host, server.address.port))
+                await sock.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+                block(BUSY_TIME)
+                await sock.recv(65536)
+            return unread
+
+        (unread_time,) = run(main)
+        self.assertGreaterEqual(unread_time, 0.8 * BUSY_TIME)
 
     def test_loopback_requests_have_network_delay(self):
         async def main():
