Ask the shards of a late delegate again only after 0.15 s

Change: the shards are asked from here 0.15 s after the answer was due, or half-way to the deadline; a delegate that fails is replaced at once, as before. Tests: test_gateway_gather_plan.

--- a/src/savorypond/gateway/delegation_client.py
+++ b/src/savorypond/gateway/delegation_client.py
@@ -24,6 +24,10 @@
 # A healthy peer answers in time, if only partially. One that does not is paused or
 # disconnected.
 OVERDUE_MARGIN = 0.02  # seconds after which a due answer is overdue
+# The shards of an overdue group are asked again only later. The answer is late anyway,
+# the peer may just be busy, and asking all its shards again would add to the load.
+FALLBACK_DELAY = 0.15  # seconds after the answer was due
+MAX_FALLBACK_SHARE = 0.5  # of the time until the caller's deadline
 # Response header with the indexes of the answered shards in the group.
 _SHARDS_HEADER = "peer-shards"
 # Response header with the indexes of those that the peer is still waiting for.
@@ -121,7 +125,6 @@
         route: Route,
         version: int,
         partial_after: float,
-        due: float,
         number: int,
     ) -> GroupResult:
         """Let the peer of ``group`` gather its shards; return the result.
@@ -129,11 +132,11 @@
         :param route: the caller's route in the configuration ``version``.
         :param partial_after: monotonic seconds from which the caller's answer may be
             partial.
-        :param due: monotonic seconds by which a healthy peer has answered.
         :param number: number of the group within the request.
         """
         peer = group.peer
         now = self._clock.now()
+        due = max(now, partial_after) + OVERDUE_MARGIN
         return_by = max(now, partial_after - self._timing.return_delay(peer))
         message = self._encode(group, request, route, version, return_by, number)
         policy_number = self._policy.group_started(peer, due=due)
--- a/src/savorypond/gateway/gather_plan.py
+++ b/src/savorypond/gateway/gather_plan.py
@@ -73,12 +73,12 @@
 class GroupAttempt:
     """A group of shards delegated to another instance.
 
-    :param due: monotonic seconds by which a healthy instance has answered.
+    :param fallback_at: monotonic seconds from which its shards are asked from here.
     """
 
     number: int
     shards: tuple[int, ...]
-    due: float
+    fallback_at: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -195,15 +195,18 @@
         """Return the services of the shards without an answer."""
         return tuple(s.service for s in self._shards if not s.answered)
 
-    def delegate(self, shards: tuple[int, ...], *, due: float) -> GroupAttempt:
+    def delegate(self, shards: tuple[int, ...], *, fallback_at: float) -> GroupAttempt:
         """Mark ``shards`` as gathered by another instance; call before ``start``.
 
-        :param due: monotonic seconds by which a healthy instance has answered.
+        :param fallback_at: monotonic seconds from which, without an answer, the shards
+            are asked from here.
         """
         self._last_number += 1
         for index in shards:
             self._shards[index].running.add(self._last_number)
-        group = GroupAttempt(number=self._last_number, shards=shards, due=due)
+        group = GroupAttempt(
+            number=self._last_number, shards=shards, fallback_at=fallback_at
+        )
         self._groups[group.number] = group
         return group
 
@@ -278,7 +281,7 @@
         The instance of such a group may only be paused or disconnected for a moment, so
         its answer is still awaited.
         """
-        overdue = [group for group in self._groups.values() if now >= group.due]
+        overdue = [g for g in self._groups.values() if now >= g.fallback_at]
         attempts = []
         for group in overdue:
             del self._groups[group.number]
@@ -373,7 +376,7 @@
     def next_wakeup(self) -> float:
         """Return the time at which to check the plan again."""
         wakeup = min(
-            (group.due for group in self._groups.values()),
+            (group.fallback_at for group in self._groups.values()),
             default=self._limits.deadline,
         )
         wakeup = min(wakeup, self.next_hedge())
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -15,7 +15,8 @@
 )
 from savorypond.gateway.delegation import ShardGroup
 from savorypond.gateway.delegation_client import (
-    OVERDUE_MARGIN,
+    FALLBACK_DELAY,
+    MAX_FALLBACK_SHARE,
     DelegationClient,
     GroupResult,
 )
@@ -287,8 +288,8 @@
         groups: dict[int, tuple[ShardGroup, GroupAttempt]] = {}
         if spec.may_delegate:
             for group in dependencies.delegation_client.choose(spec.services):
-                due = max(now, spec.partial_after) + OVERDUE_MARGIN
-                attempt = self._plan.delegate(group.shards, due=due)
+                fallback_at = self._fallback_time(now)
+                attempt = self._plan.delegate(group.shards, fallback_at=fallback_at)
                 groups[attempt.number] = (group, attempt)
                 self._groups[attempt.number] = group
         delegated = {shard for group, _ in groups.values() for shard in group.shards}
@@ -305,6 +306,12 @@
             self._running[attempt.number] = task
         await self._spawn_attempts(attempts)
 
+    def _fallback_time(self, now: float) -> float:
+        """Return the time from which delegated shards are asked from here."""
+        due = max(now, self._spec.partial_after)
+        time_left = max(0.0, self._spec.request.caller_deadline - due)
+        return due + min(FALLBACK_DELAY, MAX_FALLBACK_SHARE * time_left)
+
     async def _wait_for_results(self, seconds: float) -> None:
         """Wait up to ``seconds`` for a result and record all that have arrived."""
         try:
@@ -416,7 +423,6 @@
             route=self._spec.route,
             version=self._spec.version,
             partial_after=self._spec.partial_after,
-            due=attempt.due,
             number=attempt.number,
         )
         await self._results.put((attempt, result))
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -453,7 +453,6 @@
                 route=newer_route,
                 version=99,
                 partial_after=request.caller_deadline,
-                due=request.caller_deadline,
                 number=1,
             )
             self.assertEqual(result.answered, (0, 1))
--- a/tests/test_gateway_gather_plan.py
+++ b/tests/test_gateway_gather_plan.py
@@ -244,7 +244,7 @@
 class GroupTests(TestCase):
     def test_a_group_answers_for_its_shards(self):
         plan = make_plan()
-        group = plan.delegate((2, 3), due=GROUP_DUE)
+        group = plan.delegate((2, 3), fallback_at=GROUP_DUE)
         local_attempts = plan.start(0.0)
         self.assertEqual([attempt.shard for attempt in local_attempts], [0, 1])
         for attempt in local_attempts:
@@ -255,7 +255,7 @@
 
     def test_shards_that_a_group_lacks_are_missing(self):
         plan = make_plan()
-        group = plan.delegate((2, 3), due=GROUP_DUE)
+        group = plan.delegate((2, 3), fallback_at=GROUP_DUE)
         for attempt in plan.start(0.0):
             plan.record_answer(attempt.number)
         plan.record_group_answer(group, (2,))
@@ -264,28 +264,28 @@
 
     def test_an_undelivered_group_is_asked_directly(self):
         plan = make_plan(budget=FakeRetryBudget(0))
-        group = plan.delegate((2, 3), due=GROUP_DUE)
+        group = plan.delegate((2, 3), fallback_at=GROUP_DUE)
         plan.start(0.0)
         attempts = plan.record_group_failure(group, 0.01, may_have_run=False)
         self.assertEqual([attempt.shard for attempt in attempts], [2, 3])
 
     def test_a_lost_group_is_retried_within_the_budget(self):
         plan = make_plan(budget=FakeRetryBudget(1))
-        group = plan.delegate((2, 3), due=GROUP_DUE)
+        group = plan.delegate((2, 3), fallback_at=GROUP_DUE)
         plan.start(0.0)
         attempts = plan.record_group_failure(group, 0.01, may_have_run=True)
         self.assertEqual([attempt.shard for attempt in attempts], [2])
 
     def test_a_lost_group_is_not_retried_beyond_max_attempts(self):
         plan = make_plan(servers_per_shard=3)
-        group = plan.delegate((2, 3), due=GROUP_DUE)
+        group = plan.delegate((2, 3), fallback_at=GROUP_DUE)
         plan.start(0.0)
         self.assertEqual(plan.due_fallbacks(GROUP_DUE), [])
         self.assertEqual(plan.record_group_failure(group, 0.01, may_have_run=True), [])
 
     def test_a_late_group_is_asked_directly_and_still_awaited(self):
         plan = make_plan(least_share=1.0)
-        group = plan.delegate((2, 3), due=GROUP_DUE)
+        group = plan.delegate((2, 3), fallback_at=GROUP_DUE)
         for attempt in plan.start(0.0):
             plan.record_answer(attempt.number)
         self.assertEqual(plan.next_wakeup(), GROUP_DUE)
@@ -301,7 +301,7 @@
 
     def test_a_group_that_covers_nothing_new_is_not_used(self):
         plan = make_plan(least_share=1.0)
-        group = plan.delegate((2, 3), due=GROUP_DUE)
+        group = plan.delegate((2, 3), fallback_at=GROUP_DUE)
         first_attempts = plan.start(0.0)
         for attempt in first_attempts + plan.due_fallbacks(GROUP_DUE):
             plan.record_answer(attempt.number)
@@ -309,7 +309,7 @@
 
     def test_a_late_group_that_fails_leaves_the_direct_attempts(self):
         plan = make_plan(least_share=1.0)
-        group = plan.delegate((2, 3), due=GROUP_DUE)
+        group = plan.delegate((2, 3), fallback_at=GROUP_DUE)
         plan.start(0.0)
         attempts = plan.due_fallbacks(GROUP_DUE)
         self.assertEqual(
@@ -320,7 +320,7 @@
 
     def test_unfinished_shards_are_asked_for_once_they_are_needed(self):
         plan = make_plan(least_share=1.0)
-        group = plan.delegate((2, 3), due=GROUP_DUE)
+        group = plan.delegate((2, 3), fallback_at=GROUP_DUE)
         for attempt in plan.start(0.0):
             plan.record_answer(attempt.number)
         plan.record_group_answer(group, (2,), pending=(3,))
@@ -335,7 +335,7 @@
 
     def test_unfinished_shards_are_not_awaited_if_enough_have_answered(self):
         plan = make_plan(least_share=0.75)
-        group = plan.delegate((2, 3), due=GROUP_DUE)
+        group = plan.delegate((2, 3), fallback_at=GROUP_DUE)
         for attempt in plan.start(0.0):
             plan.record_answer(attempt.number)
         plan.record_group_answer(group, (2,), pending=(3,))
@@ -343,7 +343,7 @@
 
     def test_a_group_that_cannot_be_asked_for_the_rest_fails(self):
         plan = make_plan(least_share=1.0)
-        group = plan.delegate((2, 3), due=GROUP_DUE)
+        group = plan.delegate((2, 3), fallback_at=GROUP_DUE)
         for attempt in plan.start(0.0):
             plan.record_answer(attempt.number)
         plan.record_group_answer(group, (2,), pending=(3,))
