--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -26,10 +26,10 @@
 from savorypond.gateway.published_feed import PublishedFeed
 from savorypond.gateway.published_state import PublishedSource
 from savorypond.gateway.reader_selection import ReaderSelection
-from savorypond.gateway.request_run import RunDependencies
 from savorypond.gateway.response_memory import ResponseMemory
 from savorypond.gateway.retry_budget import ServiceRetryBudget, ServiceRetryBudgetConfig
 from savorypond.gateway.route_latency import RouteLatencies
+from savorypond.gateway.run_types import RunDependencies
 from savorypond.gateway.server_load import ServerLoadTracker
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.gateway.settings import GatewaySettings
--- a/src/savorypond/gateway/delegation_client.py
+++ b/src/savorypond/gateway/delegation_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
+from typing import TypeVar
 
 from curio import TaskTimeout
 from msgspec import DecodeError, Struct
@@ -84,6 +85,7 @@
     number: int
 
 
+_Message = TypeVar("_Message")
 _decoder = Decoder(GroupRequest)
 _follow_up_decoder = Decoder(GroupFollowUp)
 
@@ -237,19 +239,17 @@
 
 def decode_group_request(request: HttpRequest) -> GroupRequest:
     """Return the request of a peer; raise RequestRefused."""
-    try:
-        return _decoder.decode(request.body)
-    except DecodeError as error:
-        raise RequestRefused(
-            reason=RefusalReason.MALFORMED,
-            detail=f"invalid message from a peer: {error}",
-        ) from error
+    return _decode_message(_decoder, request)
 
 
 def decode_follow_up(request: HttpRequest) -> GroupFollowUp:
     """Return the follow-up request of a peer; raise RequestRefused."""
+    return _decode_message(_follow_up_decoder, request)
+
+
+def _decode_message(decoder: Decoder[_Message], request: HttpRequest) -> _Message:
     try:
-        return _follow_up_decoder.decode(request.body)
+        return decoder.decode(request.body)
     except DecodeError as error:
         raise RequestRefused(
             reason=RefusalReason.MALFORMED,
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -11,15 +11,10 @@
     decode_group_request,
     group_response,
 )
-from savorypond.gateway.gather_plan import Verdict
 from savorypond.gateway.headers import HeaderNames
+from savorypond.gateway.plan_types import Verdict
 from savorypond.gateway.published_feed import PublishedFeed
-from savorypond.gateway.request_run import (
-    RequestRun,
-    RunDependencies,
-    RunResult,
-    RunSpec,
-)
+from savorypond.gateway.request_run import RequestRun
 from savorypond.gateway.responses import (
     merged_response,
     proxied_response,
@@ -27,6 +22,7 @@
     retry_delay,
 )
 from savorypond.gateway.routes import Route, RouteTable
+from savorypond.gateway.run_types import RunDependencies, RunResult, RunSpec
 from savorypond.gateway.unfinished_groups import (
     GroupKey,
     UnfinishedGroup,
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -1,42 +1,32 @@
 """Runs one routed request: sends its attempts until the plan reaches a verdict."""
 
-from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Any
 
 from curio import CancelledError, Queue, TaskTimeout, spawn
 
-from savorypond.clock import Clock
 from savorypond.gateway.attempts import (
     AttemptOutcome,
     AttemptResult,
-    AttemptRunner,
-    ForwardedRequest,
 )
 from savorypond.gateway.delegation import ShardGroup
 from savorypond.gateway.delegation_client import (
     FALLBACK_DELAY,
     MAX_FALLBACK_SHARE,
-    DelegationClient,
     GroupResult,
 )
-from savorypond.gateway.gather_plan import (
+from savorypond.gateway.gather_plan import GatherPlan
+from savorypond.gateway.plan_types import (
     Attempt,
-    GatherPlan,
     GroupAttempt,
     PlanLimits,
     Verdict,
 )
-from savorypond.gateway.headers import HeaderNames
 from savorypond.gateway.ranked_merge import PartialAnswer
 from savorypond.gateway.response_memory import ResponseReservation
-from savorypond.gateway.retry_budget import ServiceRetryBudget
-from savorypond.gateway.route_latency import RouteLatencies
-from savorypond.gateway.routes import Route
-from savorypond.gateway.server_load import ServerLoadTracker
-from savorypond.gateway.servers import RegisteredServer, ServerRegistry
+from savorypond.gateway.run_types import RunDependencies, RunResult, RunSpec
+from savorypond.gateway.server_chooser import RegistryServerChooser
 from savorypond.http.messages import HttpResponse
-from savorypond.model import Counters
 from savorypond.timeouts import ignore_after, timeout_after
 
 DEADLINE_MARGIN = 0.010  # seconds left for the answer before the caller's deadline
@@ -45,105 +35,6 @@
 LINGER_TIME = 0.2  # seconds
 
 
-class RegistryServerChooser:
-    """Selects registered servers by their load."""
-
-    def __init__(
-        self, *, registry: ServerRegistry, loads: ServerLoadTracker, mean_latency: float
-    ) -> None:
-        self._registry = registry
-        self._loads = loads
-        self._mean_latency = mean_latency
-
-    def choose(
-        self, service: str, *, exclude: Collection[str], now: float
-    ) -> RegisteredServer | None:
-        """Return a server of ``service`` not named in ``exclude``, or None."""
-        return self._loads.choose(
-            self._registry.servers(service),
-            exclude=exclude,
-            mean_latency=self._mean_latency,
-            now=now,
-        )
-
-    def count(self, service: str) -> int:
-        """Return the number of servers of ``service``."""
-        return len(self._registry.servers(service))
-
-    def is_remote(self, server: RegisteredServer) -> bool:
-        """Return whether ``server`` is in another data centre."""
-        return self._loads.is_remote(server)
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunResult:
-    """The result of a request.
-
-    :param parts: usable answers that no earlier result of the request held.
-    :param answered: indexes of the shards that they cover.
-    :param pending: indexes of the shards whose attempts go on.
-    :param response: the last usable response of a backend server.
-    :param missing: services without a usable answer.
-    :param last_failure: the latest attempt without a usable answer.
-    :param may_run: whether a server may have run the request.
-    :param reached: whether anything was sent to a server.
-    :param delegated: number of shards that were delegated to other instances.
-    :param cut_off: whether the answer covered enough shards early and left, without
-        the missing ones, when an answer may be partial.
-    """
-
-    verdict: Verdict
-    parts: tuple[PartialAnswer, ...]
-    answered: tuple[int, ...]
-    pending: tuple[int, ...]
-    response: HttpResponse | None
-    missing: tuple[str, ...]
-    last_failure: AttemptResult | None
-    may_run: bool
-    reached: bool
-    hedges: int
-    retries: int
-    denied: int
-    delegated: int
-    problems: tuple[str, ...]
-    cut_off: bool
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunDependencies:
-    """Objects shared by all requests of an instance."""
-
-    names: HeaderNames
-    registry: ServerRegistry
-    loads: ServerLoadTracker
-    runner: AttemptRunner
-    delegation_client: DelegationClient
-    budget: ServiceRetryBudget
-    latencies: RouteLatencies
-    clock: Clock
-    counters: Counters
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunSpec:
-    """The parameters of one request.
-
-    :param version: version of the configuration that contains the route.
-    :param services: the services to query, one for each shard.
-    :param partial_after: monotonic seconds from which an answer may be partial.
-    :param least_share: share of the services that an answer must cover, from 0 to 1.
-    :param may_delegate: whether other instances may gather some of the shards.
-    """
-
-    route: Route
-    version: int
-    services: tuple[str, ...]
-    request: ForwardedRequest
-    partial_after: float
-    least_share: float
-    may_delegate: bool
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Part:
     """An answer that covers one or more shards, by their index in the query."""
--- a/src/savorypond/gateway/route_latency.py
+++ b/src/savorypond/gateway/route_latency.py
@@ -1,7 +1,7 @@
 """Tracks the latency of each route, from which hedge delays are derived."""
 
 from savorypond.balancing.latency import LatencyConfig, LatencyTracker
-from savorypond.gateway.gather_plan import HedgeDelays
+from savorypond.gateway.plan_types import HedgeDelays
 
 _MIN_SAMPLES = 40  # answers of a route required to use its percentile
 _INITIAL_DELAY_SHARE = 0.35  # hedge delay before that, as a share of the route's goal
--- a/src/savorypond/gateway/unfinished_groups.py
+++ b/src/savorypond/gateway/unfinished_groups.py
@@ -10,7 +10,8 @@
 
 from curio import sleep, spawn
 
-from savorypond.gateway.request_run import LINGER_TIME, RequestRun, RunSpec
+from savorypond.gateway.request_run import LINGER_TIME, RequestRun
+from savorypond.gateway.run_types import RunSpec
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -11,10 +11,12 @@
 from math import inf
 from random import Random
 
-from savorypond.gateway.gather_plan import GatherPlan, HedgeDelays, PlanLimits, Verdict
-from savorypond.gateway.request_run import LINGER_TIME, RegistryServerChooser
+from savorypond.gateway.gather_plan import GatherPlan
+from savorypond.gateway.plan_types import HedgeDelays, PlanLimits, Verdict
+from savorypond.gateway.request_run import LINGER_TIME
 from savorypond.gateway.retry_budget import ServiceRetryBudget, ServiceRetryBudgetConfig
 from savorypond.gateway.route_latency import RouteLatencies
+from savorypond.gateway.server_chooser import RegistryServerChooser
 from savorypond.gateway.server_load import ServerLoadTracker
 from savorypond.gateway.servers import ServerRegistry
 from tests.gateway_fakes import server
--- a/tests/test_gateway_gather_plan.py
+++ b/tests/test_gateway_gather_plan.py
@@ -4,12 +4,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from savorypond.gateway.gather_plan import (
-    GatherPlan,
-    HedgeDelays,
-    PlanLimits,
-    Verdict,
-)
+from savorypond.gateway.gather_plan import GatherPlan
+from savorypond.gateway.plan_types import HedgeDelays, PlanLimits, Verdict
 from tests.gateway_fakes import FakeChooser, FakeRetryBudget, server
 
 TARGET = 0.1
--- a/tests/test_tcp_info.py
+++ b/tests/test_tcp_info.py
@@ -16,6 +16,7 @@
 RTT_OFFSET = 68
 
 
+REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
 BUSY_TIME = 0.3  # seconds for which the event loop is blocked
 
 
@@ -41,50 +42,45 @@
         self.assertEqual(tcp_times(FakeSocket(bytearray(RTT_OFFSET))), TcpTimes())
 
     def test_a_request_that_waited_unread_is_as_old_as_its_last_byte(self):
-        async def main():
-            unread = []
-
-            async def record(request):
-                unread.append(request.unread_time)
-                return text_response("")
-
-            server = HttpServer(
-                address=Address(host="127.0.0.1", port=0),
-                handler=record,
-                limits=HttpLimits(),
-            )
-            async with server, socket(AF_INET, SOCK_STREAM) as sock:
-                await sock.connect((server.address.host, server.address.port))
-                await sock.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
-                block(BUSY_TIME)
-                await sock.recv(65536)
-            return unread
+        async def send(sock, requests):
+            await sock.sendall(REQUEST)
+            block(BUSY_TIME)
+            await sock.recv(65536)
 
-        (unread_time,) = run(main)
-        self.assertGreaterEqual(unread_time, 0.8 * BUSY_TIME)
+        (request,) = record_requests(send)
+        self.assertGreaterEqual(request.unread_time, 0.8 * BUSY_TIME)
 
     def test_loopback_requests_have_network_delay(self):
-        async def main():
-            delays = []
-
-            async def record(request):
-                delays.append(request.network_delay)
-                return text_response("")
-
-            server = HttpServer(
-                address=Address(host="127.0.0.1", port=0),
-                handler=record,
-                limits=HttpLimits(),
-            )
-            async with server, socket(AF_INET, SOCK_STREAM) as sock:
-                await sock.connect((server.address.host, server.address.port))
-                for _ in range(2):
-                    await sock.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
-                    while len(delays) < 1:
-                        await sleep(0.001)
-                    await sock.recv(65536)
-            return delays
-
-        delays = run(main)
-        self.assertEqual(len(delays), 2)
-        self.assertTrue(all(delay > 0.0 for delay in delays))
+        async def send(sock, requests):
+            for _ in range(2):
+                await sock.sendall(REQUEST)
+                while len(requests) < 1:
+                    await sleep(0.001)
+                await sock.recv(65536)
+
+        requests = record_requests(send)
+        self.assertEqual(len(requests), 2)
+        self.assertTrue(all(request.network_delay > 0.0 for request in requests))
+
+
+def record_requests(send):
+    """Run ``send`` with a socket to a server; return the requests that it received."""
+
+    async def main():
+        requests = []
+
+        async def record(request):
+            requests.append(request)
+            return text_response("")
+
+        server = HttpServer(
+            address=Address(host="127.0.0.1", port=0),
+            handler=record,
+            limits=HttpLimits(),
+        )
+        async with server, socket(AF_INET, SOCK_STREAM) as sock:
+            await sock.connect((server.address.host, server.address.port))
+            await send(sock, requests)
+        return requests
+
+    return run(main)
