Do not take the wait for slow servers for time to merge

Cause, found on reading: a follow-up's answer kept the mark of the first one, so that its delay, up to the deadline, was recorded as time to merge, and later answers of the delegate were due up to 40 ms too early. Test: test_gateway_daemon; on the code before it records 0.52 s, now nothing above 0.24 s.

--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -107,6 +107,7 @@
         """Return the next answers once one has arrived, or none by the deadline."""
         clock = self._dependencies.clock
         deadline = self._spec.request.caller_deadline - DEADLINE_MARGIN
+        self._cut_off = False
         try:
             while len(self._parts) == self._reported and self._plan.pending():
                 now = clock.now()
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -9,6 +9,7 @@
 from curio.socket import AF_INET, SOCK_STREAM, socket
 
 from savorypond.clock import SystemClock
+from savorypond.gateway.answer_timing import AnswerTiming
 from savorypond.gateway.attempts import ForwardedRequest
 from savorypond.gateway.delegation import ShardGroup
 from savorypond.gateway.routes import Route
@@ -16,6 +17,7 @@
 from savorypond.http.messages import Header, HttpRequest
 from savorypond.platform.names import HEADERS, READY_PATH
 from tests.gateway_loopback import (
+    SLOW_TIME,
     DroppingServer,
     FakeServer,
     FakeStore,
@@ -481,6 +483,21 @@
 
         self.run_test(test, behaviour="slow", min_version=1.0, target_latency_ms=300)
 
+    def test_time_spent_on_a_slow_server_is_not_taken_for_time_to_merge(self):
+        delays = []
+
+        def record(timing, *, due, now):
+            delays.append(now - due)
+
+        async def test(env, delegate):
+            await env.ask()
+
+        with patch.object(AnswerTiming, "record_merge", record):
+            self.run_test(
+                test, behaviour="slow", min_version=1.0, target_latency_ms=300
+            )
+        self.assertLess(max(delays), 0.3 * SLOW_TIME)
+
     def test_a_partial_answer_does_not_wait_for_a_slow_server(self):
         async def test(env, delegate):
             response = await env.ask()
