Pass on when a server that sheds wants a retry; drop unused parts

Cause: shard_calls read a shed answer without its Retry-After, so that a fan-out with no other replica retried at once. PeerLinks.forget and ForwardDependencies.margin were used nowhere. Test: test_shard_calls; it fails on the code before (None for all values). Only the project's own interface is touched, not the gateway.

--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -366,7 +366,6 @@
             clock=self._clock,
             data_centre=settings.data_centre,
             link_time=LINK_TIME,
-            margin=settings.deadline_margin,
         )
         chain = make_chain(
             settings=settings,
--- a/src/savorypond/peers/link.py
+++ b/src/savorypond/peers/link.py
@@ -384,9 +384,3 @@
         return await link.request(
             message, timeout=timeout, on_early_reply=on_early_reply
         )
-
-    async def forget(self, peer: Address) -> None:
-        """Close the link to a peer that has left."""
-        link = self._links.pop(peer, None)
-        if link is not None:
-            await link.reset()
--- a/src/savorypond/placement/forward_run.py
+++ b/src/savorypond/placement/forward_run.py
@@ -66,7 +66,6 @@
     """The objects shared by all forwarded queries of an instance.
 
     :param link_time: one-way seconds to a peer in another data centre.
-    :param margin: seconds before the deadline at which answers are merged.
     """
 
     local: QueryDependencies
@@ -79,7 +78,6 @@
     clock: Clock
     data_centre: str
     link_time: float
-    margin: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/savorypond/queries/shard_calls.py
+++ b/src/savorypond/queries/shard_calls.py
@@ -1,6 +1,7 @@
 """Sends attempts to backend servers and reports their outcome."""
 
 from dataclasses import dataclass
+from math import isfinite
 from typing import Any, Protocol, Self
 
 from absl.logging import exception as log_exception
@@ -244,7 +245,7 @@
             self._record_answer(attempt, answer, seconds)
             await events.answered(attempt, answer)
             return
-        failure = _refusal_failure(response, server)
+        failure = refusal_failure(response, server)
         if failure.kind is FailureKind.SNAPSHOT_NOT_HELD:
             self._servers.record_refusal(
                 service=attempt.service,
@@ -303,9 +304,12 @@
     return AttemptFailure(kind=kind, not_run=not error.sent)
 
 
-def _refusal_failure(response: HttpResponse, server: str) -> AttemptFailure:
+def refusal_failure(response: HttpResponse, server: str) -> AttemptFailure:
+    """Return how an attempt failed that ``server`` answered with an error status."""
     if response.status == 503 and is_shed(response.body):
-        return AttemptFailure(kind=FailureKind.SHED, not_run=True)
+        return AttemptFailure(
+            kind=FailureKind.SHED, not_run=True, retry_after=_retry_after(response)
+        )
     if response.status == 409:
         try:
             held = decode_not_held(response.body, server=server)
@@ -317,6 +321,15 @@
     return AttemptFailure(kind=FailureKind.INVALID_ANSWER)
 
 
+def _retry_after(response: HttpResponse) -> float | None:
+    """Return the seconds in the Retry-After header; None without a usable number."""
+    try:
+        seconds = float(response.header("retry-after") or "")
+    except ValueError:
+        return None
+    return seconds if isfinite(seconds) and seconds >= 0.0 else None
+
+
 def _slot_outcome(call: RunningCall, response: HttpResponse) -> SlotOutcome:
     if call.cancelled is not None:
         return SlotOutcome.CANCELLED
