Release the memory of responses also after an unexpected error

Cause, found on reading: a run that ended by an error other than a cancellation kept the memory of its responses reserved and its attempts running. Test: test_gateway_daemon plays the error; on the code before the memory stays reserved.

--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -165,6 +165,9 @@
             clock=self._clock,
             counters=counters,
         )
+        self._response_memory = ResponseMemory(
+            limit=settings.response_bytes, counters=counters
+        )
         dependencies = RunDependencies(
             names=names,
             delegation_client=self._delegation_client,
@@ -174,7 +177,7 @@
                 names=names,
                 pools=self._pools,
                 loads=self._loads,
-                memory=ResponseMemory(limit=settings.response_bytes, counters=counters),
+                memory=self._response_memory,
                 clock=self._clock,
                 counters=counters,
             ),
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -5,10 +5,7 @@
 
 from curio import CancelledError, Queue, TaskTimeout, spawn
 
-from savorypond.gateway.attempts import (
-    AttemptOutcome,
-    AttemptResult,
-)
+from savorypond.gateway.attempts import AttemptOutcome, AttemptResult
 from savorypond.gateway.delegation import ShardGroup
 from savorypond.gateway.delegation_client import (
     FALLBACK_DELAY,
@@ -16,12 +13,7 @@
     GroupResult,
 )
 from savorypond.gateway.gather_plan import GatherPlan
-from savorypond.gateway.plan_types import (
-    Attempt,
-    GroupAttempt,
-    PlanLimits,
-    Verdict,
-)
+from savorypond.gateway.plan_types import Attempt, GroupAttempt, PlanLimits, Verdict
 from savorypond.gateway.ranked_merge import PartialAnswer
 from savorypond.gateway.response_memory import ResponseReservation
 from savorypond.gateway.run_types import RunDependencies, RunResult, RunSpec
@@ -101,6 +93,9 @@
             idempotent = self._spec.route.idempotent
             await self.abandon(wait=0.0 if idempotent else LINGER_TIME)
             raise
+        except Exception:
+            await self.abandon(wait=0.0)
+            raise
         return await self._finish(verdict, resumable=resumable)
 
     async def resume(self) -> RunResult:
@@ -115,7 +110,7 @@
                     break
                 await self._spawn_attempts(self._plan.due_hedges(now))
                 await self._wait_for_results(self._plan.next_hedge() - clock.now())
-        except CancelledError:
+        except (CancelledError, Exception):
             await self.abandon(wait=0.0)
             raise
         return await self._finish(Verdict.ANSWER, resumable=clock.now() < deadline)
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -12,6 +12,7 @@
 from savorypond.gateway.answer_timing import AnswerTiming
 from savorypond.gateway.attempts import ForwardedRequest
 from savorypond.gateway.delegation import ShardGroup
+from savorypond.gateway.gather_plan import GatherPlan
 from savorypond.gateway.routes import Route
 from savorypond.http.client import HttpConnection
 from savorypond.http.messages import Header, HttpRequest
@@ -258,6 +259,27 @@
         await env.ask("/r/1", request_id=request_id)
 
 
+class ResponseMemoryTests(TestCase):
+    @with_gateway(QUERY, servers=shards())
+    async def test_the_memory_of_responses_is_released_with_the_request(self, env):
+        memory = env.gateway._response_memory
+        for number in range(3):
+            self.assertEqual((await env.ask(request_id=f"r{number}")).status, 200)
+        await env.wait_until(lambda: memory.held == 0)
+
+    @with_gateway(QUERY, servers=shards())
+    async def test_it_is_released_after_an_unexpected_error(self, env):
+        def fail(plan, now):
+            if plan.answered:
+                raise ZeroDivisionError("unexpected")
+
+        memory = env.gateway._response_memory
+        with patch.object(GatherPlan, "verdict", fail):
+            self.assertEqual((await env.ask()).status, 500)
+        await env.wait_until(lambda: memory.held == 0)
+        self.assertEqual((await env.ask(request_id="r2")).status, 200)
+
+
 class UnreadRequestTests(TestCase):
     """An overloaded instance reads requests late; their deadlines run meanwhile."""
 
