--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -1,11 +1,12 @@
 """Tests of savorypond.gateway.daemon over loopback."""
 
 from contextlib import AsyncExitStack
+from itertools import count
 from time import sleep as block
 from unittest import TestCase
 from unittest.mock import patch
 
-from curio import run, sleep, spawn, timeout_after
+from curio import Event, TaskGroup, run, sleep, spawn, timeout_after
 from curio.socket import AF_INET, SOCK_STREAM, socket
 
 from savorypond.clock import SystemClock
@@ -27,6 +28,7 @@
     route,
 )
 
+BUSY_CONNECTIONS = 9
 BUSY_TIME = 0.5  # seconds for which the event loop is blocked
 A_RECORD = b"a" * 16
 B_RECORD = b"b" * 16
@@ -351,6 +353,30 @@
             self.assertTrue(response.close)
             await stopping.join()
 
+    @with_gateway(READ, servers=replicas("good", "good"))
+    async def test_a_stop_cuts_no_request_of_busy_connections(self, env):
+        numbers = count()
+        stopping = Event()
+
+        async def keep_asking():
+            async with HttpConnection(address=env.gateway.caller_address) as connection:
+                while True:
+                    sent_in_stop = stopping.is_set()
+                    request = env.request("/r/", request_id=f"r{next(numbers)}")
+                    response = await connection.request(request)
+                    self.assertEqual(response.status, 200)
+                    self.assertEqual(response.close, sent_in_stop or response.close)
+                    if response.close:
+                        return
+
+        async with TaskGroup() as group:
+            for _ in range(BUSY_CONNECTIONS):
+                await group.spawn(keep_asking)
+            await sleep(0.1)
+            await stopping.set()
+            await env.gateway.stop()
+        self.assertEqual(group.exceptions, [None] * BUSY_CONNECTIONS)
+
 
 class PublishedTests(TestCase):
     @with_gateway(READ, servers=replicas("good", "good"))
