Bound the search for a reader at the first start

Cause, found on reading: an instance that starts for the first time asked one reader after the other until one answered. Where all are listed but silent, readers that were passed over are asked again after 5 s, so that the search does not end. Change: one reader is asked, and after a failure the usual reading follows 0.7 s later: at most three more, then the store. Test: test_gateway_published_feed (no reader ever answers); it does not end on the code before.

--- a/src/savorypond/gateway/published_feed.py
+++ b/src/savorypond/gateway/published_feed.py
@@ -138,15 +138,14 @@
             return
         settle_time, self._settle_time = self._settle_time, 0.0
         await sleep(settle_time)
-        while True:
-            try:
-                relayed = await self._peers.read_changes(after=None)
-            except PublishedStateError as error:
-                log_event("reader-failed", why=str(error))
-                continue
-            if relayed is not None:
-                self._apply_relayed(relayed)
+        try:
+            relayed = await self._peers.read_changes(after=None)
+        except PublishedStateError as error:
+            log_event("reader-failed", why=str(error))
+            await sleep(PEER_INTERVAL)  # it may have started a little later
             return
+        if relayed is not None:
+            self._apply_relayed(relayed)
 
     async def _poll(self) -> None:
         await self._settle()
--- a/tests/test_gateway_published_feed.py
+++ b/tests/test_gateway_published_feed.py
@@ -103,5 +103,8 @@
         self.assertEqual(start(peers, settle_time=0.01), 0)
 
     def test_without_any_reader_the_store_is_read(self):
-        peers = FakePeers(failures=MAX_READERS_ASKED)
-        self.assertEqual(start(peers), 1)
+        for settle_time in (0.0, 0.01):
+            with self.subTest(settle_time):
+                peers = FakePeers(failures=1_000_000)
+                self.assertEqual(start(peers, settle_time=settle_time), 1)
+                self.assertLessEqual(peers.reads, MAX_READERS_ASKED + 1)
