Number delegated groups uniquely, and read delegations of earlier versions

Causes, found on reading: (1) a delegation without a group's number, as an instance of the version before sends it, was refused, so that delegations failed while instances of two versions serve together. (2) Groups were numbered within a request, so that two requests with one id, or two groups of an earlier version, shared a key: the first one's attempts and memory were not released, and its rest could come from the other request. Change: the number is optional and, where sent, unique at the sender; a group whose key is taken is abandoned. Tests: test_gateway_robustness and test_gateway_unfinished_groups fail on the code before (refused; not abandoned).

--- a/src/savorypond/gateway/delegation_client.py
+++ b/src/savorypond/gateway/delegation_client.py
@@ -40,12 +40,14 @@
     """The result of a delegated group of shards.
 
     :param part: the merged answer, or None if the peer failed.
+    :param number: number of the group, by which the peer is asked for the rest.
     :param answered: indexes of the shards that the answer covers.
     :param pending: indexes of the shards that the peer is still waiting for.
     :param may_have_run: whether backend servers may have received the request.
     """
 
     peer: str
+    number: int
     part: PartialAnswer | None
     answered: tuple[int, ...] = ()
     pending: tuple[int, ...] = ()
@@ -61,7 +63,8 @@
 
     :param route: the caller's route, reduced to the delegated shards.
     :param version: version of the configuration that contains the route.
-    :param number: number of the group within the request.
+    :param number: number of the group, unique at the instance that sends it; 0 from one
+        of an earlier version, which asks for no rest.
     :param left: seconds until the request must have its final answer.
     :param within: seconds until the answer may be partial.
     """
@@ -73,7 +76,7 @@
     request_id: str
     route: Route
     version: int
-    number: int
+    number: int = 0
     left: float
     within: float
 
@@ -127,36 +130,34 @@
         route: Route,
         version: int,
         partial_after: float,
-        number: int,
     ) -> GroupResult:
         """Let the peer of ``group`` gather its shards; return the result.
 
         :param route: the caller's route in the configuration ``version``.
         :param partial_after: monotonic seconds from which the caller's answer may be
             partial.
-        :param number: number of the group within the request.
         """
         peer = group.peer
         now = self._clock.now()
         due = max(now, partial_after) + OVERDUE_MARGIN
         return_by = max(now, partial_after - self._timing.return_delay(peer))
+        number = self._policy.group_started(peer, due=due)
         message = self._encode(group, request, route, version, return_by, number)
-        policy_number = self._policy.group_started(peer, due=due)
         answered = False
         try:
             async with timeout_after(max(due, request.caller_deadline) - now):
                 response = await self._client.send(peer, message)
             answered = True
         except TaskTimeout:
-            return self._failure(peer, "no answer in time", sent=True)
+            return self._failure(peer, number, "no answer in time", sent=True)
         except BackendServerError as error:
-            return self._failure(peer, error.problem, sent=error.sent)
+            return self._failure(peer, number, error.problem, sent=error.sent)
         except PoolExhausted as error:
-            return self._failure(peer, str(error), sent=False)
+            return self._failure(peer, number, str(error), sent=False)
         finally:
             now = self._clock.now()
-            self._policy.group_finished(peer, policy_number, answered=answered, now=now)
-        result = self._decode(group, response)
+            self._policy.group_finished(peer, number, answered=answered, now=now)
+        result = self._decode(group, number, response)
         if result.part is not None and len(result.answered) < len(group.shards):
             self._timing.record_return(peer, due=return_by, now=now)
         return result
@@ -166,7 +167,7 @@
     ) -> GroupResult:
         """Let the peer of ``group`` wait for further shards; return the next ones.
 
-        :param number: number of the group within the request.
+        :param number: number of the group in its first result.
         """
         peer = group.peer
         follow_up = GroupFollowUp(request_id=request.request_id, number=number)
@@ -179,12 +180,12 @@
             ):
                 response = await self._client.send(peer, message)
         except TaskTimeout:
-            return self._failure(peer, "no further answer in time", sent=True)
+            return self._failure(peer, number, "no further answer in time", sent=True)
         except BackendServerError as error:
-            return self._failure(peer, error.problem, sent=True)
+            return self._failure(peer, number, error.problem, sent=True)
         except PoolExhausted as error:
-            return self._failure(peer, str(error), sent=True)
-        return self._decode(group, response)
+            return self._failure(peer, number, str(error), sent=True)
+        return self._decode(group, number, response)
 
     def _encode(
         self,
@@ -211,29 +212,45 @@
         )
         return HttpRequest(method="POST", path=DELEGATED_PATH, body=encode(message))
 
-    def _decode(self, group: ShardGroup, response: HttpResponse) -> GroupResult:
+    def _decode(
+        self, group: ShardGroup, number: int, response: HttpResponse
+    ) -> GroupResult:
         peer = group.peer
         if response.status != 200:
             sent = response.status != 503
-            return self._failure(peer, f"status {response.status}", sent=sent)
+            return self._failure(peer, number, f"status {response.status}", sent=sent)
         signatures = response.header(self._names.part_signatures) or ""
         names = tuple(signatures.split(", ")) if signatures else ()
         try:
             shards = _decode_shards(group, response.header(_SHARDS_HEADER))
             pending = _decode_shards(group, response.header(_PENDING_HEADER))
         except (ValueError, IndexError) as error:
-            return self._failure(peer, f"invalid shard numbers: {error}", sent=True)
+            return self._failure(
+                peer, number, f"invalid shard numbers: {error}", sent=True
+            )
         if len(set(shards)) != len(names):
             problem = f"{len(names)} signatures for {len(shards)} shards"
-            return self._failure(peer, problem, sent=True)
+            return self._failure(peer, number, problem, sent=True)
         self._counters.add("gateway_handovers", "answered")
         part = PartialAnswer(signatures=names, body=response.body) if names else None
-        return GroupResult(peer=peer.name, part=part, answered=shards, pending=pending)
+        return GroupResult(
+            peer=peer.name,
+            number=number,
+            part=part,
+            answered=shards,
+            pending=pending,
+        )
 
-    def _failure(self, peer: Instance, problem: str, *, sent: bool) -> GroupResult:
+    def _failure(
+        self, peer: Instance, number: int, problem: str, *, sent: bool
+    ) -> GroupResult:
         self._counters.add("gateway_handovers", "may-have-run" if sent else "not-run")
         return GroupResult(
-            peer=peer.name, part=None, may_have_run=sent, problem=problem
+            peer=peer.name,
+            number=number,
+            part=None,
+            may_have_run=sent,
+            problem=problem,
         )
 
 
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -56,6 +56,7 @@
         self._reached = False
         self._delegated = 0
         self._groups: dict[int, ShardGroup] = {}
+        self._group_numbers: dict[int, int] = {}
         self._ended = False
         self._cut_off = False
         self._reservations: list[ResponseReservation] = []
@@ -222,6 +223,7 @@
 
     async def _record_group(self, attempt: GroupAttempt, result: GroupResult) -> None:
         if not result.problem:
+            self._group_numbers[attempt.number] = result.number
             is_used = self._plan.record_group_answer(
                 attempt, result.answered, pending=result.pending
             )
@@ -310,13 +312,14 @@
             route=self._spec.route,
             version=self._spec.version,
             partial_after=self._spec.partial_after,
-            number=attempt.number,
         )
         await self._results.put((attempt, result))
 
     async def _run_follow_up(self, attempt: GroupAttempt) -> None:
         result = await self._dependencies.delegation_client.gather_rest(
-            self._groups[attempt.number], self._spec.request, number=attempt.number
+            self._groups[attempt.number],
+            self._spec.request,
+            number=self._group_numbers[attempt.number],
         )
         await self._results.put((attempt, result))
 
--- a/src/savorypond/gateway/unfinished_groups.py
+++ b/src/savorypond/gateway/unfinished_groups.py
@@ -19,7 +19,7 @@
     """Identifies a delegated group.
 
     :param peer: IP address of the instance that delegated it.
-    :param number: number of the group within the request.
+    :param number: number of the group at that instance.
     """
 
     peer: str
@@ -44,6 +44,9 @@
 
     async def keep(self, key: GroupKey, group: UnfinishedGroup) -> None:
         """Keep ``group`` until it is taken, for a moment only."""
+        replaced = self._groups.get(key)
+        if replaced is not None:
+            await replaced.run.abandon(wait=0.0)
         self._groups[key] = group
         await spawn(self._expire, key, group, daemon=True)
 
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -503,7 +503,6 @@
                 route=newer_route,
                 version=99,
                 partial_after=request.caller_deadline,
-                number=1,
             )
             self.assertEqual(result.answered, (0, 1))
             self.assertEqual(set(result.part.signatures), {"i0.r9", "i1.r9"})
--- a/tests/test_gateway_robustness.py
+++ b/tests/test_gateway_robustness.py
@@ -5,8 +5,11 @@
 from unittest import TestCase
 
 from curio.socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
+from msgspec.msgpack import encode
 
+from savorypond.gateway.delegation_client import decode_group_request
 from savorypond.http.listener import Listener
+from savorypond.http.messages import HttpRequest
 from savorypond.platform.names import HEADERS
 from tests.gateway_loopback import (
     LOOPBACK,
@@ -121,6 +124,34 @@
         self.assertEqual((await env.ask("/l/")).status, 200)
 
 
+class EarlierVersionTests(TestCase):
+    def test_a_delegation_of_an_instance_before_follow_ups_is_read(self):
+        """Instances of two versions serve together while they are replaced."""
+        message = {
+            "method": "GET",
+            "path": "/q/1",
+            "headers": [],
+            "body": b"",
+            "request_id": "r1",
+            "route": {
+                "name": "q",
+                "host": "shop.example",
+                "prefix": "/q/",
+                "idempotent": True,
+                "time_limit": 1.0,
+                "goal": 0.1,
+                "shards": ["s1"],
+            },
+            "version": 1,
+            "left": 1.0,
+            "within": 0.1,
+        }
+        request = HttpRequest(
+            method="POST", path="/peer/delegated", body=encode(message)
+        )
+        self.assertEqual(decode_group_request(request).number, 0)
+
+
 class UnexpectedErrorTests(TestCase):
     @with_gateway(READ, servers=lambda: (FakeServer("i1", service="s1"),))
     async def test_reading_goes_on_after_an_unexpected_error(self, env):
