Play slow shards of delegated queries on the virtual clock

Cause: follow-ups were tested at two real gateways, not under a load. The simulation gains delegates, each with its own view of the servers, and callers that repeat a failed query once. Conclusion: follow-ups stay.

--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -164,15 +164,17 @@
         self._events = []
         self._sequence = count()
         self._registry = ServerRegistry()
-        self._loads = ServerLoadTracker(data_centre="a", random=Random(scenario.seed))
+        self._loads = self.make_loads()
         self._latencies = RouteLatencies()
-        self._budget = ServiceRetryBudget(
-            config=ServiceRetryBudgetConfig(ratio=0.2, slack=9.0, window=10.0)
-        )
+        self._budget = make_budget()
         self._servers = {}
         self._services = tuple(f"s{n}" for n in range(scenario.shards))
         self._place()
 
+    def make_loads(self):
+        """Return what an instance of data centre a knows of the servers' load."""
+        return ServerLoadTracker(data_centre="a", random=Random(self.scenario.seed))
+
     def _place(self):
         scenario = self.scenario
         unreachable = set(
@@ -211,13 +213,17 @@
         now = 0.0
         while now < self.scenario.duration:
             now += self._random.expovariate(self.scenario.arrival_rate)
-            self.schedule(now, lambda now=now: _Request(self, now).begin())
+            self.schedule(now, lambda now=now: self.make_request(now).begin())
         while self._events:
             _, _, action = heappop(self._events)
             action()
         self.outcome.mean_value /= self.outcome.requests
         return self.outcome
 
+    def make_request(self, now):
+        """Return a request that arrives at ``now``."""
+        return SimulatedRequest(self, now, self._loads)
+
     def plan(self, now):
         """Return the plan of a request and the mean latency of its route."""
         scenario = self.scenario
@@ -258,11 +264,11 @@
     def send(self, request, attempt, now):
         """Send one attempt to its simulated server."""
         simulated = self._servers[attempt.server.name]
-        is_remote = self._loads.is_remote(attempt.server)
+        is_remote = request.loads.is_remote(attempt.server)
         link_delay = REMOTE_DELAY if is_remote else LOCAL_DELAY
         self.outcome.attempts += 1
         self.outcome.remote_attempts += is_remote
-        number = self._loads.begin(attempt.server, now)
+        number = request.loads.begin(attempt.server, now)
         work_factor = self._random.lognormvariate(-0.06, 0.35)
         job = _Job(work=self.scenario.work * work_factor, done=None)
 
@@ -287,26 +293,40 @@
             return
         del request.running[attempt.number]
         if good:
-            self._loads.record_answer(
+            request.loads.record_answer(
                 attempt.server, number, mean_latency=request.mean_latency, now=now
             )
             self._latencies.record(route="r", seconds=now - started_at, now=now)
             request.plan.record_answer(attempt.number)
         else:
-            self._loads.record_failure(
+            request.loads.record_failure(
                 attempt.server, number, unreachable=True, now=now
             )
             replacements = request.plan.record_unsent(attempt.number, now)
             request.send(replacements, now)
         request.step(now)
 
-    def abandon(self, attempt, number, job, mean_latency, now):
+    def abandon(self, request, attempt, number, job, now):
         """Cancel an attempt whose request has ended."""
         job.cancelled = True
-        self._loads.record_abandoned(
-            attempt.server, number, mean_latency=mean_latency, now=now
+        request.loads.record_abandoned(
+            attempt.server, number, mean_latency=request.mean_latency, now=now
         )
 
+    def record_end(self, plan, verdict, *, started_at, now):
+        """Count how a request ended for its caller."""
+        outcome = self.outcome
+        waited = now - started_at
+        if verdict is Verdict.ANSWER:
+            share = plan.answered / self.scenario.shards
+            in_time = waited <= self.scenario.goal + 1e-6
+            outcome.in_time += in_time
+            outcome.late += not in_time
+            outcome.mean_value += share * share * (1.0 if in_time else 0.1)
+        else:
+            outcome.failed += 1
+            outcome.failed_times.append(waited)
+
 
 class _RandomChooser:
     def __init__(self, random):
@@ -322,9 +342,19 @@
         return True
 
 
-class _Request:
-    def __init__(self, simulation, now):
+def make_budget():
+    """Return the retry budget of one instance."""
+    return ServiceRetryBudget(
+        config=ServiceRetryBudgetConfig(ratio=0.2, slack=9.0, window=10.0)
+    )
+
+
+class SimulatedRequest:
+    """A request whose shards one instance asks itself."""
+
+    def __init__(self, simulation, now, loads):
         self.running = {}
+        self.loads = loads
         self._simulation = simulation
         self._started_at = now
         self.plan, self.mean_latency = simulation.plan(now)
@@ -356,24 +386,16 @@
 
     def _end(self, verdict, now):
         self._ended = True
-        outcome = self._simulation.outcome
-        outcome.extra_attempts += self.plan.hedges + self.plan.retries
-        waited = now - self._started_at
-        if verdict is Verdict.ANSWER:
-            share = self.plan.answered / self._simulation.scenario.shards
-            in_time = waited <= self._simulation.scenario.goal + 1e-6
-            outcome.in_time += in_time
-            outcome.late += not in_time
-            outcome.mean_value += share * share * (1.0 if in_time else 0.1)
-        else:
-            outcome.failed += 1
-            outcome.failed_times.append(waited)
+        self._simulation.outcome.extra_attempts += self.plan.hedges + self.plan.retries
+        self._simulation.record_end(
+            self.plan, verdict, started_at=self._started_at, now=now
+        )
         cancel_at = now + LINGER_TIME
         self._simulation.schedule(cancel_at, lambda: self._abandon_running(cancel_at))
 
     def _abandon_running(self, now):
         for attempt, number, job in self.running.values():
-            self._simulation.abandon(attempt, number, job, self.mean_latency, now)
+            self._simulation.abandon(self, attempt, number, job, now)
         self.running.clear()
 
 
--- a/tests/test_gateway_simulation.py
+++ b/tests/test_gateway_simulation.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from unittest import TestCase
 
+from tests.gateway_delegation_simulation import DelegationSimulation
 from tests.gateway_simulation import Scenario, run_scenario
 
 NORMAL = Scenario()
@@ -74,3 +75,32 @@
                     outcome.extra_attempts,
                     0.2 * first_attempts + 9.0 * scenario.shards * 3,
                 )
+
+
+class DelegatedQueryTests(TestCase):
+    """87 shards of two servers gathered by delegates; 4 of them may be missing."""
+
+    NORMAL = Scenario(shards=87, least_share=0.95, duration=20.0)
+    SLOW = replace(NORMAL, slow=0.28, slow_factor=10.0, fault_period=(6.0, 12.0))
+
+    def run_scenario(self, scenario, **options):
+        return DelegationSimulation(scenario, **options).run()
+
+    def test_without_faults_follow_ups_change_nothing_for_callers(self):
+        before = self.run_scenario(self.NORMAL, follow_ups=False)
+        after = self.run_scenario(self.NORMAL)
+        self.assertEqual((after.failed, before.failed), (0, 0))
+        self.assertGreaterEqual(after.mean_value, before.mean_value - 0.01)
+
+    def test_slow_shards_give_late_answers_and_no_failures(self):
+        """Where both servers of more shards are slow than may be missing.
+
+        A caller repeats a failed query once, which adds to the load of the servers.
+        """
+        before = self.run_scenario(self.SLOW, follow_ups=False)
+        after = self.run_scenario(self.SLOW)
+        self.assertGreater(before.failed, 0.1 * before.requests)
+        self.assertLess(after.failed, 0.1 * before.failed)
+        self.assertGreaterEqual(after.in_time, 0.95 * before.in_time)
+        self.assertGreater(after.mean_value, before.mean_value)
+        self.assertLess(after.attempts, before.attempts)
