Measure the processor time of a gathered query

Cause: nothing said what a query to 100 parts costs at the entry, at a delegate and for each part. bench_gather times runs in a thread of their own, against servers and delegates in another.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-BENCHES := calls choice config links members overload path sheds slopes tail
+BENCHES := calls choice config gather links members overload path sheds slopes tail
 
 SEEDS ?= 1-5
 
