Log and count the rate limits that backend servers announce

Neither logs nor metrics could tell whether instances ignore an announced limit, exceed it by hedges and retries, or learn of it late. Now: rate-limit when a limit is announced, changes or ends, rate-limit-usage with the first and extra attempts since, and counters of both. Nothing decides by them yet.

Tests: test_gateway_server_rate_limits.

--- a/benchmarks/bench_gather.py
+++ b/benchmarks/bench_gather.py
@@ -32,6 +32,7 @@
 from savorypond.gateway.routes import Route
 from savorypond.gateway.run_types import RunDependencies, RunSpec
 from savorypond.gateway.server_load import ServerLoadTracker
+from savorypond.gateway.server_rate_limits import ServerRateLimits
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.http.messages import Header, HttpResponse
 from savorypond.http.server import HttpLimits, HttpServer
@@ -49,6 +50,7 @@
     not_run="x-not-run",
     part_signatures="x-part-signatures",
     missing_parts="x-missing-parts",
+    rate_limit="x-rate-limit",
 )
 RECORDS = bytes(range(RECORD_BYTES)) * TOP
 
@@ -136,6 +138,7 @@
             names=NAMES,
             pools=pools,
             loads=loads,
+            rate_limits=ServerRateLimits(counters=counters),
             memory=ResponseMemory(limit=100_000_000, counters=counters),
             clock=clock,
             counters=counters,
--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from math import isfinite
 
 from curio import CancelledError, TaskTimeout
 
@@ -11,9 +12,11 @@
 from savorypond.gateway.headers import CONNECTION_HEADERS, HeaderNames
 from savorypond.gateway.response_memory import ResponseMemory, ResponseReservation
 from savorypond.gateway.server_load import ServerLoadTracker
+from savorypond.gateway.server_rate_limits import ServerRateLimits
 from savorypond.gateway.servers import RegisteredServer
 from savorypond.http.messages import Header, HttpRequest, HttpResponse
 from savorypond.http.response_parser import MAX_BODY_BYTES
+from savorypond.logs import log_event
 from savorypond.model import Counters
 from savorypond.timeouts import timeout_after
 
@@ -107,6 +110,7 @@
         names: HeaderNames,
         pools: ConnectionPools,
         loads: ServerLoadTracker,
+        rate_limits: ServerRateLimits,
         memory: ResponseMemory,
         clock: Clock,
         counters: Counters,
@@ -115,6 +119,7 @@
         self._memory = memory
         self._pools = pools
         self._loads = loads
+        self._rate_limits = rate_limits
         self._clock = clock
         self._counters = counters
 
@@ -124,12 +129,16 @@
         server: RegisteredServer,
         *,
         mean_latency: float,
+        extra: bool = False,
     ) -> AttemptResult:
         """Send ``request`` to ``server`` and return the result.
 
         :param mean_latency: mean latency of the route in seconds.
+        :param extra: whether it is a hedge or a retry.
         """
-        number = self._loads.begin(server, self._clock.now())
+        sent_at = self._clock.now()
+        number = self._loads.begin(server, sent_at)
+        self._rate_limits.record_sent(server, extra=extra, now=sent_at)
         try:
             async with timeout_after(
                 max(0.0, request.caller_deadline - self._clock.now())
@@ -148,6 +157,7 @@
             )
             raise
         self._record(result, number, mean_latency)
+        self._observe_rate_limit(result, sent_at)
         if result.outcome is AttemptOutcome.MISDIRECTED:
             await self._pools.close_idle_to(server)
         return result
@@ -244,6 +254,20 @@
             outcome=outcome, server=server, problem=problem, response=response
         )
 
+    def _observe_rate_limit(self, result: AttemptResult, sent_at: float) -> None:
+        response, server = result.response, result.server
+        if response is None or result.outcome is AttemptOutcome.MISDIRECTED:
+            return
+        text = response.header(self._names.rate_limit)
+        rate = _parse_rate(text) if text is not None else None
+        if text is not None and rate is None:
+            self._counters.add("gateway_rate_limits", "unreadable")
+            log_event("rate-limit-unreadable", server=server.name, value=text[:40])
+            return
+        if rate is None and response.header(self._names.signature) is None:
+            return  # only signed answers are known to be complete
+        self._rate_limits.observe(server, rate, sent_at=sent_at, now=self._clock.now())
+
     def _record(self, result: AttemptResult, number: int, mean_latency: float) -> None:
         self._counters.add("gateway_attempts", result.outcome)
         now = self._clock.now()
@@ -263,3 +287,12 @@
                 AttemptOutcome.MISDIRECTED,
             )
             self._loads.record_failure(server, number, unreachable=unreachable, now=now)
+
+
+def _parse_rate(text: str) -> float | None:
+    """Return the requests a second in ``text``, or None if it is not a valid rate."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if isfinite(rate) and rate >= 0.0 else None
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -31,6 +31,7 @@
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.run_types import RunDependencies
 from savorypond.gateway.server_load import ServerLoadTracker
+from savorypond.gateway.server_rate_limits import ServerRateLimits
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.gateway.settings import GatewaySettings
 from savorypond.gateway.shutdown import ShutdownPlan
@@ -145,6 +146,7 @@
             settle_time=FIRST_START_SETTLE_TIME if settings.first_start else 0.0,
         )
         self._loads = ServerLoadTracker(data_centre=settings.data_centre, random=random)
+        self._rate_limits = ServerRateLimits(counters=counters)
         self._budget = ServiceRetryBudget(
             config=_budget_config(settings, ASSUMED_INSTANCES)
         )
@@ -177,6 +179,7 @@
                 names=names,
                 pools=self._pools,
                 loads=self._loads,
+                rate_limits=self._rate_limits,
                 memory=self._response_memory,
                 clock=self._clock,
                 counters=counters,
--- a/src/savorypond/gateway/gather_plan.py
+++ b/src/savorypond/gateway/gather_plan.py
@@ -393,7 +393,12 @@
         shard.sent += 1
         shard.sent_at = now
         shard.hedge_at = now + self._hedge_delays.local
-        return Attempt(number=self._last_number, shard=index, server=server)
+        return Attempt(
+            number=self._last_number,
+            shard=index,
+            server=server,
+            extra=shard.sent > 1,
+        )
 
     def _withdraw_attempts(self, attempts: list[Attempt]) -> None:
         for attempt in attempts:
--- a/src/savorypond/gateway/headers.py
+++ b/src/savorypond/gateway/headers.py
@@ -13,6 +13,8 @@
     :param expected_server: name of the only server that may run the request.
     :param not_run: present if a server did not run the request.
     :param part_signatures: signatures of the partial answers in a merged answer.
+    :param rate_limit: requests a second that a backend server accepts from all
+        instances together, while it is in trouble.
     :param missing_parts: number of shards that a merged answer lacks.
     """
 
@@ -23,6 +25,7 @@
     not_run: str
     part_signatures: str
     missing_parts: str
+    rate_limit: str
 
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1).
--- a/src/savorypond/gateway/plan_types.py
+++ b/src/savorypond/gateway/plan_types.py
@@ -46,11 +46,13 @@
     """One attempt to send to a backend server.
 
     :param number: number of the attempt, unique within the request.
+    :param extra: whether an earlier attempt at the shard was sent.
     """
 
     number: int
     shard: int
     server: RegisteredServer
+    extra: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -285,7 +285,10 @@
         dependencies = self._dependencies
         started_at = dependencies.clock.now()
         result = await dependencies.runner.run(
-            self._spec.request, attempt.server, mean_latency=self._mean_latency
+            self._spec.request,
+            attempt.server,
+            mean_latency=self._mean_latency,
+            extra=attempt.extra,
         )
         self._keep(result.reservation)
         if result.outcome is AttemptOutcome.USABLE:
--- a/src/savorypond/platform/names.py
+++ b/src/savorypond/platform/names.py
@@ -13,4 +13,5 @@
     not_run="savorypond-not-executed",
     part_signatures="savorypond-part-stamps",
     missing_parts="savorypond-missing-parts",
+    rate_limit="server-limit",
 )
