--- a/tests/gateway_loopback.py
+++ b/tests/gateway_loopback.py
@@ -125,9 +125,11 @@
     :param behaviour: ``good``, ``failing`` (500), ``full`` (refuses to run requests),
         ``silent``, ``slow`` (after SLOW_TIME), ``other`` (another server has the
         address) or ``crossed`` (answers another request).
+    :param rate_limit: requests a second that it announces, or None.
     """
 
-    def __init__(self, name, *, service, body=b"", behaviour="good"):
+    def __init__(self, name, *, service, body=b"", behaviour="good", rate_limit=None):
+        self.rate_limit = rate_limit
         self.name = name
         self.service = service
         self.body = body
@@ -187,6 +189,8 @@
             headers = {}
         elif self.behaviour == "crossed":
             headers[HEADERS.request_id] = "another"
+        if self.rate_limit is not None:
+            headers[HEADERS.rate_limit] = str(self.rate_limit)
         return HttpResponse(
             status=status,
             headers=tuple(Header(name=n, value=v) for n, v in headers.items()),
