--- a/benchmarks/bench_gather.py
+++ b/benchmarks/bench_gather.py
@@ -23,6 +23,7 @@
 from savorypond.gateway.headers import HeaderNames
 from savorypond.gateway.peers import PeerClient
 from savorypond.gateway.ranked_merge import RECORD_BYTES, PartialAnswer
+from savorypond.gateway.rate_control import RateControl
 from savorypond.gateway.reader_selection import ReaderSelection
 from savorypond.gateway.request_run import RequestRun
 from savorypond.gateway.response_memory import ResponseMemory
@@ -32,7 +33,6 @@
 from savorypond.gateway.routes import Route
 from savorypond.gateway.run_types import RunDependencies, RunSpec
 from savorypond.gateway.server_load import ServerLoadTracker
-from savorypond.gateway.server_rate_limits import ServerRateLimits
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.http.messages import Header, HttpResponse
 from savorypond.http.server import HttpLimits, HttpServer
@@ -130,6 +130,7 @@
         random=Random(1),
     )
     loads = ServerLoadTracker(data_centre="a", random=Random(1))
+    rates = RateControl(counters=counters)
     return RunDependencies(
         names=NAMES,
         registry=registry,
@@ -138,7 +139,7 @@
             names=NAMES,
             pools=pools,
             loads=loads,
-            rate_limits=ServerRateLimits(counters=counters),
+            rate_limits=rates.limits,
             memory=ResponseMemory(limit=100_000_000, counters=counters),
             clock=clock,
             counters=counters,
@@ -156,6 +157,7 @@
             config=ServiceRetryBudgetConfig(ratio=0.0, slack=0.0, window=10.0)
         ),
         latencies=RouteLatencies(),
+        rates=rates,
         clock=clock,
         counters=counters,
     )
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -1,7 +1,6 @@
 """A gateway instance and the wiring of its components."""
 
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 from random import SystemRandom
 from time import time_ns
 from typing import Any, Self
@@ -25,16 +24,18 @@
 )
 from savorypond.gateway.published_feed import PublishedFeed
 from savorypond.gateway.published_state import PublishedSource
+from savorypond.gateway.rate_control import RateControl
+from savorypond.gateway.rate_share_sync import RateShareSync
 from savorypond.gateway.reader_selection import ReaderSelection
 from savorypond.gateway.response_memory import ResponseMemory
 from savorypond.gateway.retry_budget import ServiceRetryBudget, ServiceRetryBudgetConfig
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.run_types import RunDependencies
 from savorypond.gateway.server_load import ServerLoadTracker
-from savorypond.gateway.server_rate_limits import ServerRateLimits
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.gateway.settings import GatewaySettings
 from savorypond.gateway.shutdown import ShutdownPlan
+from savorypond.gateway.status import GatewayStatus
 from savorypond.http.channel import HttpLimits
 from savorypond.http.messages import HttpRequest, HttpResponse, text_response
 from savorypond.http.server import HttpServer, PerPeerLimiter
@@ -61,25 +62,6 @@
 SHUTDOWN_POLL_INTERVAL = 0.02  # seconds between checks whether a shutdown may proceed
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GatewayStatus:
-    """The status of a gateway instance.
-
-    :param version: version of the configuration, or None before the first.
-    :param read_age: seconds since the published state was last read.
-    :param servers: number of registered backend servers.
-    :param in_flight: number of unanswered requests.
-    """
-
-    name: str
-    data_centre: str
-    ready: bool
-    version: int | None
-    read_age: float
-    servers: int
-    in_flight: int
-
-
 class Gateway:
     """One gateway instance.
 
@@ -146,7 +128,19 @@
             settle_time=FIRST_START_SETTLE_TIME if settings.first_start else 0.0,
         )
         self._loads = ServerLoadTracker(data_centre=settings.data_centre, random=random)
-        self._rate_limits = ServerRateLimits(counters=counters)
+        self._rates = RateControl(counters=counters)
+        self._rate_sync = RateShareSync(
+            own_name=settings.host,
+            data_centre=settings.data_centre,
+            peers=self.peers,
+            rates=self._rates,
+            client=client,
+            registry=self._registry,
+            instance_count=self._instance_count,
+            clock=self._clock,
+            random=random,
+            counters=counters,
+        )
         self._budget = ServiceRetryBudget(
             config=_budget_config(settings, ASSUMED_INSTANCES)
         )
@@ -179,13 +173,14 @@
                 names=names,
                 pools=self._pools,
                 loads=self._loads,
-                rate_limits=self._rate_limits,
+                rate_limits=self._rates.limits,
                 memory=self._response_memory,
                 clock=self._clock,
                 counters=counters,
             ),
             budget=self._budget,
             latencies=RouteLatencies(),
+            rates=self._rates,
             clock=self._clock,
             counters=counters,
         )
@@ -205,6 +200,7 @@
                 changes_since=self._feed.changes_since,
                 handle_delegated=handler.handle_delegated,
                 handle_follow_up=handler.handle_follow_up,
+                handle_rate_claims=self._rate_sync.handle,
             ).handle,
             limits=HttpLimits(header_bytes=PEER_HEADER_BYTES),
             limiter=PerPeerLimiter(max_connections=settings.max_descriptors),
@@ -253,6 +249,11 @@
         """The version of the current configuration, or None before the first."""
         return self._feed.table.version if self._feed.table is not None else None
 
+    @property
+    def limited_servers(self) -> int:
+        """Number of backend servers that have announced a rate limit."""
+        return self._rates.limits.count
+
     def servers(self, service: str) -> tuple[RegisteredServer, ...]:
         """Return the backend servers of ``service`` that may get requests."""
         return self._registry.servers(service)
@@ -278,6 +279,7 @@
             self._membership,
             self._peer_server,
             self._feed,
+            self._rate_sync,
             self._caller_server,
             self._readiness_server,
             HttpServer(
@@ -375,6 +377,7 @@
             version=self.version,
             read_age=round(self._feed.age(self._clock.now()), 3),
             servers=self._registry.count,
+            limited_servers=self.limited_servers,
             in_flight=self._caller_server.in_flight,
         )
 
--- a/src/savorypond/gateway/delegation.py
+++ b/src/savorypond/gateway/delegation.py
@@ -14,8 +14,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from xxhash import xxh64_intdigest
-
+from savorypond.gateway.rendezvous import rendezvous_score
 from savorypond.gateway.servers import ServerRegistry
 from savorypond.model import Instance
 
@@ -168,7 +167,7 @@
             }
             if data_centre == self._data_centre:
                 candidates[self._own_name] = None
-            ranked = sorted(candidates, key=lambda name: _score(key, name))
+            ranked = sorted(candidates, key=lambda name: rendezvous_score(key, name))
             found = tuple(candidates[name] for name in ranked[:DELEGATES_PER_CHUNK])
             self._delegates[(key, data_centre)] = found
         return found
@@ -231,8 +230,3 @@
 
 def _count_in(shards: dict[int, frozenset[str]], data_centre: str) -> int:
     return sum(data_centre in data_centres for data_centres in shards.values())
-
-
-def _score(key: str, name: str) -> int:
-    """Return the rendezvous score of an instance for a chunk."""
-    return xxh64_intdigest(f"{key} {name}".encode())
--- a/src/savorypond/gateway/delegation_client.py
+++ b/src/savorypond/gateway/delegation_client.py
@@ -1,6 +1,6 @@
 """Delegates shards to other instances and decodes their merged answers."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import TypeVar
 
@@ -33,6 +33,10 @@
 _SHARDS_HEADER = "peer-shards"
 # Response header with the indexes of those that the peer is still waiting for.
 _PENDING_HEADER = "peer-pending-shards"
+# Response header with the shares of requests that shards have room for, by index.
+_ROOM_HEADER = "peer-room"
+# Response header that is present if rate limits kept shards from being sent.
+_RATE_LIMITED_HEADER = "peer-rate-limited"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,6 +47,9 @@
     :param number: number of the group, by which the peer is asked for the rest.
     :param answered: indexes of the shards that the answer covers.
     :param pending: indexes of the shards that the peer is still waiting for.
+    :param shares: shards without room for all requests, with the share of them that
+        they have room for.
+    :param rate_limited: whether rate limits kept shards from being sent.
     :param may_have_run: whether backend servers may have received the request.
     """
 
@@ -51,6 +58,8 @@
     part: PartialAnswer | None
     answered: tuple[int, ...] = ()
     pending: tuple[int, ...] = ()
+    shares: tuple[tuple[int, float], ...] = ()
+    rate_limited: bool = False
     may_have_run: bool = True
     problem: str = ""
 
@@ -67,6 +76,7 @@
         of an earlier version, which asks for no rest.
     :param left: seconds until the request must have its final answer.
     :param within: seconds until the answer may be partial.
+    :param admitted: share of the requests like this one that were not refused before.
     """
 
     method: str
@@ -79,6 +89,7 @@
     number: int = 0
     left: float
     within: float
+    admitted: float = 1.0
 
 
 class GroupFollowUp(Struct, frozen=True, kw_only=True):
@@ -130,19 +141,23 @@
         route: Route,
         version: int,
         partial_after: float,
+        admitted: float = 1.0,
     ) -> GroupResult:
         """Let the peer of ``group`` gather its shards; return the result.
 
         :param route: the caller's route in the configuration ``version``.
         :param partial_after: monotonic seconds from which the caller's answer may be
             partial.
+        :param admitted: share of the requests like this one that are not refused here.
         """
         peer = group.peer
         now = self._clock.now()
         due = max(now, partial_after) + OVERDUE_MARGIN
         return_by = max(now, partial_after - self._timing.return_delay(peer))
         number = self._policy.group_started(peer, due=due)
-        message = self._encode(group, request, route, version, return_by, number)
+        message = self._encode(
+            group, request, route, version, return_by, number, admitted
+        )
         answered = False
         try:
             async with timeout_after(max(due, request.caller_deadline) - now):
@@ -195,6 +210,7 @@
         version: int,
         return_by: float,
         number: int,
+        admitted: float,
     ) -> HttpRequest:
         now = self._clock.now()
         shards = tuple(route.shards[shard] for shard in group.shards)
@@ -209,6 +225,7 @@
             number=number,
             left=max(0.0, request.caller_deadline - now),
             within=max(0.0, return_by - now),
+            admitted=admitted,
         )
         return HttpRequest(method="POST", path=DELEGATED_PATH, body=encode(message))
 
@@ -224,6 +241,7 @@
         try:
             shards = _decode_shards(group, response.header(_SHARDS_HEADER))
             pending = _decode_shards(group, response.header(_PENDING_HEADER))
+            shares = _decode_room(group, response.header(_ROOM_HEADER))
         except (ValueError, IndexError) as error:
             return self._failure(
                 peer, number, f"invalid shard numbers: {error}", sent=True
@@ -239,6 +257,8 @@
             part=part,
             answered=shards,
             pending=pending,
+            shares=shares,
+            rate_limited=response.header(_RATE_LIMITED_HEADER) is not None,
         )
 
     def _failure(
@@ -275,16 +295,28 @@
 
 
 def group_response(
-    response: HttpResponse, *, answered: Sequence[int], pending: Sequence[int]
+    response: HttpResponse,
+    *,
+    answered: Sequence[int],
+    pending: Sequence[int],
+    shares: Mapping[int, float],
+    rate_limited: bool,
 ) -> HttpResponse:
     """Return ``response`` with the indexes of the shards that it covers.
 
     :param pending: indexes of the shards that this instance is still waiting for.
+    :param shares: share of the requests that shards have room for, by index.
+    :param rate_limited: whether rate limits kept shards from being sent.
     """
-    headers = (
+    headers = [
         Header(name=_SHARDS_HEADER, value=_encode_shards(answered)),
         Header(name=_PENDING_HEADER, value=_encode_shards(pending)),
-    )
+    ]
+    if shares:
+        room = ",".join(f"{shard}={share:.3f}" for shard, share in shares.items())
+        headers.append(Header(name=_ROOM_HEADER, value=room))
+    if rate_limited:
+        headers.append(Header(name=_RATE_LIMITED_HEADER, value="1"))
     return HttpResponse(
         status=response.status,
         headers=(*response.headers, *headers),
@@ -302,3 +334,14 @@
     :raises ValueError, IndexError: ``text`` does not list indexes in the group.
     """
     return tuple(group.shards[int(n)] for n in text.split(",")) if text else ()
+
+
+def _decode_room(group: ShardGroup, text: str | None) -> tuple[tuple[int, float], ...]:
+    """Return shards of ``group`` with the share of requests that they have room for.
+
+    :raises ValueError, IndexError: ``text`` does not list indexes with shares.
+    """
+    if not text:
+        return ()
+    pairs = (pair.split("=") for pair in text.split(","))
+    return tuple((group.shards[int(index)], float(share)) for index, share in pairs)
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -36,6 +36,7 @@
 
 _MILLISECONDS = 1000.0  # per second
 _GONE = 410
+_FULL_RETRY_AFTER = 0.3  # seconds, while servers have no room
 # Time to read a request, merge its answer and send it, on one full processor.
 PROCESSING_TIME = 0.005  # seconds
 _MAX_PROCESSING_TIME = 0.02  # seconds
@@ -137,6 +138,7 @@
             + max(0.0, group_request.within - self._timing.merge_delay),
             least_share=0.0,
             may_delegate=False,
+            admitted=group_request.admitted,
         )
         run = RequestRun(dependencies=self._dependencies, spec=spec)
         result = await run.run(resumable=True)
@@ -168,12 +170,30 @@
         spec = group.spec
         if result.pending:
             await self._unfinished_groups.keep(key, group)
-        response = self._build_response(spec, result)
+        if result.verdict is Verdict.UNSERVABLE and result.rate_limited:
+            # The instance that delegated the group must not ask its shards instead.
+            response = self._merge(spec, result)
+        else:
+            response = self._build_response(spec, result)
         self._record_answer(spec, result, response, group.received)
         return group_response(
-            response, answered=result.answered, pending=result.pending
+            response,
+            answered=result.answered,
+            pending=result.pending,
+            shares=self._shares(spec),
+            rate_limited=result.rate_limited,
         )
 
+    def _shares(self, spec: RunSpec) -> dict[int, float]:
+        """Return the share of requests that shards have room for, where not all."""
+        now = self._clock.now()
+        admission = self._dependencies.rates.admission
+        shares = {
+            index: admission.share(service, priority=spec.route.priority, now=now)
+            for index, service in enumerate(spec.services)
+        }
+        return {index: share for index, share in shares.items() if share < 1.0}
+
     def _find_route(
         self, request: HttpRequest, request_id: str
     ) -> tuple[RouteTable, Route]:
@@ -267,12 +287,7 @@
     def _build_response(self, spec: RunSpec, result: RunResult) -> HttpResponse:
         if result.verdict is Verdict.ANSWER:
             if spec.route.shards:
-                return merged_response(
-                    result.parts,
-                    top=spec.route.top,
-                    shard_count=len(spec.services),
-                    names=self._names,
-                )
+                return self._merge(spec, result)
             assert result.response is not None
             return proxied_response(result.response)
         failure = result.last_failure
@@ -286,6 +301,14 @@
         log_event("given-up", **self._log_fields(spec, result), verdict=result.verdict)
         raise self._refusal(result, spec.services)
 
+    def _merge(self, spec: RunSpec, result: RunResult) -> HttpResponse:
+        return merged_response(
+            result.parts,
+            top=spec.route.top,
+            shard_count=len(spec.services),
+            names=self._names,
+        )
+
     def _is_signed(self, response: HttpResponse) -> bool:
         return response.header(self._names.signature) is not None
 
@@ -305,11 +328,17 @@
                 detail=detail,
                 execution=Execution.UNKNOWN,
             )
+        if result.rate_limited:
+            return RequestRefused(
+                reason=RefusalReason.RATE_LIMITED,
+                detail=f"rate limits of backend servers: {detail}",
+                retry_after=_FULL_RETRY_AFTER,
+            )
         shed = result.reached
         return RequestRefused(
             reason=RefusalReason.SHED if shed else RefusalReason.NO_BACKEND_SERVER,
             detail=detail,
-            retry_after=0.3 if shed else 1.0,
+            retry_after=_FULL_RETRY_AFTER if shed else 1.0,
         )
 
     def _record_refusal(
--- a/src/savorypond/gateway/peers.py
+++ b/src/savorypond/gateway/peers.py
@@ -32,6 +32,7 @@
 PUBLISHED_PATH = "/peer/published"
 DELEGATED_PATH = "/peer/delegated"
 FOLLOW_UP_PATH = "/peer/delegated/rest"
+RATES_PATH = "/peer/rates"
 PEER_SERVICE = ""  # service name of peers in the connection pools
 # Several round trips between data centres, after which a request can still be answered.
 CONNECT_TIMEOUT = 0.05  # seconds
@@ -250,6 +251,7 @@
         raises HistoryLost or PublishedStateError if they are not known.
     :param handle_delegated: handles requests for delegated shards.
     :param handle_follow_up: handles requests for shards that an answer left out.
+    :param handle_rate_claims: handles claims of shares of servers' rate limits.
     """
 
     def __init__(
@@ -258,10 +260,12 @@
         changes_since: Callable[[int | None], PublishedChanges],
         handle_delegated: Handler,
         handle_follow_up: Handler,
+        handle_rate_claims: Handler,
     ) -> None:
         self._changes_since = changes_since
         self._handle_delegated = handle_delegated
         self._handle_follow_up = handle_follow_up
+        self._handle_rate_claims = handle_rate_claims
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to ``request``."""
@@ -272,6 +276,8 @@
             return await self._handle_delegated(request)
         if path == FOLLOW_UP_PATH:
             return await self._handle_follow_up(request)
+        if path == RATES_PATH:
+            return await self._handle_rate_claims(request)
         raise RequestRefused(
             reason=RefusalReason.NOT_FOUND, detail=f"no resource at {request.path}"
         )
--- /dev/null
+++ b/src/savorypond/gateway/rate_messages.py
@@ -0,0 +1,71 @@
+"""Messages by which instances divide the rate limits of backend servers.
+
+Times are ages in seconds, so that the clocks of two instances need not agree.
+"""
+
+from msgspec import Struct
+
+
+class ServerLimit(Struct, frozen=True, kw_only=True):
+    """The rate limit of one incarnation of a server, as an instance knows it.
+
+    :param started: start time of the server in Unix milliseconds.
+    :param rate: requests a second over all instances, or None if the limit has ended.
+    :param age: seconds since a server's answer said so.
+    """
+
+    name: str
+    started: int
+    rate: float | None
+    age: float
+
+
+class RateClaim(Struct, frozen=True, kw_only=True):
+    """What an instance knows and needs of the servers of one service.
+
+    :param demand: requests a second that callers want to send, by priority.
+    """
+
+    service: str
+    limits: tuple[ServerLimit, ...]
+    demand: dict[int, float]
+
+
+class ServerShare(Struct, frozen=True, kw_only=True):
+    """The part of a server's limit that an instance may use.
+
+    :param rate: requests a second of this instance.
+    """
+
+    limit: ServerLimit
+    rate: float
+
+
+class RateShare(Struct, frozen=True, kw_only=True):
+    """The answer to a claim.
+
+    :param admitted: share of the requests for which the servers have room, from 0 to
+        1, by priority.
+    """
+
+    service: str
+    servers: tuple[ServerShare, ...]
+    admitted: dict[int, float]
+
+
+class RateClaims(Struct, frozen=True, kw_only=True):
+    """The claims of one instance to the services of one coordinator."""
+
+    instance: str
+    claims: tuple[RateClaim, ...]
+
+
+class RateShares(Struct, frozen=True, kw_only=True):
+    """The answers to the claims of one instance.
+
+    :param known: limits by service that the answering instance knows, if there were no
+        claims, as from an instance that has just started.
+    """
+
+    shares: tuple[RateShare, ...]
+    known: dict[str, tuple[ServerLimit, ...]] = {}
--- /dev/null
+++ b/src/savorypond/gateway/rate_share_sync.py
@@ -0,0 +1,236 @@
+"""Exchanges claims and leases of rate limits with the coordinators of services."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any, Self
+
+from curio import TaskGroup, TaskTimeout, sleep, spawn
+from msgspec import DecodeError
+from msgspec.msgpack import Decoder, encode
+
+from savorypond.clock import Clock
+from savorypond.exceptions import BackendServerError, PoolExhausted, RequestRefused
+from savorypond.gateway.peers import RATES_PATH, PeerClient
+from savorypond.gateway.rate_control import RateControl
+from savorypond.gateway.rate_coordinator import RateCoordinator
+from savorypond.gateway.rate_messages import RateClaim, RateClaims, RateShares
+from savorypond.gateway.rendezvous import rendezvous_score
+from savorypond.gateway.servers import ServerRegistry
+from savorypond.http.messages import Header, HttpRequest, HttpResponse
+from savorypond.logs import log_event
+from savorypond.model import Counters, Instance
+from savorypond.reasons import RefusalReason
+from savorypond.timeouts import timeout_after
+
+CHECK_INTERVAL = 0.25  # seconds between checks for a limit without a lease
+CLAIM_INTERVAL = 0.5  # seconds between claims; a lease outlasts two that are lost
+CLAIM_TIMEOUT = 0.4  # seconds for the answer of a coordinator
+ASKED_PEERS = 3  # for the limits that they know, by an instance that starts
+_MSGPACK = "application/msgpack"
+
+_claims_decoder = Decoder(RateClaims)
+_shares_decoder = Decoder(RateShares)
+
+
+class CoordinatorChoice:
+    """Selects the coordinator of each service, the same at every instance.
+
+    It is in a data centre of the service's servers, where most of its users are.
+
+    :param peers: returns the live instances other than this one.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_name: str,
+        data_centre: str,
+        registry: ServerRegistry,
+        peers: Callable[[], Sequence[Instance]],
+    ) -> None:
+        self._own_name = own_name
+        self._data_centre = data_centre
+        self._registry = registry
+        self._peers = peers
+        self._known_peers: Sequence[Instance] | None = None
+        self._chosen: dict[tuple[str, frozenset[str]], Instance | None] = {}
+
+    def coordinator(self, service: str) -> Instance | None:
+        """Return the coordinator of ``service``, or None if it is this instance."""
+        peers = self._peers()
+        if peers is not self._known_peers:
+            self._known_peers = peers
+            self._chosen.clear()
+        data_centres = frozenset(
+            server.data_centre for server in self._registry.servers(service)
+        )
+        key = (service, data_centres)
+        if key not in self._chosen:
+            self._chosen[key] = self._choose(service, data_centres, peers)
+        return self._chosen[key]
+
+    def sample(self, count: int, random: Random) -> list[Instance]:
+        """Return up to ``count`` live peers, those of this data centre first."""
+        peers = list(self._peers())
+        random.shuffle(peers)
+        peers.sort(key=lambda peer: peer.data_centre != self._data_centre)
+        return peers[:count]
+
+    def _choose(
+        self, service: str, data_centres: frozenset[str], peers: Sequence[Instance]
+    ) -> Instance | None:
+        candidates: dict[str, Instance | None] = {
+            peer.name: peer for peer in peers if peer.data_centre in data_centres
+        }
+        if self._data_centre in data_centres or not candidates:
+            candidates[self._own_name] = None
+        name = max(candidates, key=lambda name: rendezvous_score(service, name))
+        return candidates[name]
+
+
+class RateShareSync:
+    """Claims this instance's shares of limits, and answers the claims of others.
+
+    :param peers: returns the live instances other than this one.
+    :param instance_count: returns the number of instances that share a limit.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_name: str,
+        data_centre: str,
+        peers: Callable[[], Sequence[Instance]],
+        rates: RateControl,
+        client: PeerClient,
+        registry: ServerRegistry,
+        instance_count: Callable[[], int],
+        clock: Clock,
+        random: Random,
+        counters: Counters,
+    ) -> None:
+        self._own_name = own_name
+        self._choice = CoordinatorChoice(
+            own_name=own_name, data_centre=data_centre, registry=registry, peers=peers
+        )
+        self._coordinator = RateCoordinator(
+            servers=registry.servers, instance_count=instance_count
+        )
+        self._rates = rates
+        self._client = client
+        self._registry = registry
+        self._instance_count = instance_count
+        self._clock = clock
+        self._counters = counters
+        self._random = random
+        self._has_asked = False
+        self._claimed: frozenset[str] = frozenset()
+        self._claimed_at = 0.0
+        self._task: Any = None
+
+    async def __aenter__(self) -> Self:
+        self._task = await spawn(self._run)
+        return self
+
+    async def __aexit__(self, *reason: object) -> None:
+        await self._task.cancel()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Return the shares that another instance claims."""
+        try:
+            message = _claims_decoder.decode(request.body)
+        except DecodeError as error:
+            raise RequestRefused(
+                reason=RefusalReason.MALFORMED,
+                detail=f"invalid claims from a peer: {error}",
+            ) from error
+        now = self._clock.now()
+        shares = tuple(
+            self._coordinator.divide(message.instance, claim, now)
+            for claim in message.claims
+        )
+        limits = self._rates.limits
+        known = {} if shares else {s: limits.known(s, now) for s in limits.services}
+        self._counters.add("gateway_rate_claims", "handled")
+        return HttpResponse(
+            status=200,
+            headers=(Header(name="content-type", value=_MSGPACK),),
+            body=encode(RateShares(shares=shares, known=known)),
+        )
+
+    async def _run(self) -> None:
+        while True:
+            await sleep(CHECK_INTERVAL)
+            if not self._has_asked:
+                await self._ask_peers()
+            now = self._clock.now()
+            services = frozenset(self._rates.limits.services)
+            is_due = now - self._claimed_at >= CLAIM_INTERVAL
+            if services - self._claimed or (services and is_due):
+                await self._claim_all(now)
+            self._claimed = services
+            if is_due:
+                self._expire(now)
+
+    def _expire(self, now: float) -> None:
+        limits = self._rates.limits
+        limits.set_instance_count(self._instance_count())
+        limits.retain(self._registry.all(), now)
+        self._rates.admission.expire(now)
+        self._coordinator.expire(now)
+
+    async def _claim_all(self, now: float) -> None:
+        self._claimed_at = now
+        remote: dict[str, tuple[Instance, list[RateClaim]]] = {}
+        for claim in self._rates.claims(now):
+            peer = self._choice.coordinator(claim.service)
+            if peer is None:
+                self._rates.apply(
+                    self._coordinator.divide(self._own_name, claim, now), now
+                )
+            else:
+                remote.setdefault(peer.name, (peer, []))[1].append(claim)
+        async with TaskGroup() as group:
+            for peer, claims in remote.values():
+                await group.spawn(self._claim, peer, tuple(claims))
+
+    async def _ask_peers(self) -> None:
+        """Learn the limits from peers, since a restarted instance knows none."""
+        async with TaskGroup() as group:
+            for peer in self._choice.sample(ASKED_PEERS, self._random):
+                await group.spawn(self._claim, peer, ())
+        self._has_asked = any(task.result for task in group.tasks)
+
+    async def _claim(self, peer: Instance, claims: tuple[RateClaim, ...]) -> bool:
+        """Send ``claims`` and apply the answer; return whether there was one."""
+        message = RateClaims(instance=self._own_name, claims=claims)
+        request = HttpRequest(method="POST", path=RATES_PATH, body=encode(message))
+        problem = ""
+        try:
+            async with timeout_after(CLAIM_TIMEOUT):
+                response = await self._client.send(peer, request)
+            if response.status == 200:
+                answer = _shares_decoder.decode(response.body)
+            else:
+                problem = f"status {response.status}"
+        except TaskTimeout:
+            problem = f"no answer within {CLAIM_TIMEOUT} s"
+        except (BackendServerError, PoolExhausted, DecodeError) as error:
+            problem = str(error)
+        if problem:
+            # Leases outlast a lost claim; after that, an even part is used.
+            self._counters.add("gateway_rate_claims", "failed")
+            log_event(
+                "rate-claim-failed",
+                coordinator=peer.name,
+                services=len(claims),
+                problem=problem,
+            )
+            return False
+        self._counters.add("gateway_rate_claims", "answered")
+        now = self._clock.now()
+        for share in answer.shares:
+            self._rates.apply(share, now)
+        for service, limits in answer.known.items():
+            self._rates.limits.learn(service, limits, now)
+        return True
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -15,6 +15,8 @@
 from savorypond.gateway.gather_plan import GatherPlan
 from savorypond.gateway.plan_types import Attempt, GroupAttempt, PlanLimits, Verdict
 from savorypond.gateway.ranked_merge import PartialAnswer
+from savorypond.gateway.rate_admission import admission_rank
+from savorypond.gateway.rate_control import RankedRequest
 from savorypond.gateway.response_memory import ResponseReservation
 from savorypond.gateway.run_types import RunDependencies, RunResult, RunSpec
 from savorypond.gateway.server_chooser import RegistryServerChooser
@@ -60,6 +62,16 @@
         self._ended = False
         self._cut_off = False
         self._reservations: list[ResponseReservation] = []
+        self._request_share = 1.0
+        self._rate_limited = False
+        self._rank = admission_rank(spec.request.request_id)
+        self._chooser = RegistryServerChooser(
+            registry=dependencies.registry,
+            loads=dependencies.loads,
+            mean_latency=self._mean_latency,
+            rates=dependencies.rates,
+            request=RankedRequest(priority=route.priority, rank=self._rank),
+        )
         self._plan = GatherPlan(
             services=spec.services,
             limits=PlanLimits(
@@ -74,11 +86,7 @@
                 goal=route.goal,
                 time_left=spec.partial_after - dependencies.clock.now(),
             ),
-            chooser=RegistryServerChooser(
-                registry=dependencies.registry,
-                loads=dependencies.loads,
-                mean_latency=self._mean_latency,
-            ),
+            chooser=self._chooser,
             budget=dependencies.budget,
         )
 
@@ -146,6 +154,7 @@
             denied=plan.denied,
             delegated=self._delegated,
             problems=tuple(self._problems),
+            rate_limited=self._rate_limited or bool(self._chooser.rate_limited),
             cut_off=self._cut_off,
         )
 
@@ -181,10 +190,12 @@
                 groups[attempt.number] = (group, attempt)
                 self._groups[attempt.number] = group
         delegated = {shard for group, _ in groups.values() for shard in group.shards}
-        for shard, service in enumerate(spec.services):
-            # The request to a delegated shard is counted by the peer that gathers it.
-            if shard not in delegated:
-                dependencies.budget.record_request(service=service, now=now)
+        # The request to a delegated shard is counted by the peer that gathers it.
+        direct = [s for n, s in enumerate(spec.services) if n not in delegated]
+        for service in direct:
+            dependencies.budget.record_request(service=service, now=now)
+        if not self._is_admitted(direct, now):
+            return
         attempts = self._plan.start(now)
         if self._plan.verdict(now) is not None:
             return
@@ -194,6 +205,22 @@
             self._running[attempt.number] = task
         await self._spawn_attempts(attempts)
 
+    def _is_admitted(self, direct: list[str], now: float) -> bool:
+        """Return whether enough shards have room for the request.
+
+        :param direct: services that this instance asks itself.
+        """
+        spec, rates = self._spec, self._dependencies.rates
+        priority = spec.route.priority
+        rates.demand.record(direct, priority=priority, weight=1.0 / spec.admitted)
+        self._request_share = rates.admission.request_share(
+            spec.services, priority=priority, least_share=spec.least_share, now=now
+        )
+        self._rate_limited = self._rank >= self._request_share
+        if self._rate_limited:
+            self._dependencies.counters.add("gateway_rate_limited", "request")
+        return not self._rate_limited
+
     def _fallback_time(self, now: float) -> float:
         """Return the time from which delegated shards are asked from here."""
         due = max(now, self._spec.partial_after)
@@ -222,6 +249,7 @@
             await self._record_attempt(attempt, result)
 
     async def _record_group(self, attempt: GroupAttempt, result: GroupResult) -> None:
+        self._record_shares(result)
         if not result.problem:
             self._group_numbers[attempt.number] = result.number
             is_used = self._plan.record_group_answer(
@@ -240,6 +268,19 @@
             )
         )
 
+    def _record_shares(self, result: GroupResult) -> None:
+        """Keep the shares of requests that an instance has room for."""
+        dependencies = self._dependencies
+        now = dependencies.clock.now()
+        for shard, share in result.shares:
+            dependencies.rates.admission.record(
+                self._spec.services[shard],
+                priority=self._spec.route.priority,
+                share=share,
+                now=now,
+            )
+        self._rate_limited = self._rate_limited or result.rate_limited
+
     async def _record_attempt(self, attempt: Attempt, result: AttemptResult) -> None:
         if result.outcome is AttemptOutcome.USABLE:
             if self._plan.record_answer(attempt.number):
@@ -315,6 +356,7 @@
             route=self._spec.route,
             version=self._spec.version,
             partial_after=self._spec.partial_after,
+            admitted=self._request_share,
         )
         await self._results.put((attempt, result))
 
--- a/src/savorypond/gateway/run_types.py
+++ b/src/savorypond/gateway/run_types.py
@@ -8,6 +8,7 @@
 from savorypond.gateway.headers import HeaderNames
 from savorypond.gateway.plan_types import Verdict
 from savorypond.gateway.ranked_merge import PartialAnswer
+from savorypond.gateway.rate_control import RateControl
 from savorypond.gateway.retry_budget import ServiceRetryBudget
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.routes import Route
@@ -30,6 +31,7 @@
     :param may_run: whether a server may have run the request.
     :param reached: whether anything was sent to a server.
     :param delegated: number of shards that were delegated to other instances.
+    :param rate_limited: whether rate limits of servers kept shards from being sent.
     :param cut_off: whether the answer covered enough shards early and left, without
         the missing ones, when an answer may be partial.
     """
@@ -48,6 +50,7 @@
     denied: int
     delegated: int
     problems: tuple[str, ...]
+    rate_limited: bool
     cut_off: bool
 
 
@@ -62,6 +65,7 @@
     delegation_client: DelegationClient
     budget: ServiceRetryBudget
     latencies: RouteLatencies
+    rates: RateControl
     clock: Clock
     counters: Counters
 
@@ -75,6 +79,8 @@
     :param partial_after: monotonic seconds from which an answer may be partial.
     :param least_share: share of the services that an answer must cover, from 0 to 1.
     :param may_delegate: whether other instances may gather some of the shards.
+    :param admitted: share of the requests like this one that another instance admitted
+        before it delegated this one.
     """
 
     route: Route
@@ -84,3 +90,4 @@
     partial_after: float
     least_share: float
     may_delegate: bool
+    admitted: float = 1.0
--- a/src/savorypond/gateway/server_chooser.py
+++ b/src/savorypond/gateway/server_chooser.py
@@ -2,26 +2,52 @@
 
 from collections.abc import Collection
 
+from savorypond.gateway.rate_control import RankedRequest, RateControl
 from savorypond.gateway.server_load import ServerLoadTracker
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 
 
 class RegistryServerChooser:
-    """Selects registered servers by their load."""
+    """Selects registered servers by their load and rate limit."""
 
     def __init__(
-        self, *, registry: ServerRegistry, loads: ServerLoadTracker, mean_latency: float
+        self,
+        *,
+        registry: ServerRegistry,
+        loads: ServerLoadTracker,
+        mean_latency: float,
+        rates: RateControl,
+        request: RankedRequest,
     ) -> None:
         self._registry = registry
         self._loads = loads
         self._mean_latency = mean_latency
+        self._rates = rates
+        self._request = request
+        self._rate_limited = 0
+
+    @property
+    def rate_limited(self) -> int:
+        """Number of attempts that rate limits prevented."""
+        return self._rate_limited
 
     def choose(
         self, service: str, *, exclude: Collection[str], now: float
     ) -> RegisteredServer | None:
         """Return a server of ``service`` not named in ``exclude``, or None."""
+        registered = self._registry.servers(service)
+        servers = self._rates.usable(
+            service,
+            registered,
+            request=self._request,
+            extra=bool(exclude),
+            now=now,
+        )
+        if registered and not servers:
+            self._rate_limited += 1
+            return None
         return self._loads.choose(
-            self._registry.servers(service),
+            servers,
             exclude=exclude,
             mean_latency=self._mean_latency,
             now=now,
--- a/src/savorypond/gateway/server_rate_limits.py
+++ b/src/savorypond/gateway/server_rate_limits.py
@@ -1,16 +1,40 @@
-"""Keeps the rate limits that backend servers announce, and counts what they get.
+"""Keeps the rate limits that backend servers announce, and keeps within them.
 
-Observes a server that is in trouble and announces how many requests a second it
-accepts from all instances together.
+Answers the load of a server in trouble that announces how many requests a second it
+accepts from all instances together. This instance uses what the service's coordinator
+leases to it, or without a lease a small even part, for attempts of every kind.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from savorypond.gateway.rate_coordinator import (
+    LEASE_TIME,
+    MIN_RATE,
+    UNLEASED_SHARE,
+)
+from savorypond.gateway.rate_messages import RateShare, ServerLimit, ServerShare
 from savorypond.gateway.servers import RegisteredServer
+from savorypond.gateway.token_bucket import TokenBucket
 from savorypond.logs import log_event
 from savorypond.model import Counters
 
 USAGE_INTERVAL = 2.0  # seconds between log lines about the use of a server
+# Other instances have learned of the end of a limit by then.
+ENDED_RETENTION = 5.0  # seconds
+# A server that is missing from the registrations for less may have lapsed only.
+UNREGISTERED_RETENTION = 60.0  # seconds
+
+
+@dataclass(slots=True, kw_only=True)
+class _Lease:
+    """A part of a limit.
+
+    :param share: part of the limit, from 0 to 1, that this instance may use.
+    """
+
+    share: float
+    until: float
 
 
 @dataclass(slots=True, kw_only=True)
@@ -18,25 +42,51 @@
     """The limit of one incarnation of a server.
 
     :param rate: requests a second over all instances, or None once it has ended.
-    :param observed_at: monotonic seconds of the answer that announced ``rate``.
+    :param observed_at: monotonic seconds at which an answer announced ``rate``.
+    :param registered_at: monotonic seconds at which the server was last registered.
     :param first: first attempts since the last log line.
     :param extra: hedges and retries since the last log line.
     """
 
-    server: RegisteredServer
+    name: str
+    service: str
+    started: int
     rate: float | None
     observed_at: float
+    registered_at: float
+    bucket: TokenBucket
     logged_at: float
+    lease: _Lease | None = None
     first: int = 0
     extra: int = 0
+    refused: int = 0
 
 
 class ServerRateLimits:
-    """The announced limits, as this instance knows them."""
+    """The announced limits, as this instance knows them, and what it may use."""
 
     def __init__(self, *, counters: Counters) -> None:
         self._counters = counters
-        self._limits: dict[str, _Limit] = {}
+        self._instances = 1
+        self._services: dict[str, dict[str, _Limit]] = {}
+
+    def set_instance_count(self, count: int) -> None:
+        """Set the number of instances that share a limit without leases."""
+        self._instances = max(1, count)
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """The services of which a server has, or recently had, a limit."""
+        return tuple(self._services)
+
+    @property
+    def count(self) -> int:
+        """Number of servers that have a limit."""
+        return sum(
+            limit.rate is not None
+            for of_service in self._services.values()
+            for limit in of_service.values()
+        )
 
     def observe(
         self,
@@ -52,30 +102,61 @@
         :param sent_at: monotonic seconds at which the request was sent. An answer to
             a request from before a limit was known does not end that limit.
         """
-        limit = self._limits.get(server.name)
-        if limit is not None and limit.server.started != server.started:
-            limit = None
+        limit = self._find(server)
         if rate is None and not _ends(limit, sent_at):
             return
-        previous = limit.rate if limit is not None else None
-        if rate != previous:
-            self._log_change(server, previous, rate)
-        if limit is None:
-            self._limits[server.name] = _Limit(
-                server=server, rate=rate, observed_at=now, logged_at=now
+        self._set_rate(server.service, server.name, server.started, rate, now, now)
+
+    def apply(self, share: RateShare, now: float) -> None:
+        """Apply a coordinator's answer to a claim of this instance."""
+        self.learn(share.service, (s.limit for s in share.servers), now)
+        for of_server in share.servers:
+            self._set_lease(share.service, of_server, now)
+
+    def learn(self, service: str, limits: Iterable[ServerLimit], now: float) -> None:
+        """Record what another instance knows of the limits of ``service``."""
+        for limit in limits:
+            self._set_rate(
+                service,
+                limit.name,
+                limit.started,
+                limit.rate,
+                now - limit.age,
+                now,
             )
-        else:
-            limit.rate, limit.observed_at = rate, now
+
+    def is_limited(self, service: str) -> bool:
+        """Return whether a server of ``service`` may have a limit."""
+        return service in self._services
+
+    def has_room(self, server: RegisteredServer, now: float) -> bool:
+        """Return whether this instance may send ``server`` a request now."""
+        limit = self._find(server)
+        if limit is None or limit.rate is None:
+            return True
+        limit.bucket.refill(self._usable_rate(limit, now), now)
+        if limit.bucket.available:
+            return True
+        limit.refused += 1
+        self._counters.add("gateway_limited_attempts", "refused")
+        return False
+
+    def has_limit(self, server: RegisteredServer) -> bool:
+        """Return whether ``server`` has a limit."""
+        limit = self._find(server)
+        return limit is not None and limit.rate is not None
 
     def record_sent(self, server: RegisteredServer, *, extra: bool, now: float) -> None:
         """Count an attempt at ``server``, which may have a limit.
 
         :param extra: whether it is a hedge or a retry.
         """
-        limit = self._limits.get(server.name)
+        limit = self._find(server)
         if limit is None or limit.rate is None:
             return
         self._counters.add("gateway_limited_attempts", "extra" if extra else "first")
+        limit.bucket.refill(self._usable_rate(limit, now), now)
+        limit.bucket.take()
         if extra:
             limit.extra += 1
         else:
@@ -83,33 +164,129 @@
         if now - limit.logged_at >= USAGE_INTERVAL:
             self._log_usage(limit, now)
 
-    def _log_change(
-        self, server: RegisteredServer, previous: float | None, rate: float | None
+    def record_unsent(self, server: RegisteredServer) -> None:
+        """Take back an attempt at ``server`` that was never sent."""
+        limit = self._find(server)
+        if limit is not None and limit.rate is not None:
+            limit.bucket.give_back()
+
+    def known(self, service: str, now: float) -> tuple[ServerLimit, ...]:
+        """Return what this instance knows of the limits of ``service``."""
+        return tuple(
+            ServerLimit(
+                name=limit.name,
+                started=limit.started,
+                rate=limit.rate,
+                age=now - limit.observed_at,
+            )
+            for limit in self._services.get(service, {}).values()
+        )
+
+    def retain(self, servers: Iterable[RegisteredServer], now: float) -> None:
+        """Forget limits that ended, and those of servers that are gone for long."""
+        registered = {(server.service, server.name) for server in servers}
+        for service, of_service in list(self._services.items()):
+            for name, limit in list(of_service.items()):
+                if (service, name) in registered:
+                    limit.registered_at = now
+                has_ended = limit.rate is None
+                if (
+                    has_ended and now - limit.observed_at >= ENDED_RETENTION
+                ) or now - limit.registered_at >= UNREGISTERED_RETENTION:
+                    del of_service[name]
+            if not of_service:
+                del self._services[service]
+
+    def _find(self, server: RegisteredServer) -> _Limit | None:
+        limit = self._services.get(server.service, {}).get(server.name)
+        if limit is None or limit.started != server.started:
+            return None
+        return limit
+
+    def _set_rate(
+        self,
+        service: str,
+        name: str,
+        started: int,
+        rate: float | None,
+        observed_at: float,
+        now: float,
     ) -> None:
+        limit = self._services.get(service, {}).get(name)
+        if limit is not None and (
+            started < limit.started
+            or (started == limit.started and observed_at < limit.observed_at)
+        ):
+            return
+        if limit is None or limit.started != started:
+            if rate is None:
+                return
+            limit = self._services.setdefault(service, {})[name] = _Limit(
+                name=name,
+                service=service,
+                started=started,
+                rate=None,
+                observed_at=observed_at,
+                registered_at=now,
+                bucket=TokenBucket(now=now),
+                logged_at=now,
+            )
+        limit.observed_at = observed_at
+        if rate != limit.rate:
+            self._log_change(limit, rate)
+            if limit.rate is None:
+                limit.bucket = TokenBucket(now=now)
+            limit.rate = rate
+
+    def _set_lease(self, service: str, share: ServerShare, now: float) -> None:
+        limit = self._services.get(service, {}).get(share.limit.name)
+        if (
+            limit is None
+            or limit.started != share.limit.started
+            or share.limit.rate is None
+        ):
+            return
+        if limit.rate is not None:
+            limit.bucket.refill(self._usable_rate(limit, now), now)
+        limit.lease = _Lease(
+            share=share.rate / max(share.limit.rate, MIN_RATE), until=now + LEASE_TIME
+        )
+
+    def _usable_rate(self, limit: _Limit, now: float) -> float:
+        """Return the requests a second that this instance may send."""
+        assert limit.rate is not None
+        rate = max(limit.rate, MIN_RATE)
+        if limit.lease is not None and now < limit.lease.until:
+            return rate * limit.lease.share
+        return rate * UNLEASED_SHARE / self._instances
+
+    def _log_change(self, limit: _Limit, rate: float | None) -> None:
         if rate is None:
             change = "ended"
         else:
-            change = "announced" if previous is None else "changed"
+            change = "announced" if limit.rate is None else "changed"
         self._counters.add("gateway_rate_limits", change)
         log_event(
             "rate-limit",
             change=change,
-            server=server.name,
-            service=server.service,
+            server=limit.name,
+            service=limit.service,
             rate=rate,
-            previous=previous,
+            previous=limit.rate,
         )
 
     def _log_usage(self, limit: _Limit, now: float) -> None:
         log_event(
             "rate-limit-usage",
-            server=limit.server.name,
+            server=limit.name,
             rate=limit.rate,
+            usable=round(self._usable_rate(limit, now), 3),
             first=limit.first,
             extra=limit.extra,
+            refused=limit.refused,
             seconds=round(now - limit.logged_at, 3),
         )
-        limit.first = limit.extra = 0
+        limit.first = limit.extra = limit.refused = 0
         limit.logged_at = now
 
 
--- a/src/savorypond/reasons.py
+++ b/src/savorypond/reasons.py
@@ -33,6 +33,7 @@
     NO_BACKEND_SERVER = "no-backend-server"
     CONNECTION_LOST = "connection-lost"
     SHED = "shed"
+    RATE_LIMITED = "rate-limited"
     TICKET_UNKNOWN = "ticket-unknown"
     TICKET_SPENT = "ticket-spent"
     TICKET_EXPIRED = "ticket-expired"
--- a/tests/gateway_delegation_simulation.py
+++ b/tests/gateway_delegation_simulation.py
@@ -8,6 +8,7 @@
 
 from savorypond.gateway.gather_plan import GatherPlan
 from savorypond.gateway.plan_types import PlanLimits, Verdict
+from savorypond.gateway.rate_control import RankedRequest
 from savorypond.gateway.server_chooser import RegistryServerChooser
 from tests.gateway_simulation import (
     SimulatedRequest,
@@ -85,6 +86,8 @@
                 registry=self._registry,
                 loads=delegate.loads,
                 mean_latency=mean_latency,
+                rates=self._rates,
+                request=RankedRequest(priority=1, rank=0.0),
             ),
             budget=delegate.budget,
         )
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -1,7 +1,8 @@
 """Fakes of the collaborators of the gateway's decision modules."""
 
+from savorypond.gateway.rate_control import RateControl
 from savorypond.gateway.servers import RegisteredServer
-from savorypond.model import Address
+from savorypond.model import Address, Counters
 
 
 def server(
@@ -28,6 +29,10 @@
     )
 
 
+def make_rates():
+    return RateControl(counters=Counters())
+
+
 class FixedRandom:
     """Returns the middle of every range."""
 
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -13,13 +13,14 @@
 
 from savorypond.gateway.gather_plan import GatherPlan
 from savorypond.gateway.plan_types import HedgeDelays, PlanLimits, Verdict
+from savorypond.gateway.rate_control import RankedRequest
 from savorypond.gateway.request_run import LINGER_TIME
 from savorypond.gateway.retry_budget import ServiceRetryBudget, ServiceRetryBudgetConfig
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.server_chooser import RegistryServerChooser
 from savorypond.gateway.server_load import ServerLoadTracker
 from savorypond.gateway.servers import ServerRegistry
-from tests.gateway_fakes import server
+from tests.gateway_fakes import make_rates, server
 
 DATA_CENTRES = ("a", "b", "c")
 LOCAL_DELAY = 0.0002  # seconds one way
@@ -167,6 +168,7 @@
         self._loads = self.make_loads()
         self._latencies = RouteLatencies()
         self._budget = make_budget()
+        self._rates = make_rates()
         self._servers = {}
         self._services = tuple(f"s{n}" for n in range(scenario.shards))
         self._place()
@@ -241,6 +243,8 @@
             registry=self._registry,
             loads=_RandomChooser(self._random) if self._baseline else self._loads,
             mean_latency=mean_latency,
+            rates=self._rates,
+            request=RankedRequest(priority=1, rank=0.0),
         )
         for service in self._services:
             self._budget.record_request(service=service, now=now)
--- a/tests/test_gateway_rate_limit_fleet.py
+++ b/tests/test_gateway_rate_limit_fleet.py
@@ -1,8 +1,9 @@
 """Tests of the rate limit of a backend server with several instances, on loopback."""
 
 from contextlib import AsyncExitStack
+from json import loads
 from time import monotonic
-from unittest import TestCase, expectedFailure
+from unittest import TestCase
 
 from curio import TaskGroup, run, sleep, timeout_after
 
@@ -12,6 +13,7 @@
 from tests.gateway_loopback import (
     FakeServer,
     FakeStore,
+    RemoteServer,
     configuration,
     make_gateway,
     route,
@@ -28,29 +30,36 @@
 class Fleet(AsyncExitStack):
     """A store, backend servers and three gateways that know each other."""
 
-    def __init__(self, *routes, servers):
+    def __init__(self, *routes, servers, data_centres=("a", "a", "a")):
         super().__init__()
+        self.data_centres = data_centres
         self.routes = routes
         self.servers = servers
 
     async def __aenter__(self):
         await super().__aenter__()
-        store = await self.enter_async_context(FakeStore())
+        store = self.store = await self.enter_async_context(FakeStore())
         for server in self.servers:
             await self.enter_async_context(server)
             store.put(f"servers/{server.name}", server.entry())
         store.put("op/config", configuration(*self.routes))
         self.gateways = [
             await self.enter_async_context(
-                make_gateway(store, name=host, host=host, seeds=HOSTS)
+                make_gateway(
+                    store, name=host, host=host, seeds=HOSTS, data_centre=data_centre
+                )
             )
-            for host in HOSTS
+            for host, data_centre in zip(HOSTS, self.data_centres, strict=True)
         ]
-        async with timeout_after(60):
-            while not all(g.ready and len(g.peers()) == 2 for g in self.gateways):
-                await sleep(0.005)
+        await self.wait_until(lambda: all(map(self.is_complete, self.gateways)))
         return self
 
+    def is_complete(self, gateway):
+        """Return whether ``gateway`` knows the others and their data centres."""
+        known = sorted(peer.data_centre for peer in gateway.peers())
+        own = self.data_centres[self.gateways.index(gateway)]
+        return gateway.ready and sorted([own, *known]) == sorted(self.data_centres)
+
     async def ask(self, gateway, path, request_id):
         headers = {
             "host": "shop.example",
@@ -65,6 +74,11 @@
         async with HttpConnection(address=gateway.caller_address) as connection:
             return await connection.request(request)
 
+    async def wait_until(self, condition):
+        async with timeout_after(60):
+            while not condition():
+                await sleep(0.005)
+
     async def ask_all(self, path, count):
         """Send ``count`` requests to each gateway; return the statuses."""
         statuses = []
@@ -93,7 +107,6 @@
 
         return run(main)
 
-    @expectedFailure
     def test_instances_together_exceeded_the_rate_that_a_server_announced(self):
         for path in ("/r/1", "/q/1"):
             with self.subTest(path):
@@ -102,3 +115,65 @@
                 statuses, sent, seconds = self.play(path, limited, (other,))
                 self.assertEqual(set(statuses), {200})
                 self.assertLessEqual(sent, BURST_FACTOR * LIMIT * seconds + TOLERANCE)
+
+    def test_a_request_without_room_is_refused_at_once_and_has_not_run(self):
+        async def main():
+            limited = FakeServer("i1", service="s1", rate_limit=0.5)
+            async with Fleet(READ, QUERY, servers=(limited,)) as fleet:
+                await fleet.ask_all("/r/1", 1)
+                for path in ("/r/1", "/q/1"):
+                    refused_ids, refused = set(), 0
+                    for number in range(30):
+                        request_id = f"{path}{number}"
+                        response = await fleet.ask(fleet.gateways[0], path, request_id)
+                        if response.status == 200:
+                            continue
+                        refused += 1
+                        self.assertEqual(response.status, 503)
+                        problem = loads(response.body)
+                        self.assertEqual(problem["reason"], "rate-limited")
+                        self.assertEqual(problem["execution"], "not-run")
+                        self.assertGreater(float(response.header("retry-after")), 0.0)
+                        refused_ids.add(request_id)
+                    self.assertGreater(refused, 15)
+                    ran = {r.header(HEADERS.request_id) for r in limited.requests}
+                    self.assertFalse(ran & refused_ids)
+
+        run(main)
+
+    def test_a_restarted_instance_learns_limits_before_it_uses_a_server(self):
+        async def main():
+            limited = FakeServer("i1", service="s1", rate_limit=LIMIT)
+            async with Fleet(READ, servers=(limited,)) as fleet:
+                await fleet.ask(fleet.gateways[0], "/r/1", "r1")
+                started = make_gateway(
+                    fleet.store, name="new", host="127.0.0.5", seeds=HOSTS
+                )
+                async with started:
+                    await fleet.wait_until(lambda: started.limited_servers == 1)
+                self.assertEqual(len(limited.requests), 1)
+
+        run(main)
+
+    def test_shards_that_a_delegate_has_no_room_for_are_not_asked_instead(self):
+        """The delegates are in the data centre of the servers, the origin is not."""
+        services = [f"s{n}" for n in range(4)]
+        query = route("q", "/q/", gather=services, top_k=2, min_version=0.5)
+
+        async def main():
+            servers = [
+                RemoteServer(f"i{service}", service=service, rate_limit=0.5)
+                for service in services
+            ]
+            fleet = Fleet(query, servers=servers, data_centres=("a", "b", "b"))
+            async with fleet:
+                statuses = []
+                for number in range(40):
+                    response = await fleet.ask(fleet.gateways[0], "/q/1", f"r{number}")
+                    statuses.append(response.status)
+                self.assertEqual(set(statuses), {200, 503})
+                self.assertLess(statuses.count(200), 10)
+                peers = {r.peer for server in servers for r in server.requests}
+                self.assertLessEqual(peers, set(HOSTS[1:]))
+
+        run(main)
--- /dev/null
+++ b/tests/test_gateway_rate_limit_simulation.py
@@ -0,0 +1,93 @@
+"""Tests of the limits of backend servers under load, on a virtual clock.
+
+No server may get, in any window of 4 s, more than one and a half times what its limit
+allows and 5 requests. The instances settle for 4 s after it is announced.
+"""
+
+from dataclasses import replace
+from unittest import TestCase
+
+from tests.rate_limit_simulation import Load, RateLimitSimulation
+
+WINDOW = 4.0  # seconds
+SETTLING_TIME = 4.0  # seconds
+TOLERANCE = 5  # requests
+
+ONE_OF_TWO = Load()
+ALL = Load(shards=20, limits=(10.0, 12.0), rates={1: 33.0, 2: 11.0})
+
+
+class RateLimitSimulationTests(TestCase):
+    def play(self, load):
+        outcome = RateLimitSimulation(load).run()
+        after = load.limit_period[0] + SETTLING_TIME
+        before = load.limit_period[1]
+        for shard in range(load.shards):
+            for number, limit in enumerate(load.limits):
+                if limit is not None:
+                    most = outcome.most_in(
+                        f"s{shard}-{number}", WINDOW, after=after, before=before
+                    )
+                    self.assertLessEqual(most, 1.5 * limit * WINDOW + TOLERANCE)
+                    mean = outcome.mean_rate(
+                        f"s{shard}-{number}", after=after, before=before
+                    )
+                    self.assertLessEqual(mean, limit)
+        return outcome
+
+    def test_other_servers_take_what_a_limit_leaves(self):
+        for seed in range(1, 6):
+            with self.subTest(seed):
+                outcome = self.play(replace(ONE_OF_TWO, seed=seed))
+                self.assertEqual(outcome.full, outcome.offered)
+
+    def test_a_limit_is_used_by_the_instances_that_need_it(self):
+        """Most requests arrive at two of the seven instances."""
+        load = replace(
+            ONE_OF_TWO,
+            limits=(7.0,),
+            rates={1: 20.0},
+            skew=0.3,
+            duration=120.0,
+            limit_period=(5.0, 115.0),
+        )
+        for seed in range(1, 6):
+            with self.subTest(seed):
+                outcome = self.play(replace(load, seed=seed))
+                served = outcome.full[1] / (110.0 - SETTLING_TIME)
+                self.assertGreater(served, 0.75 * 7.0)
+
+    def test_restarts_do_not_exceed_a_limit(self):
+        restarts = tuple((n, 12.0 + 1.3 * n) for n in range(7))
+        for seed in range(1, 6):
+            with self.subTest(seed):
+                load = replace(ONE_OF_TWO, restarts=restarts, seed=seed)
+                outcome = self.play(load)
+                self.assertEqual(outcome.full, outcome.offered)
+
+    def test_instances_that_are_cut_off_do_not_exceed_a_limit(self):
+        cuts = tuple((n, 12.0, 20.0) for n in (0, 3, 5))
+        for seed in range(1, 6):
+            with self.subTest(seed):
+                self.play(replace(ONE_OF_TWO, cuts=cuts, seed=seed))
+
+    def test_a_query_gets_all_of_its_shards_or_none(self):
+        """Each of 20 shards has room for half of the requests."""
+        for seed in range(1, 4):
+            with self.subTest(seed):
+                outcome = self.play(replace(ALL, seed=seed))
+                offered = sum(outcome.offered.values())
+                answered = sum(outcome.partial.values())
+                self.assertGreater(answered, 0.35 * offered)
+                self.assertGreater(sum(outcome.full.values()), 0.75 * answered)
+
+    def test_urgent_requests_go_first_and_none_starves(self):
+        outcome = self.play(ALL)
+        share = {p: outcome.partial[p] / outcome.offered[p] for p in ALL.rates}
+        self.assertGreater(share[1], 2.0 * share[2])
+        self.assertGreater(share[2], 0.05)
+
+    def test_many_instances_share_a_limit(self):
+        load = replace(ONE_OF_TWO, instances=60, limits=(6.0, None), rates={1: 24.0})
+        outcome = self.play(load)
+        self.assertEqual(outcome.full, outcome.offered)
--- a/tests/test_gateway_server_rate_limits.py
+++ b/tests/test_gateway_server_rate_limits.py
@@ -2,7 +2,14 @@
 
 from unittest import TestCase
 
-from savorypond.gateway.server_rate_limits import USAGE_INTERVAL, ServerRateLimits
+from savorypond.gateway.rate_coordinator import LEASE_TIME, UNLEASED_SHARE
+from savorypond.gateway.rate_messages import RateShare, ServerLimit, ServerShare
+from savorypond.gateway.server_rate_limits import (
+    ENDED_RETENTION,
+    UNREGISTERED_RETENTION,
+    USAGE_INTERVAL,
+    ServerRateLimits,
+)
 from savorypond.model import Counters
 from tests.gateway_fakes import server
 
@@ -55,3 +62,89 @@
         usage = [record.savorypond_fields for record in logs.records]
         self.assertEqual([line["first"] + line["extra"] for line in usage], [11, 11])
         self.assertEqual([line["extra"] for line in usage], [3, 2])
+
+
+class UseTests(TestCase):
+    def setUp(self):
+        self.limits = ServerRateLimits(counters=Counters())
+        self.limits.set_instance_count(7)
+        self.server = server("s1")
+
+    def observe(self, rate, now):
+        self.limits.observe(self.server, rate, sent_at=now, now=now)
+
+    def lease(self, rate, now, *, limit=7.0, started=1):
+        known = ServerLimit(name="s1", started=started, rate=limit, age=0.0)
+        share = ServerShare(limit=known, rate=rate)
+        self.limits.apply(RateShare(service="s", servers=(share,), admitted={}), now)
+
+    def sent(self, start, end):
+        """Send whenever there is room; return the number of requests."""
+        sent = 0
+        for step in range(int((end - start) * 100)):
+            now = start + step / 100
+            if self.limits.has_room(self.server, now):
+                self.limits.record_sent(self.server, extra=False, now=now)
+                sent += 1
+        return sent
+
+    def test_servers_without_a_limit_always_have_room(self):
+        self.assertEqual(self.sent(0.0, 1.0), 100)
+
+    def test_uses_an_even_part_without_a_lease(self):
+        self.observe(14.0, 0.0)
+        self.assertLessEqual(self.sent(0.0, 10.0), 14.0 * 10.0 * UNLEASED_SHARE / 7 + 1)
+
+    def test_uses_its_lease_while_it_lasts(self):
+        self.observe(7.0, 0.0)
+        for step in range(20):
+            self.lease(4.0, step * 0.5)
+            sent = self.sent(step * 0.5, step * 0.5 + 0.5)
+        self.assertIn(sent, (1, 2, 3))
+        self.assertLessEqual(
+            self.sent(9.5 + LEASE_TIME, 20.0), 9 * 7.0 * UNLEASED_SHARE / 7 + 9
+        )
+
+    def test_a_lower_limit_applies_before_the_next_lease(self):
+        self.lease(6.0, 0.0)
+        self.observe(0.7, 0.0)
+        self.sent(0.0, 0.1)
+        self.assertLessEqual(self.sent(0.1, 1.1), 1)
+
+    def test_an_unsent_attempt_is_taken_back(self):
+        self.observe(7.0, 0.0)
+        self.limits.record_sent(self.server, extra=False, now=0.0)
+        self.assertFalse(self.limits.has_room(self.server, 0.0))
+        self.limits.record_unsent(self.server)
+        self.assertTrue(self.limits.has_room(self.server, 0.0))
+
+    def test_learns_a_limit_and_its_end_from_another_instance(self):
+        known = ServerLimit(name="s1", started=1, rate=7.0, age=1.0)
+        self.limits.learn("s", (known,), 5.0)
+        self.assertTrue(self.limits.has_limit(self.server))
+        older = ServerLimit(name="s1", started=1, rate=None, age=3.0)
+        self.limits.learn("s", (older,), 5.0)
+        self.assertTrue(self.limits.has_limit(self.server))
+        newer = ServerLimit(name="s1", started=1, rate=None, age=0.5)
+        self.limits.learn("s", (newer,), 5.0)
+        self.assertFalse(self.limits.has_limit(self.server))
+
+    def test_a_new_incarnation_has_no_limit(self):
+        self.observe(7.0, 0.0)
+        self.assertFalse(self.limits.has_limit(server("s1", started=2)))
+
+    def test_a_lapsed_registration_does_not_lose_a_limit(self):
+        self.observe(7.0, 0.0)
+        self.limits.retain((), 10.0)
+        self.assertTrue(self.limits.has_limit(self.server))
+        self.limits.retain((), UNREGISTERED_RETENTION)
+        self.assertFalse(self.limits.is_limited("s"))
+
+    def test_forgets_an_ended_limit_once_others_have_learned_of_it(self):
+        self.observe(7.0, 0.0)
+        self.observe(None, 1.0)
+        self.limits.retain((self.server,), 2.0)
+        (known,) = self.limits.known("s", 2.0)
+        self.assertIsNone(known.rate)
+        self.limits.retain((self.server,), 1.0 + ENDED_RETENTION)
+        self.assertEqual(self.limits.services, ())
