Grant tokens in place of rates to instances that share a limit

Cause: each instance saved up its part of the rate until it made a whole request, and all could spend what they had saved at the same time.

Change: the coordinator grants whole tokens and knows who holds how many; at most one and 1.5 s of the rate are outstanding. Unused ones return with the next claim, and with a lower limit at once. Instances that do not reach each other have a coordinator each, which grants the part of the limit of its side. The reserve of instances without a grant is drawn for each second, and is not saved up.

--- a/benchmarks/bench_gather.py
+++ b/benchmarks/bench_gather.py
@@ -130,7 +130,7 @@
         random=Random(1),
     )
     loads = ServerLoadTracker(data_centre="a", random=Random(1))
-    rates = RateControl(counters=counters)
+    rates = RateControl(random=Random(1), counters=counters)
     return RunDependencies(
         names=NAMES,
         registry=registry,
--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -159,7 +159,7 @@
         self._record(result, number, mean_latency)
         self._observe_rate_limit(result, sent_at)
         if not result.sent:
-            self._rate_limits.record_unsent(server)
+            self._rate_limits.record_unsent(server, self._clock.now())
         if result.outcome is AttemptOutcome.MISDIRECTED:
             await self._pools.close_idle_to(server)
         return result
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -50,6 +50,8 @@
 MIN_INSTANCES = 6
 # Callers come later, so instances first find out which of them read the store.
 FIRST_START_SETTLE_TIME = 2.0  # seconds
+# An instance that has not come back by then has ended rather than been cut off.
+LOST_TIME = 20.0  # seconds
 ASSUMED_INSTANCES = 100  # until peers are known
 PEER_CONNECTIONS = 64  # to each other instance
 PEER_HEADER_BYTES = 64 * 1024  # the headers of a caller and a few added ones
@@ -128,7 +130,7 @@
             settle_time=FIRST_START_SETTLE_TIME if settings.first_start else 0.0,
         )
         self._loads = ServerLoadTracker(data_centre=settings.data_centre, random=random)
-        self._rates = RateControl(counters=counters)
+        self._rates = RateControl(random=random, counters=counters)
         self._rate_sync = RateShareSync(
             own_name=settings.host,
             data_centre=settings.data_centre,
@@ -137,6 +139,7 @@
             client=client,
             registry=self._registry,
             instance_count=self._instance_count,
+            reachable_share=self._reachable_share,
             clock=self._clock,
             random=random,
             counters=counters,
@@ -393,6 +396,12 @@
         """Return the number of instances that share the limits of backend servers."""
         return max(MIN_INSTANCES, self._membership.membership.fleet_size)
 
+    def _reachable_share(self) -> float:
+        """Return the part of the instances that are not cut off from this one."""
+        live = len(self.peers()) + 1
+        lost = self._membership.membership.lost_since(self._clock.now() - LOST_TIME)
+        return live / (live + lost)
+
     def _connection_limit(self, service: str) -> int:
         if service == PEER_SERVICE:
             return PEER_CONNECTIONS
--- a/src/savorypond/gateway/rate_admission.py
+++ b/src/savorypond/gateway/rate_admission.py
@@ -14,6 +14,8 @@
 
 VALID_TIME = 2.0  # seconds for which a share is used
 MIN_SHARE = 0.02  # bounds the weight of an admitted request in estimates of demand
+# Tokens are whole and come at intervals, so not every request admitted finds one.
+OVERADMISSION = 1.5
 _ROUNDING_ERROR = 1e-9  # shards
 _HASHES = float(2**64)
 
--- a/src/savorypond/gateway/rate_control.py
+++ b/src/savorypond/gateway/rate_control.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from random import Random
 
 from savorypond.gateway.demand_meter import DemandMeter
 from savorypond.gateway.rate_admission import RateAdmission
@@ -27,8 +28,8 @@
 class RateControl:
     """Limits, admission and demand of one instance."""
 
-    def __init__(self, *, counters: Counters) -> None:
-        self._limits = ServerRateLimits(counters=counters)
+    def __init__(self, *, random: Random, counters: Counters) -> None:
+        self._limits = ServerRateLimits(random=random, counters=counters)
         self._admission = RateAdmission()
         self._demand = DemandMeter()
 
@@ -82,15 +83,22 @@
         for service in services:
             demand = self._demand.rates(service, now)
             if demand is None or sum(demand.values()) >= MIN_CLAIMED_DEMAND:
-                limits = self._limits.known(service, now)
                 claims.append(
-                    RateClaim(service=service, limits=limits, demand=demand or {})
+                    RateClaim(
+                        service=service,
+                        limits=self._limits.known(service, now),
+                        demand=demand or {},
+                        held=self._limits.held(service, now),
+                    )
                 )
         return tuple(claims)
 
-    def apply(self, share: RateShare, now: float) -> None:
-        """Apply a coordinator's answer to a claim."""
-        self._limits.apply(share, now)
+    def apply(self, share: RateShare, *, claimed_at: float, now: float) -> None:
+        """Apply a coordinator's answer to a claim.
+
+        :param claimed_at: monotonic seconds at which the claim was made.
+        """
+        self._limits.apply(share, claimed_at=claimed_at, now=now)
         for priority, admitted in share.admitted.items():
             self._admission.record(
                 share.service, priority=priority, share=admitted, now=now
--- a/src/savorypond/gateway/rate_coordinator.py
+++ b/src/savorypond/gateway/rate_coordinator.py
@@ -2,10 +2,12 @@
 
 Answers the load of servers in trouble, which announce how many requests a second they
 accept from all instances together. The instances cannot see each other's requests, use
-a server unequally, and come and go. One of them, the coordinator of a service, leases
-each a part of the limit in proportion to its demand. Leases end after a short time, so
-that the parts of instances that stop or are cut off return to the others, and two
-coordinators, as after a change of the members, exceed the limit only for that time.
+a server unequally, and come and go. One of them, the coordinator of a service, grants
+each some tokens, each for one request, in proportion to its demand. Tokens end after a
+short time, so that those of instances that stop or are cut off return to the others.
+
+Instances that do not reach each other have a coordinator each. It hands out only the
+part of the tokens that corresponds to the instances on its side.
 
 Where all servers of a service together have less room than callers need, the room goes
 to urgent requests first.
@@ -13,6 +15,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from random import Random
 
 from savorypond.gateway.rate_messages import (
     RateClaim,
@@ -20,17 +23,17 @@
     ServerLimit,
     ServerShare,
 )
+from savorypond.gateway.request_tokens import LEASE_TIME, TokenPool
 from savorypond.gateway.servers import RegisteredServer
 
-LEASE_TIME = 1.5  # seconds
 # Arrivals vary, and an attempt may be counted by its server a moment later.
 USED_SHARE = 0.97  # of a limit
-# Part of a limit that all instances without a lease would use together: those that
+# Part of a limit that all instances without a grant would use together: those that
 # seldom need the server, and those that do not reach the coordinator.
-UNLEASED_SHARE = 0.2
+RESERVED_SHARE = 0.2
 # The end of a limit of 0 is noticed only by a request.
 MIN_RATE = 0.25  # requests a second, of all instances
-# Part of the leases that is divided evenly, so that growing demand finds some room.
+# Part of the tokens that is divided evenly, so that growing demand finds some room.
 EVEN_SHARE = 0.1
 # Part of the room that every priority gets in proportion to its demand.
 UNPRIORITIZED_SHARE = 0.3
@@ -39,12 +42,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Server:
-    """A server's limit and its leases: rate and end, by instance."""
+    """A server's limit and its tokens."""
 
     started: int
     rate: float | None
     observed_at: float
-    leases: dict[str, tuple[float, float]] = field(default_factory=dict)
+    tokens: TokenPool
 
 
 @dataclass(slots=True, kw_only=True)
@@ -65,10 +68,12 @@
 
 
 class RateCoordinator:
-    """Leases the limits of the servers of some services.
+    """Divides the limits of the servers of some services.
 
     :param servers: returns the servers of a service that may get requests.
     :param instance_count: returns the number of instances that share a limit.
+    :param reachable_share: returns the part of the instances that claim their tokens
+        here, from 0 to 1, while others may have a coordinator of their own.
     """
 
     def __init__(
@@ -76,9 +81,13 @@
         *,
         servers: Callable[[str], Sequence[RegisteredServer]],
         instance_count: Callable[[], int],
+        reachable_share: Callable[[], float],
+        random: Random,
     ) -> None:
         self._servers = servers
         self._instance_count = instance_count
+        self._reachable_share = reachable_share
+        self._random = random
         self._services: dict[str, _Service] = {}
 
     def divide(self, instance: str, claim: RateClaim, now: float) -> RateShare:
@@ -86,7 +95,7 @@
         service = self._services.setdefault(claim.service, _Service(claimed_at=now))
         service.claimed_at = now
         for limit in claim.limits:
-            _merge_limit(service, limit, now)
+            self._merge_limit(service, limit, now)
         service.demand[instance] = _Demand(rates=claim.demand, until=now + LEASE_TIME)
         service.demand = {
             name: demand
@@ -94,7 +103,7 @@
             if now < demand.until
         }
         share = _demand_share(service, instance)
-        leased = USED_SHARE - self._unleased_share(service)
+        granted = self._granted_share(service)
         return RateShare(
             service=claim.service,
             servers=tuple(
@@ -105,11 +114,18 @@
                         rate=server.rate,
                         age=now - server.observed_at,
                     ),
-                    rate=_lease(server, instance, share, leased, now),
+                    tokens=self._grant(
+                        server,
+                        instance,
+                        held=claim.held.get(name, 0),
+                        share=share,
+                        granted=granted,
+                        now=now,
+                    ),
                 )
                 for name, server in service.servers.items()
             ),
-            admitted=self._admitted(claim.service, service, leased),
+            admitted=self._admitted(claim.service, service, granted),
         )
 
     def expire(self, now: float) -> None:
@@ -118,17 +134,55 @@
             if now - service.claimed_at >= SERVICE_TIMEOUT:
                 del self._services[name]
 
-    def _unleased_share(self, service: _Service) -> float:
-        """Return the part of a limit that instances without a claim may use."""
+    def _merge_limit(self, service: _Service, limit: ServerLimit, now: float) -> None:
+        """Keep the newest of two observations of a server's limit."""
+        known = service.servers.get(limit.name)
+        observed_at = now - limit.age
+        if known is not None and limit.started < known.started:
+            return
+        if known is None or limit.started > known.started:
+            service.servers[limit.name] = _Server(
+                started=limit.started,
+                rate=limit.rate,
+                observed_at=observed_at,
+                tokens=TokenPool(random=self._random, now=now),
+            )
+        elif observed_at > known.observed_at:
+            known.rate, known.observed_at = limit.rate, observed_at
+
+    def _granted_share(self, service: _Service) -> float:
+        """Return the part of each limit that is granted to instances with claims."""
         claiming = min(1.0, len(service.demand) / max(1, self._instance_count()))
-        return UNLEASED_SHARE * (1.0 - claiming)
+        reserved = RESERVED_SHARE * (1.0 - claiming)
+        return max(0.0, USED_SHARE * self._reachable_share() - reserved)
+
+    def _grant(
+        self,
+        server: _Server,
+        instance: str,
+        *,
+        held: int,
+        share: float,
+        granted: float,
+        now: float,
+    ) -> int:
+        """Return the tokens to add to those that ``instance`` holds.
+
+        :param share: part of the tokens that it gets, from 0 to 1.
+        :param granted: part of the limit that is granted, from 0 to 1.
+        """
+        if server.rate is None:
+            server.tokens.clear(now)
+            return 0
+        server.tokens.fill(granted * max(server.rate, MIN_RATE), now)
+        return server.tokens.grant(instance, held=held, share=share, now=now)
 
     def _admitted(
-        self, name: str, service: _Service, leased: float
+        self, name: str, service: _Service, granted: float
     ) -> dict[int, float]:
         """Return the share of the requests that have room, by priority.
 
-        :param leased: part of each limit that is leased, from 0 to 1.
+        :param granted: part of each limit that is granted, from 0 to 1.
         """
         demand: dict[int, float] = {}
         for of_instance in service.demand.values():
@@ -139,7 +193,7 @@
             known = service.servers.get(server.name)
             if known is None or known.started != server.started or known.rate is None:
                 return dict.fromkeys(demand, 1.0)
-            room += leased * max(known.rate, MIN_RATE)
+            room += granted * max(known.rate, MIN_RATE)
         return divide_room(room, demand)
 
 
@@ -164,48 +218,11 @@
     return admitted
 
 
-def _merge_limit(service: _Service, limit: ServerLimit, now: float) -> None:
-    """Keep the newest of two observations of a server's limit."""
-    known = service.servers.get(limit.name)
-    observed_at = now - limit.age
-    if known is not None and limit.started < known.started:
-        return
-    if known is None or limit.started > known.started:
-        service.servers[limit.name] = _Server(
-            started=limit.started, rate=limit.rate, observed_at=observed_at
-        )
-    elif observed_at > known.observed_at:
-        known.rate, known.observed_at = limit.rate, observed_at
-
-
 def _demand_share(service: _Service, instance: str) -> float:
-    """Return the part of the leases that ``instance`` gets, from 0 to 1."""
+    """Return the part of the tokens that ``instance`` gets, from 0 to 1."""
     total = sum(demand.total for demand in service.demand.values())
     even = 1.0 / len(service.demand)
     if not total:
         return even
     proportional = service.demand[instance].total / total
     return EVEN_SHARE * even + (1.0 - EVEN_SHARE) * proportional
-
-
-def _lease(
-    server: _Server, instance: str, share: float, leased: float, now: float
-) -> float:
-    """Lease a part of a limit, at most what is not leased to others.
-
-    :param share: part of the leases that ``instance`` gets, from 0 to 1.
-    :param leased: part of the limit that is leased, from 0 to 1.
-    """
-    if server.rate is None:
-        server.leases.clear()
-        return 0.0
-    server.leases = {
-        name: lease
-        for name, lease in server.leases.items()
-        if now < lease[1] and name != instance
-    }
-    usable = leased * max(server.rate, MIN_RATE)
-    free = usable - sum(rate for rate, _ in server.leases.values())
-    rate = max(0.0, min(usable * share, free))
-    server.leases[instance] = (rate, now + LEASE_TIME)
-    return rate
--- a/src/savorypond/gateway/rate_messages.py
+++ b/src/savorypond/gateway/rate_messages.py
@@ -24,21 +24,24 @@
     """What an instance knows and needs of the servers of one service.
 
     :param demand: requests a second that callers want to send, by priority.
+    :param held: unused tokens of the instance, by server.
     """
 
     service: str
     limits: tuple[ServerLimit, ...]
     demand: dict[int, float]
+    held: dict[str, int] = {}
 
 
 class ServerShare(Struct, frozen=True, kw_only=True):
     """The part of a server's limit that an instance may use.
 
-    :param rate: requests a second of this instance.
+    :param tokens: requests that the instance may send in addition to the tokens that it
+        claimed to hold; negative if it must give some up.
     """
 
     limit: ServerLimit
-    rate: float
+    tokens: int
 
 
 class RateShare(Struct, frozen=True, kw_only=True):
@@ -63,6 +66,8 @@
 class RateShares(Struct, frozen=True, kw_only=True):
     """The answers to the claims of one instance.
 
+    Claims to services of which the answering instance is not the coordinator get none.
+
     :param known: limits by service that the answering instance knows, if there were no
         claims, as from an instance that has just started.
     """
--- a/src/savorypond/gateway/rate_share_sync.py
+++ b/src/savorypond/gateway/rate_share_sync.py
@@ -1,4 +1,4 @@
-"""Exchanges claims and leases of rate limits with the coordinators of services."""
+"""Exchanges claims and tokens of rate limits with the coordinators of services."""
 
 from collections.abc import Callable, Sequence
 from random import Random
@@ -22,8 +22,8 @@
 from savorypond.reasons import RefusalReason
 from savorypond.timeouts import timeout_after
 
-CHECK_INTERVAL = 0.25  # seconds between checks for a limit without a lease
-CLAIM_INTERVAL = 0.5  # seconds between claims; a lease outlasts two that are lost
+CHECK_INTERVAL = 0.25  # seconds between checks for a limit without a claim
+CLAIM_INTERVAL = 0.5  # seconds between claims; tokens outlast two that are lost
 CLAIM_TIMEOUT = 0.4  # seconds for the answer of a coordinator
 ASKED_PEERS = 3  # for the limits that they know, by an instance that starts
 _MSGPACK = "application/msgpack"
@@ -93,6 +93,8 @@
 
     :param peers: returns the live instances other than this one.
     :param instance_count: returns the number of instances that share a limit.
+    :param reachable_share: returns the part of the instances that are not cut off from
+        this one, from 0 to 1.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         client: PeerClient,
         registry: ServerRegistry,
         instance_count: Callable[[], int],
+        reachable_share: Callable[[], float],
         clock: Clock,
         random: Random,
         counters: Counters,
@@ -114,7 +117,10 @@
             own_name=own_name, data_centre=data_centre, registry=registry, peers=peers
         )
         self._coordinator = RateCoordinator(
-            servers=registry.servers, instance_count=instance_count
+            servers=registry.servers,
+            instance_count=instance_count,
+            reachable_share=reachable_share,
+            random=random,
         )
         self._rates = rates
         self._client = client
@@ -148,9 +154,12 @@
         shares = tuple(
             self._coordinator.divide(message.instance, claim, now)
             for claim in message.claims
+            if self._choice.coordinator(claim.service) is None
         )
         limits = self._rates.limits
-        known = {} if shares else {s: limits.known(s, now) for s in limits.services}
+        known = {}
+        if not message.claims:
+            known = {s: limits.known(s, now) for s in limits.services}
         self._counters.add("gateway_rate_claims", "handled")
         return HttpResponse(
             status=200,
@@ -185,23 +194,24 @@
         for claim in self._rates.claims(now):
             peer = self._choice.coordinator(claim.service)
             if peer is None:
-                self._rates.apply(
-                    self._coordinator.divide(self._own_name, claim, now), now
-                )
+                share = self._coordinator.divide(self._own_name, claim, now)
+                self._rates.apply(share, claimed_at=now, now=now)
             else:
                 remote.setdefault(peer.name, (peer, []))[1].append(claim)
         async with TaskGroup() as group:
             for peer, claims in remote.values():
-                await group.spawn(self._claim, peer, tuple(claims))
+                await group.spawn(self._claim, peer, tuple(claims), now)
 
     async def _ask_peers(self) -> None:
         """Learn the limits from peers, since a restarted instance knows none."""
         async with TaskGroup() as group:
             for peer in self._choice.sample(ASKED_PEERS, self._random):
-                await group.spawn(self._claim, peer, ())
+                await group.spawn(self._claim, peer, (), self._clock.now())
         self._has_asked = any(task.result for task in group.tasks)
 
-    async def _claim(self, peer: Instance, claims: tuple[RateClaim, ...]) -> bool:
+    async def _claim(
+        self, peer: Instance, claims: tuple[RateClaim, ...], claimed_at: float
+    ) -> bool:
         """Send ``claims`` and apply the answer; return whether there was one."""
         message = RateClaims(instance=self._own_name, claims=claims)
         request = HttpRequest(method="POST", path=RATES_PATH, body=encode(message))
@@ -218,7 +228,7 @@
         except (BackendServerError, PoolExhausted, DecodeError) as error:
             problem = str(error)
         if problem:
-            # Leases outlast a lost claim; after that, an even part is used.
+            # Tokens outlast a lost claim; after that, an even part is used.
             self._counters.add("gateway_rate_claims", "failed")
             log_event(
                 "rate-claim-failed",
@@ -230,7 +240,7 @@
         self._counters.add("gateway_rate_claims", "answered")
         now = self._clock.now()
         for share in answer.shares:
-            self._rates.apply(share, now)
+            self._rates.apply(share, claimed_at=claimed_at, now=now)
         for service, limits in answer.known.items():
             self._rates.limits.learn(service, limits, now)
         return True
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -15,7 +15,7 @@
 from savorypond.gateway.gather_plan import GatherPlan
 from savorypond.gateway.plan_types import Attempt, GroupAttempt, PlanLimits, Verdict
 from savorypond.gateway.ranked_merge import PartialAnswer
-from savorypond.gateway.rate_admission import admission_rank
+from savorypond.gateway.rate_admission import OVERADMISSION, admission_rank
 from savorypond.gateway.rate_control import RankedRequest
 from savorypond.gateway.response_memory import ResponseReservation
 from savorypond.gateway.run_types import RunDependencies, RunResult, RunSpec
@@ -70,7 +70,9 @@
             loads=dependencies.loads,
             mean_latency=self._mean_latency,
             rates=dependencies.rates,
-            request=RankedRequest(priority=route.priority, rank=self._rank),
+            request=RankedRequest(
+                priority=route.priority, rank=self._rank / OVERADMISSION
+            ),
         )
         self._plan = GatherPlan(
             services=spec.services,
@@ -194,7 +196,7 @@
         direct = [s for n, s in enumerate(spec.services) if n not in delegated]
         for service in direct:
             dependencies.budget.record_request(service=service, now=now)
-        if not self._is_admitted(direct, now):
+        if not self._is_admitted(direct, now, is_delegated=bool(groups)):
             return
         attempts = self._plan.start(now)
         if self._plan.verdict(now) is not None:
@@ -205,9 +207,14 @@
             self._running[attempt.number] = task
         await self._spawn_attempts(attempts)
 
-    def _is_admitted(self, direct: list[str], now: float) -> bool:
+    def _is_admitted(
+        self, direct: list[str], now: float, *, is_delegated: bool
+    ) -> bool:
         """Return whether enough shards have room for the request.
 
+        Where this instance asks all shards, it sends nothing unless enough of them have
+        a token. Delegates do not know of each other's shards.
+
         :param direct: services that this instance asks itself.
         """
         spec, rates = self._spec, self._dependencies.rates
@@ -216,7 +223,8 @@
         self._request_share = rates.admission.request_share(
             spec.services, priority=priority, least_share=spec.least_share, now=now
         )
-        self._rate_limited = self._rank >= self._request_share
+        rank = self._rank if is_delegated else self._rank / OVERADMISSION
+        self._rate_limited = rank >= self._request_share
         if self._rate_limited:
             self._dependencies.counters.add("gateway_rate_limited", "request")
         return not self._rate_limited
--- a/src/savorypond/membership/membership.py
+++ b/src/savorypond/membership/membership.py
@@ -118,6 +118,13 @@
         """Number of known instances, this one included, without those leaving."""
         return 1 + self._table.non_leaving_count
 
+    def lost_since(self, start: float) -> int:
+        """Return the number of peers that have been dead since ``start`` or later."""
+        return sum(
+            member.update.state is InstanceState.DEAD and member.changed_at >= start
+            for member in self._table.departed
+        )
+
     @property
     def unreachable(self) -> frozenset[str]:
         """Data centres from which no datagram arrives."""
--- a/tests/test_gateway_rate_limit_simulation.py
+++ b/tests/test_gateway_rate_limit_simulation.py
@@ -71,6 +71,25 @@
             with self.subTest(seed):
                 self.play(replace(ONE_OF_TWO, cuts=cuts, seed=seed))
 
+    def test_saved_up_requests_do_not_exceed_a_limit(self):
+        """The limited server is hardly needed until the other one fails."""
+        for instances in (7, 60):
+            for seed in range(1, 6):
+                with self.subTest(instances=instances, seed=seed):
+                    load = Load(
+                        instances=instances,
+                        rates={1: 2.0},
+                        extra_share=0.0,
+                        limits=(3.0, None),
+                        outages=((0, 0.0, 20.0), (1, 20.0, 24.0)),
+                        burst=(20.0, 24.0),
+                        burst_factor=50.0,
+                        limit_period=(1.0, 35.0),
+                        known_from=2.0,
+                        seed=seed,
+                    )
+                    self.play(load)
+
     def test_a_query_gets_all_of_its_shards_or_none(self):
         """Each of 20 shards has room for half of the requests."""
         for seed in range(1, 4):
