Answer every request before a planned stop ends

What callers saw: a request still at work at its server when an instance stops, or one that arrived late in the stop, was cut off without an answer when the process ended, also if it may not be repeated. Reported by operators of similar systems.

Cause: requests kept the deadline of their callers, whatever time the stop had left; requests were accepted until the process ended, also while the instance waited for the requests of its peers.

Change: a stop shortens the deadlines of the requests in flight, and of those that arrive, to just before its end; their callers get 504 where the server has not answered. Once the requests of peers have ended, nothing more is accepted.

Ruled out: the project's own interface; it refuses new requests after the notice period and waits for the longest deadline (tests in test_daemon).

--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -31,6 +31,7 @@
 from savorypond.gateway.retry_budget import ServiceRetryBudget, ServiceRetryBudgetConfig
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.run_types import RunDependencies
+from savorypond.gateway.running_requests import RunningRequests
 from savorypond.gateway.server_load import ServerLoadTracker
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.gateway.settings import GatewaySettings
@@ -187,6 +188,7 @@
             clock=self._clock,
             counters=counters,
         )
+        self._running_requests = RunningRequests()
         handler = GatewayHandler(
             names=names,
             feed=self._feed,
@@ -196,6 +198,7 @@
             metrics=self._metrics,
             cpu_capacity=settings.cpu_capacity,
             timing=timing,
+            running=self._running_requests,
         )
         self._peer_server = HttpServer(
             address=settings.peer_address,
@@ -312,13 +315,17 @@
         )
         self._shutdown_plan = plan
         self._caller_server.disable_keep_alive()
+        await self._running_requests.begin_shutdown(plan)
         await self._membership.leave()
         while not plan.may_close(self._clock.now()):
             await sleep(SHUTDOWN_POLL_INTERVAL)
-        time_left = plan.time_left(self._clock.now())
-        fully_drained = await self._caller_server.drain(seconds=time_left)
-        time_left = plan.time_left(self._clock.now())
-        await self._peer_server.drain(seconds=time_left)
+        for server in (self._caller_server, self._peer_server):
+            await server.drain(seconds=plan.time_left(self._clock.now()))
+        # Callers may have connected while the requests of peers ended.
+        plan.refuse_all()
+        fully_drained = await self._caller_server.drain(
+            seconds=plan.time_left(self._clock.now())
+        )
         log_event(
             "drained", whole=fully_drained, in_flight=self._caller_server.in_flight
         )
--- a/src/savorypond/gateway/gather_plan.py
+++ b/src/savorypond/gateway/gather_plan.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 
 from savorypond.gateway.plan_types import (
@@ -304,6 +304,17 @@
             wakeup = min(wakeup, self._limits.partial_after)
         return wakeup
 
+    @property
+    def deadline(self) -> float:
+        """Monotonic seconds by which the request must have its final answer."""
+        return self._limits.deadline
+
+    def shorten_deadline(self, deadline: float) -> None:
+        """Have the final answer by ``deadline``, unless it is due sooner."""
+        self._limits = replace(
+            self._limits, deadline=min(deadline, self._limits.deadline)
+        )
+
     def next_hedge(self) -> float:
         """Return the time of the next hedge, or the deadline if that is earlier."""
         due = self._limits.deadline
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -23,6 +23,7 @@
 )
 from savorypond.gateway.routes import Route, RouteTable
 from savorypond.gateway.run_types import RunDependencies, RunResult, RunSpec
+from savorypond.gateway.running_requests import RunningRequests
 from savorypond.gateway.unfinished_groups import (
     GroupKey,
     UnfinishedGroup,
@@ -83,8 +84,10 @@
         metrics: Metrics,
         cpu_capacity: float,
         timing: AnswerTiming,
+        running: RunningRequests,
     ) -> None:
         self._timing = timing
+        self._running = running
         self._names = names
         self._cpu_capacity = cpu_capacity
         self._feed = feed
@@ -103,8 +106,17 @@
         try:
             table, route = self._find_route(request, request_id)
             time_left = self._time_left(request, route)
+            deadline = received + time_left
+            self._running.check_time(
+                route,
+                deadline=deadline,
+                mean_latency=self._dependencies.latencies.mean(
+                    route=route.name, goal=route.goal
+                ),
+                now=self._clock.now(),
+            )
             forwarded = self._to_forwarded(
-                request, request_id, route, received + time_left
+                request, request_id, route, self._running.answer_deadline(deadline)
             )
             return await self._serve(
                 table, route, forwarded, received, network_delay=request.network_delay
@@ -130,7 +142,9 @@
                 headers=group_request.headers,
                 body=group_request.body,
                 request_id=group_request.request_id,
-                caller_deadline=received + group_request.left,
+                caller_deadline=self._running.answer_deadline(
+                    received + group_request.left
+                ),
                 repeatable=group_request.route.idempotent,
                 max_response_bytes=group_request.route.max_response_bytes,
             ),
@@ -141,7 +155,8 @@
             admitted=group_request.admitted,
         )
         run = RequestRun(dependencies=self._dependencies, spec=spec)
-        result = await run.run(resumable=True)
+        async with self._running.track(run):
+            result = await run.run(resumable=True)
         key = GroupKey(
             peer=request.peer,
             request_id=group_request.request_id,
@@ -161,7 +176,8 @@
         group = self._unfinished_groups.take(key)
         if group is None:
             return HttpResponse(status=_GONE)
-        result = await group.run.resume()
+        async with self._running.track(group.run):
+            result = await group.run.resume()
         return await self._answer_group(key, group, result)
 
     async def _answer_group(
@@ -279,7 +295,9 @@
             least_share=route.least_share if route.shards else 1.0,
             may_delegate=bool(route.shards),
         )
-        result = await RequestRun(dependencies=self._dependencies, spec=spec).run()
+        run = RequestRun(dependencies=self._dependencies, spec=spec)
+        async with self._running.track(run):
+            result = await run.run()
         response = self._build_response(spec, result)
         self._record_answer(spec, result, response, received)
         return response
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -112,19 +112,24 @@
     async def resume(self) -> RunResult:
         """Return the next answers once one has arrived, or none by the deadline."""
         clock = self._dependencies.clock
-        deadline = self._spec.request.caller_deadline - DEADLINE_MARGIN
         self._cut_off = False
         try:
             while len(self._parts) == self._reported and self._plan.pending():
                 now = clock.now()
-                if now >= deadline:
+                if now >= self._plan.deadline:
                     break
                 await self._spawn_attempts(self._plan.due_hedges(now))
                 await self._wait_for_results(self._plan.next_hedge() - clock.now())
         except (CancelledError, Exception):
             await self.abandon(wait=0.0)
             raise
-        return await self._finish(Verdict.ANSWER, resumable=clock.now() < deadline)
+        is_resumable = clock.now() < self._plan.deadline
+        return await self._finish(Verdict.ANSWER, resumable=is_resumable)
+
+    async def shorten_deadline(self, deadline: float) -> None:
+        """Have the final answer by ``deadline``, in monotonic seconds."""
+        self._plan.shorten_deadline(deadline - DEADLINE_MARGIN)
+        await self._results.put(None)  # a waiting request recomputes its time-out
 
     async def abandon(self, *, wait: float) -> None:
         """End the request; cancel its running attempts in ``wait`` seconds."""
@@ -239,17 +244,19 @@
         """Wait up to ``seconds`` for a result and record all that have arrived."""
         try:
             async with timeout_after(max(0.0, seconds)):
-                attempt, result = await self._results.get()
+                item = await self._results.get()
         except TaskTimeout:
             return
-        await self._record_result(attempt, result)
+        await self._record_result(item)
         while not self._results.empty():
-            attempt, result = await self._results.get()
-            await self._record_result(attempt, result)
+            await self._record_result(await self._results.get())
 
     async def _record_result(
-        self, attempt: Attempt | GroupAttempt, result: Any
+        self, item: tuple[Attempt | GroupAttempt, Any] | None
     ) -> None:
+        if item is None:
+            return
+        attempt, result = item
         self._running.pop(attempt.number, None)
         if isinstance(attempt, GroupAttempt):
             await self._record_group(attempt, result)
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -2,6 +2,7 @@
 
 from contextlib import AsyncExitStack
 from itertools import count
+from json import loads
 from time import sleep as block
 from unittest import TestCase
 from unittest.mock import patch
@@ -29,6 +30,7 @@
 )
 
 BUSY_CONNECTIONS = 9
+ANSWER_TIME = 1.0  # seconds after a stop for a client to read its answer
 BUSY_TIME = 0.5  # seconds for which the event loop is blocked
 A_RECORD = b"a" * 16
 B_RECORD = b"b" * 16
@@ -83,6 +85,11 @@
         async with HttpConnection(address=address) as connection:
             return await connection.request(self.request(*arguments, **extra))
 
+    async def ask_after(self, delay, path, method):
+        """Ask ``delay`` seconds from now."""
+        await sleep(delay)
+        return await self.ask(path, method=method)
+
 
 def with_gateway(*routes, servers=tuple, **settings):
     """Run the test in a ``GatewayEnvironment``."""
@@ -377,6 +384,47 @@
             await env.gateway.stop()
         self.assertEqual(group.exceptions, [None] * BUSY_CONNECTIONS)
 
+    async def check_silent_servers_in_a_stop(self, env, path, method):
+        """The request was cut off without an answer at the end of the stop."""
+        async with TaskGroup() as group:
+            asking = await group.spawn(env.ask_after, 0.0, path, method)
+            await env.wait_until(lambda: any(s.requests for s in env.servers))
+            await env.gateway.stop()
+            async with timeout_after(ANSWER_TIME):
+                response = await asking.join()
+        self.assertEqual(response.status, 504)
+
+    @with_gateway(WRITE, servers=replicas("silent", "silent"), termination_grace=2.0)
+    async def test_a_stop_answers_an_unsafe_request_to_a_silent_server(self, env):
+        await self.check_silent_servers_in_a_stop(env, "/w/1", "POST")
+
+    @with_gateway(READ, servers=replicas("silent", "silent"), termination_grace=2.0)
+    async def test_a_stop_answers_a_safe_request_to_silent_servers(self, env):
+        await self.check_silent_servers_in_a_stop(env, "/r/1", "GET")
+
+    async def check_late_request_in_a_stop(self, env, path, method):
+        """The request was passed on and cut off without an answer."""
+        self.assertEqual((await env.ask(path, method=method)).status, 200)
+        sent = sum(len(server.requests) for server in env.servers)
+        async with TaskGroup() as group:
+            asking = await group.spawn(env.ask_after, 0.9, path, method)
+            await env.gateway.stop()
+            async with timeout_after(ANSWER_TIME):
+                response = await asking.join()
+        self.assertEqual(response.status, 503)
+        self.assertEqual(loads(response.body)["execution"], "not-run")
+        self.assertLess(float(response.header("retry-after")), 0.1)
+        self.assertTrue(response.close)
+        self.assertEqual(sum(len(server.requests) for server in env.servers), sent)
+
+    @with_gateway(WRITE, servers=replicas("slow", "slow"), termination_grace=2.0)
+    async def test_a_stop_refuses_an_unsafe_request_that_comes_too_late(self, env):
+        await self.check_late_request_in_a_stop(env, "/w/1", "POST")
+
+    @with_gateway(READ, servers=replicas("slow", "slow"), termination_grace=2.0)
+    async def test_a_stop_refuses_a_safe_request_that_comes_too_late(self, env):
+        await self.check_late_request_in_a_stop(env, "/r/1", "GET")
+
 
 class PublishedTests(TestCase):
     @with_gateway(READ, servers=replicas("good", "good"))
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -3,9 +3,12 @@
 from unittest import TestCase
 
 from savorypond.gateway.shutdown import (
+    ANSWER_MARGIN,
     KILL_MARGIN,
     LATE_CONNECTION_TIME,
     MAX_NOTICE,
+    REPEATABLE_TIME,
+    UNREPEATABLE_TIME,
     ShutdownPlan,
 )
 
@@ -31,3 +34,34 @@
         self.assertTrue(
             ShutdownPlan(started_at=0.0, termination_grace=1.0).may_close(0.5)
         )
+
+    def accepts(self, plan, time_left, *, repeatable=True, caller_time=60.0):
+        now = plan.answer_deadline - time_left
+        return plan.accepts(
+            now=now,
+            deadline=now + caller_time,
+            mean_latency=0.1,
+            repeatable=repeatable,
+        )
+
+    def test_answers_are_due_before_requests_are_cut_off(self):
+        plan = ShutdownPlan(started_at=0.0, termination_grace=6.0)
+        self.assertAlmostEqual(plan.time_left(plan.answer_deadline), ANSWER_MARGIN)
+
+    def test_accepts_requests_while_there_is_time_for_them(self):
+        plan = ShutdownPlan(started_at=0.0, termination_grace=6.0)
+        usual = 0.1 * REPEATABLE_TIME
+        self.assertTrue(self.accepts(plan, usual + 0.01))
+        self.assertFalse(self.accepts(plan, usual - 0.01))
+        self.assertTrue(self.accepts(plan, 0.06, caller_time=0.05))
+
+    def test_unrepeatable_requests_need_more_time(self):
+        plan = ShutdownPlan(started_at=0.0, termination_grace=6.0)
+        needed = 0.1 * UNREPEATABLE_TIME
+        self.assertTrue(self.accepts(plan, needed + 0.01, repeatable=False))
+        self.assertFalse(self.accepts(plan, needed - 0.01, repeatable=False))
+
+    def test_accepts_nothing_once_all_requests_have_ended(self):
+        plan = ShutdownPlan(started_at=0.0, termination_grace=6.0)
+        plan.refuse_all()
+        self.assertFalse(self.accepts(plan, 5.0))
