Spread news of rate limits to instances that have not used a server

What servers would see: when the other servers of a service fail, every instance turns to the one with a limit, and those that never used it learn of the limit only by its answers.

Cause: limits travelled with claims only, and an instance claims only services of which it knows a limit. Likewise an instance that does not need a service did not learn of the end of a limit.

Change: an instance that learns of a limit that begins or ends tells up to four others, which do the same if they did not know. Limits in the claims of others are learned, too. What is known from others only is not claimed before it is needed, or a limit would cost a large fleet a claim of each instance.

Ruled out: the coordinator tells all (a new connection to each of hundreds of instances at once), and asking a peer at intervals (messages at all times).

--- a/src/savorypond/gateway/rate_control.py
+++ b/src/savorypond/gateway/rate_control.py
@@ -74,7 +74,7 @@
     def claims(self, now: float) -> tuple[RateClaim, ...]:
         """Return the claims to the limits of the services that are needed.
 
-        An instance that seldom needs a service makes do with its even part. Otherwise
+        An instance that seldom needs a service makes do with its reserve. Otherwise
         every instance of a large fleet would send claims all the time.
         """
         services = self._limits.services
@@ -82,7 +82,11 @@
         claims = []
         for service in services:
             demand = self._demand.rates(service, now)
-            if demand is None or sum(demand.values()) >= MIN_CLAIMED_DEMAND:
+            if demand is None:
+                is_needed = self._limits.is_observed(service)
+            else:
+                is_needed = sum(demand.values()) >= MIN_CLAIMED_DEMAND
+            if is_needed:
                 claims.append(
                     RateClaim(
                         service=service,
--- a/src/savorypond/gateway/rate_messages.py
+++ b/src/savorypond/gateway/rate_messages.py
@@ -57,10 +57,14 @@
 
 
 class RateClaims(Struct, frozen=True, kw_only=True):
-    """The claims of one instance to the services of one coordinator."""
+    """The claims of one instance to the services of one coordinator.
+
+    :param news: limits by service that began or ended lately.
+    """
 
     instance: str
     claims: tuple[RateClaim, ...]
+    news: dict[str, tuple[ServerLimit, ...]] = {}
 
 
 class RateShares(Struct, frozen=True, kw_only=True):
@@ -68,8 +72,8 @@
 
     Claims to services of which the answering instance is not the coordinator get none.
 
-    :param known: limits by service that the answering instance knows, if there were no
-        claims, as from an instance that has just started.
+    :param known: limits by service that the answering instance knows, if there were
+        neither claims nor news, as from an instance that has just started.
     """
 
     shares: tuple[RateShare, ...]
--- a/src/savorypond/gateway/rate_share_sync.py
+++ b/src/savorypond/gateway/rate_share_sync.py
@@ -1,4 +1,9 @@
-"""Exchanges claims and tokens of rate limits with the coordinators of services."""
+"""Exchanges claims and tokens of rate limits with the coordinators of services.
+
+An instance may need a server of which it has no answer yet, as when the other servers
+of a service fail. News of a limit therefore spread to all instances: each tells a few
+others, which tell others in turn if they did not know.
+"""
 
 from collections.abc import Callable, Sequence
 from random import Random
@@ -13,7 +18,12 @@
 from savorypond.gateway.peers import RATES_PATH, PeerClient
 from savorypond.gateway.rate_control import RateControl
 from savorypond.gateway.rate_coordinator import RateCoordinator
-from savorypond.gateway.rate_messages import RateClaim, RateClaims, RateShares
+from savorypond.gateway.rate_messages import (
+    RateClaim,
+    RateClaims,
+    RateShares,
+    ServerLimit,
+)
 from savorypond.gateway.rendezvous import rendezvous_score
 from savorypond.gateway.servers import ServerRegistry
 from savorypond.http.messages import Header, HttpRequest, HttpResponse
@@ -26,6 +36,8 @@
 CLAIM_INTERVAL = 0.5  # seconds between claims; tokens outlast two that are lost
 CLAIM_TIMEOUT = 0.4  # seconds for the answer of a coordinator
 ASKED_PEERS = 3  # for the limits that they know, by an instance that starts
+NEAR_NEWS_PEERS = 2  # of the same data centre that are told of news
+ANY_NEWS_PEERS = 2  # of all data centres
 _MSGPACK = "application/msgpack"
 
 _claims_decoder = Decoder(RateClaims)
@@ -76,6 +88,14 @@
         peers.sort(key=lambda peer: peer.data_centre != self._data_centre)
         return peers[:count]
 
+    def news_peers(self, random: Random) -> list[Instance]:
+        """Return the live peers to tell of news, some of them of any data centre."""
+        peers = list(self._peers())
+        random.shuffle(peers)
+        anywhere, rest = peers[:ANY_NEWS_PEERS], peers[ANY_NEWS_PEERS:]
+        near = [peer for peer in rest if peer.data_centre == self._data_centre]
+        return anywhere + near[:NEAR_NEWS_PEERS]
+
     def _choose(
         self, service: str, data_centres: frozenset[str], peers: Sequence[Instance]
     ) -> Instance | None:
@@ -151,14 +171,18 @@
                 detail=f"invalid claims from a peer: {error}",
             ) from error
         now = self._clock.now()
+        limits = self._rates.limits
+        for service, news in message.news.items():
+            limits.learn(service, news, now)
+        for claim in message.claims:
+            limits.learn(claim.service, claim.limits, now)
         shares = tuple(
             self._coordinator.divide(message.instance, claim, now)
             for claim in message.claims
             if self._choice.coordinator(claim.service) is None
         )
-        limits = self._rates.limits
         known = {}
-        if not message.claims:
+        if not message.claims and not message.news:
             known = {s: limits.known(s, now) for s in limits.services}
         self._counters.add("gateway_rate_claims", "handled")
         return HttpResponse(
@@ -173,6 +197,8 @@
             if not self._has_asked:
                 await self._ask_peers()
             now = self._clock.now()
+            if news := self._rates.limits.take_news(now):
+                await self._tell(news, now)
             services = frozenset(self._rates.limits.services)
             is_due = now - self._claimed_at >= CLAIM_INTERVAL
             if services - self._claimed or (services and is_due):
@@ -200,20 +226,31 @@
                 remote.setdefault(peer.name, (peer, []))[1].append(claim)
         async with TaskGroup() as group:
             for peer, claims in remote.values():
-                await group.spawn(self._claim, peer, tuple(claims), now)
+                await group.spawn(self._send, peer, self._message(tuple(claims)), now)
+
+    async def _tell(self, news: dict[str, tuple[ServerLimit, ...]], now: float) -> None:
+        message = self._message(news=news)
+        for peer in self._choice.news_peers(self._random):
+            await spawn(self._send, peer, message, now, daemon=True)
 
     async def _ask_peers(self) -> None:
         """Learn the limits from peers, since a restarted instance knows none."""
         async with TaskGroup() as group:
             for peer in self._choice.sample(ASKED_PEERS, self._random):
-                await group.spawn(self._claim, peer, (), self._clock.now())
+                await group.spawn(self._send, peer, self._message(), self._clock.now())
         self._has_asked = any(task.result for task in group.tasks)
 
-    async def _claim(
-        self, peer: Instance, claims: tuple[RateClaim, ...], claimed_at: float
+    def _message(
+        self,
+        claims: tuple[RateClaim, ...] = (),
+        news: dict[str, tuple[ServerLimit, ...]] | None = None,
+    ) -> RateClaims:
+        return RateClaims(instance=self._own_name, claims=claims, news=news or {})
+
+    async def _send(
+        self, peer: Instance, message: RateClaims, claimed_at: float
     ) -> bool:
-        """Send ``claims`` and apply the answer; return whether there was one."""
-        message = RateClaims(instance=self._own_name, claims=claims)
+        """Send ``message`` and apply the answer; return whether there was one."""
         request = HttpRequest(method="POST", path=RATES_PATH, body=encode(message))
         problem = ""
         try:
@@ -233,7 +270,8 @@
             log_event(
                 "rate-claim-failed",
                 coordinator=peer.name,
-                services=len(claims),
+                services=len(message.claims),
+                news=len(message.news),
                 problem=problem,
             )
             return False
--- a/src/savorypond/gateway/server_rate_limits.py
+++ b/src/savorypond/gateway/server_rate_limits.py
@@ -33,6 +33,7 @@
     :param first: first attempts since the last log line.
     :param extra: hedges and retries since the last log line.
     :param refused: attempts since then for which there was no token.
+    :param observed: whether an answer to this instance announced the limit.
     """
 
     name: str
@@ -46,6 +47,16 @@
     first: int = 0
     extra: int = 0
     refused: int = 0
+    observed: bool = False
+
+    def known(self, now: float) -> ServerLimit:
+        """Return what this instance tells others of the limit."""
+        return ServerLimit(
+            name=self.name,
+            started=self.started,
+            rate=self.rate,
+            age=now - self.observed_at,
+        )
 
 
 class ServerRateLimits:
@@ -56,6 +67,7 @@
         self._counters = counters
         self._instances = 1
         self._services: dict[str, dict[str, _Limit]] = {}
+        self._news: dict[tuple[str, str], _Limit] = {}
 
     def set_instance_count(self, count: int) -> None:
         """Set the number of instances that share a limit without grants."""
@@ -93,6 +105,8 @@
         if rate is None and not _ends(limit, sent_at):
             return
         self._set_rate(server.service, server.name, server.started, rate, now, now)
+        if rate is not None and (limit := self._find(server)) is not None:
+            limit.observed = True
 
     def apply(self, share: RateShare, *, claimed_at: float, now: float) -> None:
         """Apply a coordinator's answer to a claim of this instance.
@@ -162,15 +176,24 @@
     def known(self, service: str, now: float) -> tuple[ServerLimit, ...]:
         """Return what this instance knows of the limits of ``service``."""
         return tuple(
-            ServerLimit(
-                name=limit.name,
-                started=limit.started,
-                rate=limit.rate,
-                age=now - limit.observed_at,
-            )
-            for limit in self._services.get(service, {}).values()
+            limit.known(now) for limit in self._services.get(service, {}).values()
         )
 
+    def is_observed(self, service: str) -> bool:
+        """Return whether this instance has used a server of ``service`` with a limit.
+
+        Otherwise it knows of the limits from other instances only.
+        """
+        return any(limit.observed for limit in self._services.get(service, {}).values())
+
+    def take_news(self, now: float) -> dict[str, tuple[ServerLimit, ...]]:
+        """Return the limits that began or ended since the last call, by service."""
+        news: dict[str, list[ServerLimit]] = {}
+        for limit in self._news.values():
+            news.setdefault(limit.service, []).append(limit.known(now))
+        self._news.clear()
+        return {service: tuple(limits) for service, limits in news.items()}
+
     def held(self, service: str, now: float) -> dict[str, int]:
         """Return the unused tokens for the servers of ``service`` by name."""
         return {
@@ -231,7 +254,9 @@
         if rate == limit.rate:
             return
         self._log_change(limit, rate)
-        if rate is not None and limit.rate is not None and rate < limit.rate:
+        if rate is None or limit.rate is None:
+            self._news[service, name] = limit
+        elif rate < limit.rate:
             limit.tokens.reduce(rate / limit.rate)
         limit.rate = rate
 
--- a/tests/rate_limit_simulation.py
+++ b/tests/rate_limit_simulation.py
@@ -15,12 +15,18 @@
 from savorypond.gateway.rate_admission import OVERADMISSION, admission_rank
 from savorypond.gateway.rate_control import RankedRequest
 from savorypond.gateway.rate_coordinator import RateCoordinator
-from savorypond.gateway.rate_share_sync import CHECK_INTERVAL, CLAIM_INTERVAL
+from savorypond.gateway.rate_share_sync import (
+    ANY_NEWS_PEERS,
+    CHECK_INTERVAL,
+    CLAIM_INTERVAL,
+    NEAR_NEWS_PEERS,
+)
 from savorypond.gateway.rendezvous import rendezvous_score
 from tests.gateway_fakes import make_rates, server
 
 ANSWER_TIME = 0.03  # seconds
 MESSAGE_TIME = 0.005  # seconds one way between instances
+NEWS_PEERS = ANY_NEWS_PEERS + NEAR_NEWS_PEERS
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,6 +43,7 @@
     :param burst: start and end of a time in which callers send ``burst_factor`` times
         as much.
     :param known_from: time at which every instance learns the limits, or None.
+    :param known_by: number of instances that learn them then.
     """
 
     instances: int = 7
@@ -53,6 +60,7 @@
     burst: tuple = (0.0, 0.0)
     burst_factor: float = 1.0
     known_from: float | None = None
+    known_by: int = 1000
     extra_share: float = 0.05
     seed: int = 1
 
@@ -147,7 +155,7 @@
                 self._at(now, self._ask, instance, priority)
         for instance in self._instances:
             self._at(self._random.uniform(0.0, CHECK_INTERVAL), self._check, instance)
-            if load.known_from is not None:
+            if load.known_from is not None and instance.number < load.known_by:
                 self._at(load.known_from, self._learn, instance)
         for number, time in load.restarts:
             self._at(time, lambda now, n=number: self._instances[n].restart())
@@ -231,6 +239,9 @@
     def _check(self, instance, now):
         limits = instance.rates.limits
         services = frozenset(limits.services)
+        if news := limits.take_news(now):
+            for peer in self._random.sample(self._instances, NEWS_PEERS):
+                self._at(now + MESSAGE_TIME, self._tell, instance, peer, news)
         is_due = now - instance.claimed_at >= CLAIM_INTERVAL
         limits.set_instance_count(self.load.instances)
         if services - instance.claimed or (services and is_due):
@@ -241,6 +252,11 @@
         instance.claimed = services
         self._at(now + CHECK_INTERVAL, self._check, instance)
 
+    def _tell(self, instance, peer, news, now):
+        if not self._is_cut(instance, now) and not self._is_cut(peer, now):
+            for service, limits in news.items():
+                peer.rates.limits.learn(service, limits, now)
+
     def _claim(self, instance, claim, now):
         coordinator = max(
             self._instances, key=lambda i: rendezvous_score(claim.service, i.name)
@@ -254,6 +270,7 @@
             )
 
     def _divide(self, coordinator, instance, claim, claimed_at, now):
+        coordinator.rates.limits.learn(claim.service, claim.limits, now)
         share = coordinator.coordinator.divide(instance.name, claim, now)
         self._at(now + MESSAGE_TIME, self._apply, instance, share, claimed_at)
 
--- a/tests/test_gateway_rate_limit_fleet.py
+++ b/tests/test_gateway_rate_limit_fleet.py
@@ -155,6 +155,24 @@
 
         run(main)
 
+    def test_instances_tell_each_other_of_limits_that_begin_and_end(self):
+        async def main():
+            limited = FakeServer("i1", service="s1", rate_limit=1000.0)
+            async with Fleet(READ, servers=(limited,)) as fleet:
+                for rate, known in ((1000.0, 1), (None, 0)):
+                    limited.rate_limit = rate
+                    sent = len(limited.requests)
+                    await fleet.ask(fleet.gateways[0], "/r/1", f"r{known}")
+                    await fleet.wait_until(
+                        lambda known=known: all(
+                            gateway.limited_servers == known
+                            for gateway in fleet.gateways
+                        )
+                    )
+                    self.assertEqual(len(limited.requests), sent + 1)
+
+        run(main)
+
     def test_shards_that_a_delegate_has_no_room_for_are_not_asked_instead(self):
         """The delegates are in the data centre of the servers, the origin is not."""
         services = [f"s{n}" for n in range(4)]
--- a/tests/test_gateway_rate_limit_simulation.py
+++ b/tests/test_gateway_rate_limit_simulation.py
@@ -90,6 +90,25 @@
                     )
                     self.play(load)
 
+    def test_instances_that_never_used_a_server_know_its_limit(self):
+        """All of them turn to it when the other server fails."""
+        for seed in range(1, 6):
+            with self.subTest(seed):
+                load = Load(
+                    instances=60,
+                    rates={1: 2.0},
+                    extra_share=0.0,
+                    limits=(3.0, None),
+                    outages=((0, 0.0, 20.0), (1, 20.0, 24.0)),
+                    burst=(20.0, 24.0),
+                    burst_factor=50.0,
+                    limit_period=(1.0, 35.0),
+                    known_from=2.0,
+                    known_by=1,
+                    seed=seed,
+                )
+                self.play(load)
+
     def test_a_query_gets_all_of_its_shards_or_none(self):
         """Each of 20 shards has room for half of the requests."""
         for seed in range(1, 4):
