Let servers of the soak announce rate limits, and check them

Now one server, or all of a service, announce 0.5, 2 or 6 requests a second for six seconds and more, beside the other faults. The checker counts what instances send that know of the limit for half a second and had no fault of their own.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -3,8 +3,15 @@
 from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
+from math import inf
 
-from tests.soak.records import AttemptRecord, Records, RequestKind, RunRecord
+from tests.soak.records import (
+    AttemptRecord,
+    RateLimitPeriod,
+    Records,
+    RequestKind,
+    RunRecord,
+)
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 RECORD_BYTES = 16
@@ -30,6 +37,12 @@
     :param cancel_time: seconds until work ends whose caller has disconnected.
     :param settle_time: seconds without a fault after which time limits hold.
     :param grace: seconds that a stopping instance may take.
+    :param limit_window: seconds over which requests to a server with a rate limit are
+        counted.
+    :param limit_factor: allowed multiple of the rate limit in that time.
+    :param limit_slack: requests allowed in addition.
+    :param limit_notice: seconds after its first answer with a limit from which an
+        instance must keep to it.
     """
 
     top_k: int = 5
@@ -44,6 +57,10 @@
     regress_tolerance: float = 0.25
     cancel_time: float = 0.5
     grace: float = 6.0
+    limit_window: float = 4.0
+    limit_factor: float = 1.5
+    limit_slack: float = 5.0
+    limit_notice: float = 0.5
 
 
 class Checker:
@@ -83,6 +100,7 @@
                 self._check_apply,
                 self._check_stops,
                 self._check_abandoned,
+                self._check_rate_limits,
             ]
         return [line for check in checks for line in check()]
 
@@ -227,9 +245,13 @@
 
     def _undisturbed(self, instance: str, since: float, until: float) -> bool:
         """Return whether no fault affected ``instance`` or the store meanwhile."""
+        return self._ran_well((instance, ""), since, until)
+
+    def _ran_well(self, instances: tuple[str, ...], since: float, until: float) -> bool:
+        """Return whether no fault of ``instances`` was recorded meanwhile."""
         start = since - self._bounds.settle_time
         return not any(
-            window.instance in ("", instance)
+            window.instance in instances
             and window.began < until
             and window.ended > start
             for window in self._records.fault_windows
@@ -303,3 +325,42 @@
             working += bool(over)
         if working > 3 and working > total / 4:
             yield f"disconnect: work for {working} of {total} callers was not cancelled"
+
+    def _check_rate_limits(self) -> Iterator[str]:
+        """Check that instances together keep to the limits that they know."""
+        bounds = self._bounds
+        for period in self._records.rate_limits:
+            allowed = (
+                bounds.limit_factor * period.rate * bounds.limit_window
+                + bounds.limit_slack
+            )
+            times = self._limited_arrivals(period)
+            for end in times:
+                count = sum(end - bounds.limit_window < t <= end for t in times)
+                if count > allowed:
+                    yield (
+                        f"rate limit: {period.server} got {count} requests in"
+                        f" {bounds.limit_window} s, {allowed} allowed"
+                    )
+                    break
+
+    def _limited_arrivals(self, period: RateLimitPeriod) -> list[float]:
+        """Return when undisturbed instances that knew the limit sent requests."""
+        known: dict[str, float] = {}
+        times = []
+        runs = [run for run in self._records.runs if run.server == period.server]
+        for run in sorted(runs, key=lambda one: one.arrived):
+            if not period.began <= run.arrived <= period.ended:
+                continue
+            if run.status:
+                known_at = known.get(run.instance, run.ended)
+                known[run.instance] = min(known_at, run.ended)
+            knows = known.get(run.instance, inf) + self._bounds.limit_notice
+            is_settled = run.arrived >= period.began + self._bounds.settle_time
+            if (
+                is_settled
+                and run.arrived >= knows
+                and self._ran_well((run.instance,), run.arrived, run.arrived)
+            ):
+                times.append(run.arrived)
+        return times
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,7 +6,9 @@
 from curio import sleep, spawn
 
 from tests.soak.proxy import ProxyFaults
-from tests.soak.records import DrainStart
+from tests.soak.records import DrainStart, RateLimitPeriod
+
+LIMITED_TIME = 6.0  # seconds for which a server announces a rate limit, at least
 
 
 class FaultInjector:
@@ -32,6 +34,7 @@
             self._fail_server,
             self._fail_service,
             self._slow_server,
+            self._limit_servers,
             self._drain_server,
             self._restart_server,
             self._reconfigure,
@@ -179,6 +182,34 @@
         await sleep(duration)
         server.slow_factor = 1.0
 
+    async def _limit_servers(self, duration):
+        """Let one server or all servers of a service announce rate limits."""
+        site = self._site
+        server = self._server()
+        servers = [server]
+        if self._random.random() < 0.3:
+            service = server.service
+            servers = [one for one in site.servers.values() if one.service == service]
+        for one in servers:
+            if one.rate_limit is None:
+                one.rate_limit = self._random.choice((0.5, 2.0, 6.0))
+                await spawn(self._end_limit, one, duration + LIMITED_TIME, daemon=True)
+        await sleep(duration + LIMITED_TIME)
+
+    async def _end_limit(self, server, duration):
+        began, rate = monotonic(), server.rate_limit
+        while (
+            monotonic() < began + duration
+            and self._site.servers.get(server.name) is server
+        ):
+            await sleep(0.05)
+        server.rate_limit = None
+        self._site.records.rate_limits.append(
+            RateLimitPeriod(
+                server=server.name, rate=rate, began=began, ended=monotonic()
+            )
+        )
+
     async def _drain_server(self, duration):
         """Replace a server: start the new one, then drain the old one."""
         site = self._site
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -97,6 +97,19 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RateLimitPeriod:
+    """A span in which a backend server announced a rate limit.
+
+    :param rate: requests a second from all instances together.
+    """
+
+    server: str
+    rate: float
+    began: float
+    ended: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FaultWindow:
     """A span in which a fault affected an instance, or every instance for ""."""
@@ -119,6 +132,7 @@
     attempts: list[AttemptRecord] = field(default_factory=list)
     versions: list[ConfigVersion] = field(default_factory=list)
     drain_starts: list[DrainStart] = field(default_factory=list)
+    rate_limits: list[RateLimitPeriod] = field(default_factory=list)
     fault_windows: list[FaultWindow] = field(default_factory=list)
     exits: list[str] = field(default_factory=list)
     stops: dict[str, float] = field(default_factory=dict)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -30,7 +30,8 @@
 
     ``mode`` is ``good``, ``failing`` (half of the answers have status 500),
     ``shedding`` (refuses requests as not run) or ``losing`` (closes the connection of
-    some requests after they have run, without an answer).
+    some requests after they have run, without an answer). ``rate_limit`` is the
+    requests a second that it announces, or None.
     """
 
     def __init__(self, *, name, service, random, records, slots=2, service_time=0.012):
@@ -38,6 +39,7 @@
         self.service = service
         self.mode = "good"
         self.slow_factor = 1.0
+        self.rate_limit = None
         self.draining = False
         self.born = 1
         self.heartbeats = 0
@@ -97,9 +99,8 @@
         if expected not in (None, self.name):
             return HttpResponse(status=421)
         if self.mode == "shedding" or self._waiting > 12:
-            return HttpResponse(
-                status=503, headers=(Header(name=HEADERS.not_run, value="1"),)
-            )
+            refused = Header(name=HEADERS.not_run, value="1")
+            return HttpResponse(status=503, headers=(refused, *self._limit_headers()))
         try:
             return await self._run(run)
         except CancelledError:
@@ -136,10 +137,16 @@
             headers=(
                 Header(name=HEADERS.request_id, value=run.request_id),
                 Header(name=HEADERS.signature, value=run.signature),
+                *self._limit_headers(),
             ),
             body=run.answer,
         )
 
+    def _limit_headers(self):
+        if self.rate_limit is None:
+            return ()
+        return (Header(name=HEADERS.rate_limit, value=str(self.rate_limit)),)
+
     def _answer(self, request_id):
         """Return records that are unique to this service and request."""
         seeds = (f"{self.service} {request_id} {i}" for i in range(RECORDS_PER_ANSWER))
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -9,6 +9,7 @@
     ConfigVersion,
     DrainStart,
     FaultWindow,
+    RateLimitPeriod,
     Records,
     RequestKind,
     RunRecord,
@@ -89,6 +90,8 @@
 ONCE = attempt(kind=RequestKind.ONCE)
 ONCE_RUN = run(service="once-1")
 
+LIMITED = [RateLimitPeriod(server="i1", rate=1.0, began=5.0, ended=20.0)]
+
 VIOLATIONS = (
     Case("foreign signature", "answer", (attempt(signature="x"),), (run(),)),
     Case("another body", "answer", (attempt(answer=B),), (run(),)),
@@ -161,6 +164,15 @@
         tuple(attempt(f"r{n}", abandoned_at=10.0, status=0) for n in range(4)),
         tuple(run(f"r{n}", ended=12.0) for n in range(4)),
     ),
+    Case(
+        "more than a rate limit",
+        "rate limit",
+        tuple(attempt(f"r{n}") for n in range(30)),
+        tuple(
+            run(f"r{n}", arrived=10.0 + n / 5, ended=10.1 + n / 5) for n in range(30)
+        ),
+        {"rate_limits": LIMITED},
+    ),
     Case("unexpected exit", "exit", (), (), {"exits": ["g1#1 ended with 1"]}),
     Case("no recovery", "recovery", (), (), {"probes": 4, "probes_failed": 4}),
 )
@@ -214,6 +226,28 @@
         )
         self.assertEqual(check(case), [])
 
+    def test_requests_count_against_a_limit_that_their_instance_knows(self):
+        """Ten instances send few requests each; one that restarts sends many."""
+        runs = tuple(
+            run(f"r{n}", instance=f"g{n % 10}", arrived=10.0 + n / 5, ended=12.0)
+            for n in range(9)
+        )
+        busy = tuple(
+            run(f"q{n}", instance="g1", arrived=14.0 + n / 5, ended=14.0 + n / 5)
+            for n in range(20)
+        )
+        restart = FaultWindow(instance="g1", kind="start", began=14.0, ended=17.0)
+        case = Case(
+            "excused",
+            "",
+            tuple(attempt(one.request_id) for one in runs + busy),
+            runs + busy,
+            {"rate_limits": LIMITED, "fault_windows": [restart]},
+        )
+        self.assertEqual(check(case), [])
+        without = replace(case, records={"rate_limits": LIMITED})
+        self.assertTrue(check(without))
+
     def test_a_kill_during_a_planned_stop_may_interrupt_requests(self):
         kill = FaultWindow(instance="g1", kind="kill", began=10.1, ended=12.1)
         case = Case(
