Keep the shares of fleet-wide limits in one module

The number of instances, the part of them that is reachable, the connections to a server and the budget of extra attempts were worked out in the daemon's module, next to its start and stop, where no test reached them. The state of a shard moves to plan_types and partial_answer_delay to answer_timing, both next to their kind; three files are shorter. No change of behaviour.

--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -14,6 +14,7 @@
 from savorypond.gateway.connection_pool import ConnectionPools
 from savorypond.gateway.delegation import MAX_DIRECT_SHARDS, DelegationPolicy
 from savorypond.gateway.delegation_client import DelegationClient
+from savorypond.gateway.fleet_shares import FleetShares
 from savorypond.gateway.handler import GatewayHandler
 from savorypond.gateway.headers import HeaderNames
 from savorypond.gateway.peers import (
@@ -28,7 +29,7 @@
 from savorypond.gateway.rate_share_sync import RateShareSync
 from savorypond.gateway.reader_selection import ReaderSelection
 from savorypond.gateway.response_memory import ResponseMemory
-from savorypond.gateway.retry_budget import ServiceRetryBudget, ServiceRetryBudgetConfig
+from savorypond.gateway.retry_budget import ServiceRetryBudget
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.run_types import RunDependencies
 from savorypond.gateway.running_requests import RunningRequests
@@ -47,18 +48,10 @@
 from savorypond.operator_api import OperatorApi
 
 FLEET = "gateway"  # name of the fleet in the membership protocol
-# Lower bound, because a fleet that has just started does not know all its members.
-MIN_INSTANCES = 6
 # Callers come later, so instances first find out which of them read the store.
 FIRST_START_SETTLE_TIME = 2.0  # seconds
-# An instance that has not come back by then has ended rather than been cut off.
-LOST_TIME = 20.0  # seconds
-ASSUMED_INSTANCES = 100  # until peers are known
 PEER_CONNECTIONS = 64  # to each other instance
 PEER_HEADER_BYTES = 64 * 1024  # the headers of a caller and a few added ones
-CONNECTION_SHARE = 0.9  # of a server's connections; restarts overlap slightly
-# Only a few delegates connect to the servers of a query that is split into chunks.
-MIN_DELEGATE_CONNECTIONS = 2  # to each of these servers
 DEFAULT_CONNECTIONS = 8  # to each server whose service states no limit
 MAINTENANCE_INTERVAL = 0.5  # seconds between checks for expired connections
 CALLER_DESCRIPTOR_SHARE = 0.5  # of the file descriptors, for each caller IP address
@@ -106,6 +99,11 @@
             rng=random,
             counters=counters,
         )
+        self._shares = FleetShares(
+            membership=lambda: self._membership.membership,
+            peers=self.peers,
+            clock=self._clock,
+        )
         self._pools = ConnectionPools(
             source_host=settings.host,
             connection_limit=self._connection_limit,
@@ -139,15 +137,13 @@
             rates=self._rates,
             client=client,
             registry=self._registry,
-            instance_count=self._instance_count,
-            reachable_share=self._reachable_share,
+            instance_count=self._shares.instance_count,
+            reachable_share=self._shares.reachable_share,
             clock=self._clock,
             random=random,
             counters=counters,
         )
-        self._budget = ServiceRetryBudget(
-            config=_budget_config(settings, ASSUMED_INSTANCES)
-        )
+        self._budget = ServiceRetryBudget(config=self._shares.initial_budget(settings))
         timing = AnswerTiming(
             data_centre=settings.data_centre, cpu_capacity=settings.cpu_capacity
         )
@@ -392,23 +388,12 @@
         )
 
     def _configure_budget(self) -> None:
-        config = _budget_config(self._settings, self._instance_count())
-        self._budget.configure(config)
+        self._budget.configure(self._shares.budget(self._settings))
 
     def _caller_http_limits(self) -> HttpLimits:
         table = self._feed.table
         return table.limits if table is not None else HttpLimits()
 
-    def _instance_count(self) -> int:
-        """Return the number of instances that share the limits of backend servers."""
-        return max(MIN_INSTANCES, self._membership.membership.fleet_size)
-
-    def _reachable_share(self) -> float:
-        """Return the part of the instances that are not cut off from this one."""
-        live = len(self.peers()) + 1
-        lost = self._membership.membership.lost_since(self._clock.now() - LOST_TIME)
-        return live / (live + lost)
-
     def _connection_limit(self, service: str) -> int:
         if service == PEER_SERVICE:
             return PEER_CONNECTIONS
@@ -416,16 +401,5 @@
         limit = table.max_connections(service) if table is not None else 0
         if not limit:
             return DEFAULT_CONNECTIONS
-        share = int(limit * CONNECTION_SHARE) // self._instance_count()
-        chunked = table is not None and table.max_fanout(service) > MAX_DIRECT_SHARDS
-        return max(MIN_DELEGATE_CONNECTIONS if chunked else 1, share)
-
-
-def _budget_config(
-    settings: GatewaySettings, instances: int
-) -> ServiceRetryBudgetConfig:
-    return ServiceRetryBudgetConfig(
-        ratio=settings.retry_ratio,
-        slack=settings.retry_slack / instances,
-        window=settings.retry_window,
-    )
+        is_chunked = table is not None and table.max_fanout(service) > MAX_DIRECT_SHARDS
+        return self._shares.connections(limit, is_chunked=is_chunked)
--- a/src/savorypond/gateway/gather_plan.py
+++ b/src/savorypond/gateway/gather_plan.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Collection
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from math import inf
 
 from savorypond.gateway.plan_types import (
@@ -18,6 +18,7 @@
     PlanLimits,
     RetryBudget,
     ServerChooser,
+    ShardState,
     Verdict,
 )
 from savorypond.gateway.servers import RegisteredServer
@@ -31,23 +32,6 @@
 _DENIED_HEDGE_DELAY = 0.02  # seconds, at least, until a denied hedge is tried again
 
 
-@dataclass(slots=True, kw_only=True)
-class _Shard:
-    service: str
-    tried: set[str] = field(default_factory=set)
-    running: set[int] = field(default_factory=set)
-    sent: int = 0
-    sent_at: float = 0.0
-    unsent: int = 0
-    hedge_at: float = inf
-    answered: bool = False
-
-    @property
-    def pending(self) -> bool:
-        """Whether an attempt may still answer."""
-        return not self.answered and bool(self.running)
-
-
 class GatherPlan:
     """The state of one scatter-gather request.
 
@@ -64,7 +48,7 @@
         chooser: ServerChooser,
         budget: RetryBudget,
     ) -> None:
-        self._shards = [_Shard(service=service) for service in services]
+        self._shards = [ShardState(service=service) for service in services]
         self._limits = limits
         self._hedge_delays = hedge_delays
         self._chooser = chooser
@@ -223,7 +207,7 @@
         unfinished, self._unfinished = list(self._unfinished.values()), {}
         return unfinished
 
-    def _assumed_sent(self, shard: _Shard) -> int:
+    def _assumed_sent(self, shard: ShardState) -> int:
         """Return the number of attempts to assume of an instance that was lost.
 
         It may have sent the request to as many servers as are allowed. One more
@@ -377,7 +361,7 @@
         self._hedges += 1
         return [attempt]
 
-    def _choose(self, shard: _Shard, now: float) -> RegisteredServer | None:
+    def _choose(self, shard: ShardState, now: float) -> RegisteredServer | None:
         return self._chooser.choose(shard.service, exclude=shard.tried, now=now)
 
     def _new_attempt(
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -4,7 +4,7 @@
 
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused
-from savorypond.gateway.answer_timing import AnswerTiming
+from savorypond.gateway.answer_timing import AnswerTiming, partial_answer_delay
 from savorypond.gateway.attempts import ForwardedRequest, forward_headers
 from savorypond.gateway.delegation_client import (
     decode_follow_up,
@@ -38,32 +38,6 @@
 _MILLISECONDS = 1000.0  # per second
 _GONE = 410
 _FULL_RETRY_AFTER = 0.3  # seconds, while servers have no room
-# Time to read a request, merge its answer and send it, on one full processor.
-PROCESSING_TIME = 0.005  # seconds
-_MAX_PROCESSING_TIME = 0.02  # seconds
-READ_AND_SEND_SHARE = 0.6  # of the processing time; the rest is for merging
-# A long round trip, measured on a busy link, must leave enough time for the query.
-_MAX_NETWORK_SHARE = 0.25  # of a route's goal
-
-
-def partial_answer_delay(
-    *, goal: float, network_delay: float, cpu_capacity: float, merge_delay: float = 0.0
-) -> float:
-    """Return the seconds after which an answer may be partial.
-
-    The latency that the caller observes starts before its request is read and ends
-    after the answer was sent.
-
-    :param goal: target latency of the route in seconds.
-    :param network_delay: seconds of that latency spent on the network.
-    :param cpu_capacity: processor time available to this instance, relative to one
-        full processor.
-    :param merge_delay: seconds from the end of the wait until the answer is merged.
-    """
-    processing = min(PROCESSING_TIME / cpu_capacity, _MAX_PROCESSING_TIME)
-    reading_and_sending = READ_AND_SEND_SHARE * processing
-    processing = max(processing, reading_and_sending + merge_delay)
-    return goal - processing - min(network_delay, _MAX_NETWORK_SHARE * goal)
 
 
 class GatewayHandler:
--- a/src/savorypond/gateway/plan_types.py
+++ b/src/savorypond/gateway/plan_types.py
@@ -1,8 +1,9 @@
 """Types of the plan of a scatter-gather request."""
 
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
+from math import inf
 from typing import Protocol
 
 from savorypond.gateway.servers import RegisteredServer
@@ -95,3 +96,22 @@
 
     local: float
     remote: float
+
+
+@dataclass(slots=True, kw_only=True)
+class ShardState:
+    """The attempts at one shard of a request."""
+
+    service: str
+    tried: set[str] = field(default_factory=set)
+    running: set[int] = field(default_factory=set)
+    sent: int = 0
+    sent_at: float = 0.0
+    unsent: int = 0
+    hedge_at: float = inf
+    answered: bool = False
+
+    @property
+    def pending(self) -> bool:
+        """Whether an attempt may still answer."""
+        return not self.answered and bool(self.running)
--- a/tests/test_gateway_handler.py
+++ b/tests/test_gateway_handler.py
@@ -1,6 +1,6 @@
 from unittest import TestCase
 
-from savorypond.gateway.handler import PROCESSING_TIME, partial_answer_delay
+from savorypond.gateway.answer_timing import PROCESSING_TIME, partial_answer_delay
 
 
 class PartialAnswerDelayTests(TestCase):
