Divide a limit once where no instance is near its servers

What servers would see: when no instance in the data centres of a service's servers is live or reached, every other instance divides the limits of these servers alone, as if for all. In a simulation with seven instances in three data centres a server that allows 7 requests a second got 113 in 4 s, 47 tolerated.

Cause: the coordinator of a service is one of the instances in the data centres of its servers. Without any, each instance took itself.

Change: then it is one of all live instances, the same by rendezvous hashing.

The simulation now takes peers, fleet size and coordinators from the real membership in place of a list, so that cuts and restarts have their effect on them.

Ruled out: instances that start at once (7 and 40; new test, passes before): they exceed a limit only until the first answers announce it.

Before: test_instances_in_other_data_centres_than_a_server_do_not_exceed_its_limit fails in both cases (113 requests in 4 s; a mean of 7.6 of 7 a second after the three near instances ended). After: passes, as do the other ten.

--- a/src/savorypond/gateway/rate_share_sync.py
+++ b/src/savorypond/gateway/rate_share_sync.py
@@ -47,7 +47,8 @@
 class CoordinatorChoice:
     """Selects the coordinator of each service, the same at every instance.
 
-    It is in a data centre of the service's servers, where most of its users are.
+    It is in a data centre of the service's servers, where most of its users are, if
+    any instance there is live.
 
     :param peers: returns the live instances other than this one.
     """
@@ -99,11 +100,14 @@
     def _choose(
         self, service: str, data_centres: frozenset[str], peers: Sequence[Instance]
     ) -> Instance | None:
-        candidates: dict[str, Instance | None] = {
-            peer.name: peer for peer in peers if peer.data_centre in data_centres
+        instances: dict[str, Instance | None] = {peer.name: peer for peer in peers}
+        instances[self._own_name] = None
+        near = {
+            name: peer
+            for name, peer in instances.items()
+            if (peer.data_centre if peer else self._data_centre) in data_centres
         }
-        if self._data_centre in data_centres or not candidates:
-            candidates[self._own_name] = None
+        candidates = near or instances
         name = max(candidates, key=lambda name: rendezvous_score(service, name))
         return candidates[name]
 
--- a/tests/rate_limit_simulation.py
+++ b/tests/rate_limit_simulation.py
@@ -2,8 +2,8 @@
 
 Drives the decisions about rate limits on a virtual clock: requests arrive at unequal
 instances, each goes to all shards of a query or to one service, and instances exchange
-claims and leases as the gateway does. Servers answer after a fixed time and announce
-their limits in their answers.
+claims and leases as the gateway does, with the peers that membership knows. Servers
+answer after a fixed time and announce their limits in their answers.
 """
 
 from collections import defaultdict
@@ -11,22 +11,25 @@
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
+from types import SimpleNamespace
 
+from savorypond.gateway.fleet_shares import FleetShares
 from savorypond.gateway.rate_admission import OVERADMISSION, admission_rank
 from savorypond.gateway.rate_control import RankedRequest
 from savorypond.gateway.rate_coordinator import RateCoordinator
 from savorypond.gateway.rate_share_sync import (
-    ANY_NEWS_PEERS,
+    ASKED_PEERS,
     CHECK_INTERVAL,
     CLAIM_INTERVAL,
-    NEAR_NEWS_PEERS,
+    CoordinatorChoice,
 )
-from savorypond.gateway.rendezvous import rendezvous_score
 from tests.gateway_fakes import make_rates, server
+from tests.simulated_fleet import SimulatedFleet
 
 ANSWER_TIME = 0.03  # seconds
 MESSAGE_TIME = 0.005  # seconds one way between instances
-NEWS_PEERS = ANY_NEWS_PEERS + NEAR_NEWS_PEERS
+START_TIME = 0.5  # seconds from a restart until callers reach the instance
+JOIN_TIME = 10.0  # seconds in which instances find each other before a simulation
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,11 +40,18 @@
     :param rates: requests a second of callers, by priority.
     :param skew: factor between the loads of neighbouring instances.
     :param limit_period: start and end of the time in which limits are announced.
+    :param data_centres: number of data centres; the instances take turns.
+    :param server_data_centre: data centre of all servers.
+    :param joined: whether the instances know each other at the start.
+    :param stops: times at which an instance, by number, ends for good.
     :param restarts: times at which an instance, by number, restarts.
     :param cuts: periods in which an instance, by number, reaches no other one.
+    :param partitions: periods in which a data centre, by name, reaches no other one.
     :param outages: periods in which a server, by number, is used by nobody.
     :param burst: start and end of a time in which callers send ``burst_factor`` times
         as much.
+    :param changes: servers by number, times from which they announce another limit,
+        and these limits.
     :param known_from: time at which every instance learns the limits, or None.
     :param known_by: number of instances that learn them then.
     """
@@ -54,16 +64,32 @@
     least_share: float = 0.89
     duration: float = 40.0
     limit_period: tuple = (5.0, 35.0)
+    data_centres: int = 1
+    server_data_centre: str = "dc0"
+    joined: bool = True
+    stops: tuple = ()
     restarts: tuple = ()
     cuts: tuple = ()
+    partitions: tuple = ()
     outages: tuple = ()
     burst: tuple = (0.0, 0.0)
     burst_factor: float = 1.0
+    changes: tuple = ()
     known_from: float | None = None
     known_by: int = 1000
     extra_share: float = 0.05
     seed: int = 1
 
+    def limit(self, number, now):
+        """Return what a server, by number, announces, or None if it has no limit."""
+        start, end = self.limit_period
+        if not start <= now < end:
+            return None
+        changed = [
+            limit for n, time, limit in self.changes if n == number and time <= now
+        ]
+        return changed[-1] if changed else self.limits[number]
+
 
 @dataclass(kw_only=True)
 class Outcome:
@@ -100,24 +126,43 @@
 
 
 class _Instance:
-    def __init__(self, number, servers, instance_count):
-        self.instance_count = instance_count
-        self.name = f"g{number}"
+    def __init__(self, number, simulation):
         self.number = number
-        self.servers = servers
-        self.restart()
+        self.servers = simulation.servers
+        self.fleet = simulation.fleet
+        self.name = self.fleet.node(number).instance.name
+        self.data_centre = self.fleet.node(number).instance.data_centre
+        self.choice = CoordinatorChoice(
+            own_name=self.name,
+            data_centre=self.data_centre,
+            registry=SimpleNamespace(servers=self.servers),
+            peers=self.peers,
+        )
+        self.shares = FleetShares(
+            membership=lambda: self.fleet.node(number).membership,
+            peers=self.peers,
+            clock=SimpleNamespace(now=lambda: self.fleet.now),
+        )
+        self.is_running = True
+        self.start(0.0)
 
-    def restart(self):
+    def start(self, ready_at):
+        self.ready_at = ready_at
+        self.has_asked = False
         self.rates = make_rates()
         self.coordinator = RateCoordinator(
             servers=self.servers,
-            instance_count=lambda: self.instance_count,
-            reachable_share=lambda: 1.0,
+            instance_count=self.shares.instance_count,
+            reachable_share=self.shares.reachable_share,
             random=Random(self.number),
         )
         self.claimed = frozenset()
         self.claimed_at = 0.0
 
+    def peers(self):
+        live = self.fleet.node(self.number).membership.live()
+        return tuple(peer for peer in live if peer.name != self.name)
+
 
 class RateLimitSimulation:
     """Instances, servers and callers on a virtual clock."""
@@ -131,15 +176,32 @@
         self._services = tuple(f"s{n}" for n in range(load.shards))
         self._servers = {
             service: tuple(
-                server(f"{service}-{n}", service=service)
+                server(
+                    f"{service}-{n}",
+                    service=service,
+                    data_centre=load.server_data_centre,
+                )
                 for n in range(len(load.limits))
             )
             for service in self._services
         }
-        self._instances = [
-            _Instance(n, self._servers.__getitem__, load.instances)
-            for n in range(load.instances)
-        ]
+        self.fleet = SimulatedFleet(
+            size=load.instances, data_centres=load.data_centres, seed=load.seed, seeds=3
+        )
+        self._zero = self.fleet.now
+        if load.joined:
+            self.fleet.run(JOIN_TIME)
+            self._zero = self.fleet.now
+        self.fleet.cut = lambda sender, target: self._are_cut(
+            sender.instance, target.instance, self.fleet.now - self._zero
+        )
+        self._instances = [_Instance(n, self) for n in range(load.instances)]
+        self._by_name = {instance.name: instance for instance in self._instances}
+
+    @property
+    def servers(self):
+        """Returns the servers of a service."""
+        return self._servers.__getitem__
 
     def run(self):
         """Simulate all requests and return the outcome."""
@@ -153,27 +215,42 @@
                 now += self._random.expovariate(rate * factor)
                 (instance,) = self._random.choices(self._instances, weights)
                 self._at(now, self._ask, instance, priority)
+        for number, time in load.stops:
+            self._at(time, self._stop, self._instances[number])
         for instance in self._instances:
             self._at(self._random.uniform(0.0, CHECK_INTERVAL), self._check, instance)
             if load.known_from is not None and instance.number < load.known_by:
                 self._at(load.known_from, self._learn, instance)
         for number, time in load.restarts:
-            self._at(time, lambda now, n=number: self._instances[n].restart())
+            self._at(time, self._restart, self._instances[number])
         while self._events:
             now, _, action, arguments = heappop(self._events)
             if now < load.duration:
+                self.fleet.run(max(0.0, self._zero + now - self.fleet.now))
                 action(*arguments, now)
         return self.outcome
 
     def _at(self, time, action, *arguments):
         heappush(self._events, (time, next(self._sequence), action, arguments))
 
+    def _stop(self, instance, now):
+        instance.is_running = False
+        self.fleet.node(instance.number).alive = False
+
+    def _restart(self, instance, now):
+        self.fleet.node(instance.number).alive = False
+        self.fleet.start(instance.number, instance.data_centre)
+        self.fleet.deliver_instance_list(self.fleet.node(instance.number))
+        instance.start(now + START_TIME)
+
     def _learn(self, instance, now):
         for servers in self._servers.values():
             for target in servers:
                 self._answer(instance.rates, target, now, now)
 
     def _ask(self, instance, priority, now):
+        if not instance.is_running or now < instance.ready_at:
+            return
         outcome, load = self.outcome, self.load
         rates = instance.rates
         is_counted = load.limit_period[0] + 4.0 <= now < load.limit_period[1]
@@ -225,25 +302,37 @@
         self._at(now + ANSWER_TIME, self._answer, rates, target, now)
 
     def _answer(self, rates, target, sent_at, now):
-        limit = self.load.limits[self._servers[target.service].index(target)]
-        start, end = self.load.limit_period
-        announced = limit if start <= now < end else None
+        number = self._servers[target.service].index(target)
+        announced = self.load.limit(number, now)
         rates.limits.observe(target, announced, sent_at=sent_at, now=now)
 
-    def _is_cut(self, instance, now):
+    def _are_cut(self, sender, target, now):
+        """Return whether ``sender`` does not reach ``target``."""
+        load = self.load
+        names = (sender.name, target.name)
+        data_centres = (sender.data_centre, target.data_centre)
         return any(
-            number == instance.number and start <= now < end
-            for number, start, end in self.load.cuts
+            self._instances[number].name in names
+            for number, start, end in load.cuts
+            if start <= now < end
+        ) or any(
+            (data_centres[0] == name) != (data_centres[1] == name)
+            for start, end, name in load.partitions
+            if start <= now < end
         )
 
     def _check(self, instance, now):
+        if not instance.is_running:
+            return
         limits = instance.rates.limits
+        if not instance.has_asked:
+            self._ask_peers(instance, now)
         services = frozenset(limits.services)
         if news := limits.take_news(now):
-            for peer in self._random.sample(self._instances, NEWS_PEERS):
+            for peer in instance.choice.news_peers(self._random):
                 self._at(now + MESSAGE_TIME, self._tell, instance, peer, news)
         is_due = now - instance.claimed_at >= CLAIM_INTERVAL
-        limits.set_instance_count(self.load.instances)
+        limits.set_instance_count(instance.shares.instance_count())
         if services - instance.claimed or (services and is_due):
             instance.claimed_at = now
             for claim in instance.rates.claims(now):
@@ -252,25 +341,38 @@
         instance.claimed = services
         self._at(now + CHECK_INTERVAL, self._check, instance)
 
+    def _ask_peers(self, instance, now):
+        for peer in instance.choice.sample(ASKED_PEERS, self._random):
+            asked = self._by_name[peer.name]
+            if asked.is_running and not self._are_cut(instance, asked, now):
+                known = asked.rates.limits
+                for service in known.services:
+                    limits = known.known(service, now)
+                    instance.rates.limits.learn(service, limits, now)
+                instance.has_asked = True
+
     def _tell(self, instance, peer, news, now):
-        if not self._is_cut(instance, now) and not self._is_cut(peer, now):
+        receiver = self._by_name[peer.name]
+        if receiver.is_running and not self._are_cut(instance, receiver, now):
             for service, limits in news.items():
-                peer.rates.limits.learn(service, limits, now)
+                receiver.rates.limits.learn(service, limits, now)
 
     def _claim(self, instance, claim, now):
-        coordinator = max(
-            self._instances, key=lambda i: rendezvous_score(claim.service, i.name)
-        )
-        if coordinator is instance:
-            share = coordinator.coordinator.divide(instance.name, claim, now)
+        peer = instance.choice.coordinator(claim.service)
+        if peer is None:
+            share = instance.coordinator.divide(instance.name, claim, now)
             instance.rates.apply(share, claimed_at=now, now=now)
-        elif not self._is_cut(instance, now) and not self._is_cut(coordinator, now):
+            return
+        coordinator = self._by_name[peer.name]
+        if coordinator.is_running and not self._are_cut(instance, coordinator, now):
             self._at(
                 now + MESSAGE_TIME, self._divide, coordinator, instance, claim, now
             )
 
     def _divide(self, coordinator, instance, claim, claimed_at, now):
         coordinator.rates.limits.learn(claim.service, claim.limits, now)
+        if coordinator.choice.coordinator(claim.service) is not None:
+            return
         share = coordinator.coordinator.divide(instance.name, claim, now)
         self._at(now + MESSAGE_TIME, self._apply, instance, share, claimed_at)
 
--- a/tests/test_gateway_rate_limit_simulation.py
+++ b/tests/test_gateway_rate_limit_simulation.py
@@ -18,12 +18,14 @@
 
 
 class RateLimitSimulationTests(TestCase):
-    def play(self, load):
+    def play(self, load, *, after=None):
         outcome = RateLimitSimulation(load).run()
-        after = load.limit_period[0] + SETTLING_TIME
+        if after is None:
+            after = load.limit_period[0] + SETTLING_TIME
         before = load.limit_period[1]
         for shard in range(load.shards):
-            for number, limit in enumerate(load.limits):
+            for number in range(len(load.limits)):
+                limit = load.limit(number, before - 1.0)
                 if limit is not None:
                     most = outcome.most_in(
                         f"s{shard}-{number}", WINDOW, after=after, before=before
@@ -71,6 +73,36 @@
             with self.subTest(seed):
                 self.play(replace(ONE_OF_TWO, cuts=cuts, seed=seed))
 
+    def test_instances_in_other_data_centres_than_a_server_do_not_exceed_its_limit(
+        self,
+    ):
+        for server_data_centre, stops in (("dc9", ()), ("dc0", (0, 3, 6))):
+            with self.subTest(server_data_centre):
+                load = replace(
+                    ONE_OF_TWO,
+                    data_centres=3,
+                    server_data_centre=server_data_centre,
+                    stops=tuple((number, 12.0) for number in stops),
+                )
+                self.play(load)
+
+    def test_instances_that_start_at_once_do_not_exceed_a_limit(self):
+        for instances, data_centres in ((7, 3), (40, 5)):
+            for seed in range(1, 4):
+                with self.subTest(instances=instances, seed=seed):
+                    load = replace(
+                        ONE_OF_TWO,
+                        instances=instances,
+                        data_centres=data_centres,
+                        joined=False,
+                        limits=(6.0, None),
+                        rates={1: 60.0},
+                        limit_period=(-4.0, 20.0),
+                        duration=25.0,
+                        seed=seed,
+                    )
+                    self.play(load)
+
     def test_saved_up_requests_do_not_exceed_a_limit(self):
         """The limited server is hardly needed until the other one fails."""
         for instances in (7, 60):
