Divide a limit among instances that stay cut off or lose a data centre

What servers would see: both sides of a partition grant nearly the whole limit of a server that both reach.

Cause: the part of a limit that one side grants was worked out from the instances declared dead within 20 s. After that a cut counted as their end, on both sides. And the instances of a large data centre are never declared dead one by one: membership marks the data centre as unreachable, and so none of them was missing.

Change: the part is the live instances of all that are known and have not left. Instances that end unexpectedly and do not return keep theirs until membership forgets them after 15 minutes: they cannot be told from those that are cut off. With seven instances that leaves a seventh of a limit unused meanwhile. Listed instances that never answered, as stale seeds, have none.

--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -100,9 +100,7 @@
             counters=counters,
         )
         self._shares = FleetShares(
-            membership=lambda: self._membership.membership,
-            peers=self.peers,
-            clock=self._clock,
+            membership=lambda: self._membership.membership, peers=self.peers
         )
         self._pools = ConnectionPools(
             source_host=settings.host,
--- a/src/savorypond/gateway/fleet_shares.py
+++ b/src/savorypond/gateway/fleet_shares.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Callable, Sequence
 
-from savorypond.clock import Clock
 from savorypond.gateway.retry_budget import ServiceRetryBudgetConfig
 from savorypond.gateway.settings import GatewaySettings
 from savorypond.membership.membership import Membership
@@ -15,8 +14,6 @@
 # Lower bound, because a fleet that has just started does not know all its members.
 MIN_INSTANCES = 6
 ASSUMED_INSTANCES = 100  # until peers are known
-# An instance that has not come back by then has ended rather than been cut off.
-LOST_TIME = 20.0  # seconds
 CONNECTION_SHARE = 0.9  # of a server's connections; restarts overlap slightly
 # Only a few delegates connect to the servers of a query that is split into chunks.
 MIN_DELEGATE_CONNECTIONS = 2  # to each of these servers
@@ -34,21 +31,22 @@
         *,
         membership: Callable[[], Membership],
         peers: Callable[[], Sequence[Instance]],
-        clock: Clock,
     ) -> None:
         self._membership = membership
         self._peers = peers
-        self._clock = clock
 
     def instance_count(self) -> int:
         """Return the number of instances that share the limits of backend servers."""
         return max(MIN_INSTANCES, self._membership().fleet_size)
 
     def reachable_share(self) -> float:
-        """Return the part of the instances that are not cut off from this one."""
+        """Return the part of the instances that are not cut off from this one.
+
+        An instance that ended unexpectedly counts as cut off until membership has
+        forgotten it: the two cannot be told apart.
+        """
         live = len(self._peers()) + 1
-        lost = self._membership().lost_since(self._clock.now() - LOST_TIME)
-        return live / (live + lost)
+        return live / max(live, self._membership().confirmed_size)
 
     def connections(self, limit: int, *, is_chunked: bool) -> int:
         """Return how many connections this instance may open to a server.
--- a/src/savorypond/membership/member_states.py
+++ b/src/savorypond/membership/member_states.py
@@ -7,15 +7,13 @@
 
 from savorypond.membership.dissemination import Dissemination
 from savorypond.membership.local_member import LocalMember
-from savorypond.membership.member_table import Member, MemberTable
+from savorypond.membership.member_table import UNKNOWN_INCARNATION, Member, MemberTable
 from savorypond.membership.probe_targets import ProbeTargets
 from savorypond.membership.probes import Probes
 from savorypond.membership.settings import MembershipSettings
 from savorypond.membership.wire import MemberUpdate
 from savorypond.model import Instance, InstanceState
 
-UNKNOWN_INCARNATION = 0  # of a peer known only from the platform's list
-
 
 class MemberStates:
     """Updates the member table and disseminates its changes."""
--- a/src/savorypond/membership/member_table.py
+++ b/src/savorypond/membership/member_table.py
@@ -6,6 +6,7 @@
 from savorypond.membership.wire import MemberUpdate
 from savorypond.model import Address, Instance, InstanceState
 
+UNKNOWN_INCARNATION = 0  # of a peer known only from the platform's list
 USABLE = frozenset({InstanceState.LIVE, InstanceState.SUSPECT})
 
 
@@ -99,6 +100,15 @@
         states = [member.update.state for member in self._departed.values()]
         return len(self._members) - states.count(InstanceState.LEAVING)
 
+    @property
+    def unconfirmed_dead_count(self) -> int:
+        """Number of dead peers that are known only from the platform's list."""
+        return sum(
+            member.update.state is InstanceState.DEAD
+            and member.update.incarnation == UNKNOWN_INCARNATION
+            for member in self._departed.values()
+        )
+
     def __len__(self) -> int:
         return len(self._members)
 
--- a/src/savorypond/membership/membership.py
+++ b/src/savorypond/membership/membership.py
@@ -118,12 +118,13 @@
         """Number of known instances, this one included, without those leaving."""
         return 1 + self._table.non_leaving_count
 
-    def lost_since(self, start: float) -> int:
-        """Return the number of peers that have been dead since ``start`` or later."""
-        return sum(
-            member.update.state is InstanceState.DEAD and member.changed_at >= start
-            for member in self._table.departed
-        )
+    @property
+    def confirmed_size(self) -> int:
+        """The fleet size without listed instances that are dead and never answered.
+
+        Other dead instances are included: they may only be cut off from this one.
+        """
+        return self.fleet_size - self._table.unconfirmed_dead_count
 
     @property
     def unreachable(self) -> frozenset[str]:
--- a/src/savorypond/membership/message_builder.py
+++ b/src/savorypond/membership/message_builder.py
@@ -2,8 +2,7 @@
 
 from savorypond.membership.dissemination import Dissemination
 from savorypond.membership.local_member import LocalMember
-from savorypond.membership.member_states import UNKNOWN_INCARNATION
-from savorypond.membership.member_table import Member, MemberTable
+from savorypond.membership.member_table import UNKNOWN_INCARNATION, Member, MemberTable
 from savorypond.membership.settings import ConfigMismatch, Send
 from savorypond.membership.wire import (
     Ack,
--- a/tests/rate_limit_simulation.py
+++ b/tests/rate_limit_simulation.py
@@ -141,7 +141,6 @@
         self.shares = FleetShares(
             membership=lambda: self.fleet.node(number).membership,
             peers=self.peers,
-            clock=SimpleNamespace(now=lambda: self.fleet.now),
         )
         self.is_running = True
         self.start(0.0)
--- a/tests/test_gateway_rate_limit_simulation.py
+++ b/tests/test_gateway_rate_limit_simulation.py
@@ -73,6 +73,23 @@
             with self.subTest(seed):
                 self.play(replace(ONE_OF_TWO, cuts=cuts, seed=seed))
 
+    def test_data_centres_that_are_cut_off_do_not_exceed_a_limit(self):
+        for instances, data_centres in ((7, 3), (40, 5)):
+            for seed in range(1, 4):
+                with self.subTest(instances=instances, seed=seed):
+                    load = replace(
+                        ONE_OF_TWO,
+                        instances=instances,
+                        data_centres=data_centres,
+                        limits=(20.0, None),
+                        rates={1: 120.0},
+                        partitions=((12.0, 55.0, "dc0"),),
+                        duration=65.0,
+                        limit_period=(5.0, 60.0),
+                        seed=seed,
+                    )
+                    self.play(load)
+
     def test_instances_in_other_data_centres_than_a_server_do_not_exceed_its_limit(
         self,
     ):
