Spread news of limits that change, as of those that begin

What servers would see: a server whose limit falls while it is hardly used gets more than the new limit when the others of its service fail.

Cause: instances told each other only of limits that begin or end. One without a claim used its reserve of the limit that it once learned of.

Change: a limit that differs by more than a quarter from what was last told, up or down, is news as well.

--- a/src/savorypond/gateway/rate_messages.py
+++ b/src/savorypond/gateway/rate_messages.py
@@ -59,7 +59,7 @@
 class RateClaims(Struct, frozen=True, kw_only=True):
     """The claims of one instance to the services of one coordinator.
 
-    :param news: limits by service that began or ended lately.
+    :param news: limits by service that lately began, ended or changed much.
     """
 
     instance: str
--- a/src/savorypond/gateway/server_rate_limits.py
+++ b/src/savorypond/gateway/server_rate_limits.py
@@ -17,6 +17,8 @@
 from savorypond.model import Counters
 
 USAGE_INTERVAL = 2.0  # seconds between log lines about the use of a server
+# Others are told of a change that exceeds what small fluctuations amount to.
+TOLD_CHANGE = 1.25  # factor between the limit that was told and the current one
 # Other instances have learned of the end of a limit by then.
 ENDED_RETENTION = 5.0  # seconds
 # A server that is missing from the registrations for less may have lapsed only.
@@ -30,6 +32,7 @@
     :param rate: requests a second over all instances, or None once it has ended.
     :param observed_at: monotonic seconds at which an answer announced ``rate``.
     :param registered_at: monotonic seconds at which the server was last registered.
+    :param told_rate: the limit that others were last told, or None.
     :param first: first attempts since the last log line.
     :param extra: hedges and retries since the last log line.
     :param refused: attempts since then for which there was no token.
@@ -44,6 +47,7 @@
     registered_at: float
     tokens: TokenBalance
     logged_at: float
+    told_rate: float | None = None
     first: int = 0
     extra: int = 0
     refused: int = 0
@@ -187,7 +191,10 @@
         return any(limit.observed for limit in self._services.get(service, {}).values())
 
     def take_news(self, now: float) -> dict[str, tuple[ServerLimit, ...]]:
-        """Return the limits that began or ended since the last call, by service."""
+        """Return the limits that began, ended or changed much, by service.
+
+        Each change is returned once.
+        """
         news: dict[str, list[ServerLimit]] = {}
         for limit in self._news.values():
             news.setdefault(limit.service, []).append(limit.known(now))
@@ -254,11 +261,12 @@
         if rate == limit.rate:
             return
         self._log_change(limit, rate)
-        if rate is None or limit.rate is None:
-            self._news[service, name] = limit
-        elif rate < limit.rate:
+        if rate is not None and limit.rate is not None and rate < limit.rate:
             limit.tokens.reduce(rate / limit.rate)
         limit.rate = rate
+        if _is_news(rate, limit.told_rate):
+            limit.told_rate = rate
+            self._news[service, name] = limit
 
     def _add_tokens(
         self, service: str, share: ServerShare, until: float, now: float
@@ -300,3 +308,10 @@
 def _ends(limit: _Limit | None, sent_at: float) -> bool:
     """Return whether an answer without a limit, asked for at ``sent_at``, ends it."""
     return limit is not None and limit.rate is not None and sent_at > limit.observed_at
+
+
+def _is_news(rate: float | None, told: float | None) -> bool:
+    """Return whether a limit differs so much from ``told`` that others must know."""
+    if rate is None or told is None:
+        return rate is not told
+    return max(rate, told) > TOLD_CHANGE * min(rate, told)
--- a/tests/test_gateway_rate_limit_simulation.py
+++ b/tests/test_gateway_rate_limit_simulation.py
@@ -120,6 +120,25 @@
                     )
                     self.play(load)
 
+    def test_instances_that_did_not_use_a_server_know_that_its_limit_fell(self):
+        """All of them turn to it when the other server fails."""
+        for seed in range(1, 4):
+            with self.subTest(seed):
+                load = Load(
+                    instances=60,
+                    rates={1: 2.0},
+                    extra_share=0.0,
+                    limits=(60.0, None),
+                    changes=((0, 8.0, 3.0),),
+                    outages=((0, 9.0, 20.0), (1, 20.0, 24.0)),
+                    burst=(20.0, 24.0),
+                    burst_factor=50.0,
+                    limit_period=(1.0, 35.0),
+                    known_from=2.0,
+                    seed=seed,
+                )
+                self.play(load, after=14.0)
+
     def test_saved_up_requests_do_not_exceed_a_limit(self):
         """The limited server is hardly needed until the other one fails."""
         for instances in (7, 60):
--- a/tests/test_gateway_server_rate_limits.py
+++ b/tests/test_gateway_server_rate_limits.py
@@ -65,6 +65,15 @@
         self.assertEqual([line["first"] + line["extra"] for line in usage], [11, 11])
         self.assertEqual([line["extra"] for line in usage], [3, 2])
 
+    def test_tells_others_of_large_changes_only(self):
+        told = []
+        for step, rate in enumerate((8.0, 7.0, 9.0, 5.0, 5.5, 9.0, None, None)):
+            now = float(step)
+            self.observe(rate, sent_at=now, now=now + 0.1)
+            news = self.limits.take_news(now + 0.2)
+            told += [limit.rate for limits in news.values() for limit in limits]
+        self.assertEqual(told, [8.0, 5.0, 9.0, None])
+
 
 class UseTests(TestCase):
     def setUp(self):
