Take the token of an attempt when its server is chosen

What servers would see: an instance that reads many requests at once, as after it had no processor for a moment, sends all of them to a server with one token left. Three gateways with 40 requests each sent 13 in 0.07 s to a server that allows 5 a second (6.0 tolerated).

Cause: the server was chosen when a request started, but the token was taken by the task of the attempt, which runs after all requests that were already read had chosen.

Change: the token is taken in the same step as the choice. Direct attempts start before delegated groups, for the same reason.

Found beside it: the first 120 requests, after a second without any, got no token at all although the server was idle. Tokens go only to instances that had demand before.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -129,16 +129,16 @@
         server: RegisteredServer,
         *,
         mean_latency: float,
-        extra: bool = False,
     ) -> AttemptResult:
         """Send ``request`` to ``server`` and return the result.
 
+        The attempt has been counted against the server's rate limit; if it is not
+        sent, this is taken back.
+
         :param mean_latency: mean latency of the route in seconds.
-        :param extra: whether it is a hedge or a retry.
         """
         sent_at = self._clock.now()
         number = self._loads.begin(server, sent_at)
-        self._rate_limits.record_sent(server, extra=extra, now=sent_at)
         try:
             async with timeout_after(
                 max(0.0, request.caller_deadline - self._clock.now())
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -207,10 +207,10 @@
         if self._plan.verdict(now) is not None:
             return
         self._delegated = len(delegated)
+        await self._spawn_attempts(attempts)
         for group, attempt in groups.values():
             task = await spawn(self._run_group, group, attempt, daemon=True)
             self._running[attempt.number] = task
-        await self._spawn_attempts(attempts)
 
     def _is_admitted(
         self, direct: list[str], now: float, *, is_delegated: bool
@@ -333,6 +333,11 @@
         self._parts.append(_Part(answer=answer, shards=(attempt.shard,)))
 
     async def _spawn_attempts(self, attempts: list[Attempt]) -> None:
+        limits = self._dependencies.rates.limits
+        now = self._dependencies.clock.now()
+        # Before other requests choose their servers.
+        for attempt in attempts:
+            limits.record_sent(attempt.server, extra=attempt.extra, now=now)
         for attempt in attempts:
             task = await spawn(self._run_attempt, attempt, daemon=True)
             self._running[attempt.number] = task
@@ -344,7 +349,6 @@
             self._spec.request,
             attempt.server,
             mean_latency=self._mean_latency,
-            extra=attempt.extra,
         )
         self._keep(result.reservation)
         if result.outcome is AttemptOutcome.USABLE:
--- a/src/savorypond/gateway/server_rate_limits.py
+++ b/src/savorypond/gateway/server_rate_limits.py
@@ -157,6 +157,8 @@
     def record_sent(self, server: RegisteredServer, *, extra: bool, now: float) -> None:
         """Count an attempt at ``server``, which may have a limit.
 
+        Call it together with ``has_room``, without other requests in between.
+
         :param extra: whether it is a hedge or a retry.
         """
         limit = self._find(server)
--- a/tests/test_gateway_rate_limit_fleet.py
+++ b/tests/test_gateway_rate_limit_fleet.py
@@ -116,6 +116,27 @@
                 self.assertEqual(set(statuses), {200})
                 self.assertLessEqual(sent, BURST_FACTOR * LIMIT * seconds + TOLERANCE)
 
+    def test_requests_that_arrive_at_once_exceeded_a_limit(self):
+        async def main():
+            limited = FakeServer("i1", service="s1", rate_limit=LIMIT)
+            async with Fleet(READ, QUERY, servers=(limited,)) as fleet:
+                await fleet.ask_all("/r/1", 1)
+                for path in ("/r/1", "/q/1"):
+                    await sleep(1.0)  # each gateway holds a token
+                    known = len(limited.requests)
+                    started_at = monotonic()
+                    async with TaskGroup() as group:
+                        for number in range(120):
+                            gateway = fleet.gateways[number % len(HOSTS)]
+                            request_id = f"{path}{number}"
+                            await group.spawn(fleet.ask, gateway, path, request_id)
+                    seconds = monotonic() - started_at
+                    sent = len(limited.requests) - known
+                    allowed = BURST_FACTOR * LIMIT * seconds + TOLERANCE
+                    self.assertLessEqual(sent, allowed)
+
+        run(main)
+
     def test_a_request_without_room_is_refused_at_once_and_has_not_run(self):
         async def main():
             limited = FakeServer("i1", service="s1", rate_limit=0.5)
