Let requests wait for a token instead of refusing them while servers are idle

What callers saw: where all servers of a service have limits, requests of instances that seldom need it were refused as rate-limited although the servers had room. On loopback, the first 40 requests to each of three gateways after an idle second got no token at all.

Cause: an instance without demand before claims nothing, and gets tokens only at its next claim. Those that claimed held a token each for 1.5 s, also if they seldom need one, so that the few of a small limit were out.

Change: a request that finds no token waits up to 0.1 s for one that its instance claims at once, together with other waiting requests. It does not where the service lacks room for all or a claim has just brought none: then it is refused at once as before. Instances hold no more tokens than their demand can use while they last.

--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -179,6 +179,7 @@
             budget=self._budget,
             latencies=RouteLatencies(),
             rates=self._rates,
+            tokens=self._rate_sync,
             clock=self._clock,
             counters=counters,
         )
--- a/src/savorypond/gateway/rate_control.py
+++ b/src/savorypond/gateway/rate_control.py
@@ -1,6 +1,6 @@
 """Applies the rate limits of backend servers to the requests of an instance."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -9,6 +9,7 @@
 from savorypond.gateway.rate_messages import RateClaim, RateShare
 from savorypond.gateway.server_rate_limits import ServerRateLimits
 from savorypond.gateway.servers import RegisteredServer
+from savorypond.gateway.token_waits import TokenWaits
 from savorypond.model import Counters
 
 MIN_CLAIMED_DEMAND = 0.1  # requests a second
@@ -32,6 +33,7 @@
         self._limits = ServerRateLimits(random=random, counters=counters)
         self._admission = RateAdmission()
         self._demand = DemandMeter()
+        self._waits = TokenWaits()
 
     @property
     def limits(self) -> ServerRateLimits:
@@ -48,6 +50,11 @@
         """The demand for services with limits."""
         return self._demand
 
+    @property
+    def waits(self) -> TokenWaits:
+        """The requests that wait for tokens."""
+        return self._waits
+
     def usable(
         self,
         service: str,
@@ -87,16 +94,43 @@
             else:
                 is_needed = sum(demand.values()) >= MIN_CLAIMED_DEMAND
             if is_needed:
-                claims.append(
-                    RateClaim(
-                        service=service,
-                        limits=self._limits.known(service, now),
-                        demand=demand or {},
-                        held=self._limits.held(service, now),
-                    )
-                )
+                claims.append(self.claim(service, now))
         return tuple(claims)
 
+    def claim(self, service: str, now: float) -> RateClaim:
+        """Return a claim to the limits of ``service``."""
+        return RateClaim(
+            service=service,
+            limits=self._limits.known(service, now),
+            demand=self._demand.rates(service, now) or {},
+            held=self._limits.held(service, now),
+            waiting=self._waits.count(service),
+        )
+
+    def lacking(
+        self,
+        services: Iterable[str],
+        *,
+        priority: int,
+        lacks_token: Callable[[str], bool],
+        now: float,
+    ) -> tuple[str, ...]:
+        """Return those of ``services`` for whose tokens a request should wait.
+
+        While a service lacks room for all, tokens that one request waits for would be
+        missing for others that find those of all their shards.
+
+        :param lacks_token: returns whether the request lacks a token of a service.
+        """
+        return tuple(
+            service
+            for service in services
+            if self._limits.is_limited(service)
+            and self._admission.share(service, priority=priority, now=now) >= 1.0
+            and self._waits.may_ask(service, now)
+            and lacks_token(service)
+        )
+
     def apply(self, share: RateShare, *, claimed_at: float, now: float) -> None:
         """Apply a coordinator's answer to a claim.
 
@@ -107,3 +141,11 @@
             self._admission.record(
                 share.service, priority=priority, share=admitted, now=now
             )
+
+    def end_claim(self, claim: RateClaim, now: float) -> None:
+        """Record that ``claim`` was answered, and the answer applied, or failed."""
+        if claim.waiting:
+            held = self._limits.held(claim.service, now).values()
+            self._waits.record_answer(
+                claim.service, has_token=any(tokens > 0 for tokens in held), now=now
+            )
--- a/src/savorypond/gateway/rate_coordinator.py
+++ b/src/savorypond/gateway/rate_coordinator.py
@@ -103,6 +103,7 @@
             if now < demand.until
         }
         share = _demand_share(service, instance)
+        needed = service.demand[instance].total * LEASE_TIME
         granted = self._granted_share(service)
         return RateShare(
             service=claim.service,
@@ -119,6 +120,8 @@
                         instance,
                         held=claim.held.get(name, 0),
                         share=share,
+                        needed=needed,
+                        waiting=claim.waiting,
                         granted=granted,
                         now=now,
                     ),
@@ -163,19 +166,25 @@
         *,
         held: int,
         share: float,
+        needed: float,
+        waiting: int,
         granted: float,
         now: float,
     ) -> int:
         """Return the tokens to add to those that ``instance`` holds.
 
         :param share: part of the tokens that it gets, from 0 to 1.
+        :param needed: tokens that it can use before they end.
+        :param waiting: its requests that wait for a token.
         :param granted: part of the limit that is granted, from 0 to 1.
         """
         if server.rate is None:
             server.tokens.clear(now)
             return 0
         server.tokens.fill(granted * max(server.rate, MIN_RATE), now)
-        return server.tokens.grant(instance, held=held, share=share, now=now)
+        return server.tokens.grant(
+            instance, held=held, share=share, now=now, needed=needed, waiting=waiting
+        )
 
     def _admitted(
         self, name: str, service: _Service, granted: float
--- a/src/savorypond/gateway/rate_messages.py
+++ b/src/savorypond/gateway/rate_messages.py
@@ -25,12 +25,14 @@
 
     :param demand: requests a second that callers want to send, by priority.
     :param held: unused tokens of the instance, by server.
+    :param waiting: requests of the instance that wait for a token.
     """
 
     service: str
     limits: tuple[ServerLimit, ...]
     demand: dict[int, float]
     held: dict[str, int] = {}
+    waiting: int = 0
 
 
 class ServerShare(Struct, frozen=True, kw_only=True):
--- a/src/savorypond/gateway/rate_share_sync.py
+++ b/src/savorypond/gateway/rate_share_sync.py
@@ -5,11 +5,11 @@
 others, which tell others in turn if they did not know.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 from typing import Any, Self
 
-from curio import TaskGroup, TaskTimeout, sleep, spawn
+from curio import Event, TaskGroup, TaskTimeout, sleep, spawn
 from msgspec import DecodeError
 from msgspec.msgpack import Decoder, encode
 
@@ -30,11 +30,13 @@
 from savorypond.logs import log_event
 from savorypond.model import Counters, Instance
 from savorypond.reasons import RefusalReason
-from savorypond.timeouts import timeout_after
+from savorypond.timeouts import ignore_after, timeout_after
 
 CHECK_INTERVAL = 0.25  # seconds between checks for a limit without a claim
 CLAIM_INTERVAL = 0.5  # seconds between claims; tokens outlast two that are lost
 CLAIM_TIMEOUT = 0.4  # seconds for the answer of a coordinator
+WAIT_TIMEOUT = 0.1  # seconds for which a request waits for a token
+WAIT_CLAIMS = 3  # claims until it gives up; others may take the tokens of the first
 ASKED_PEERS = 3  # for the limits that they know, by an instance that starts
 NEAR_NEWS_PEERS = 2  # of the same data centre that are told of news
 ANY_NEWS_PEERS = 2  # of all data centres
@@ -156,6 +158,7 @@
         self._has_asked = False
         self._claimed: frozenset[str] = frozenset()
         self._claimed_at = 0.0
+        self._unanswered: dict[str, Event] = {}
         self._task: Any = None
 
     async def __aenter__(self) -> Self:
@@ -165,6 +168,55 @@
     async def __aexit__(self, *reason: object) -> None:
         await self._task.cancel()
 
+    async def wait_for_tokens(
+        self,
+        services: Iterable[str],
+        *,
+        priority: int,
+        lacks_token: Callable[[str], bool],
+    ) -> None:
+        """Claim the tokens that a request lacks, if there may be some.
+
+        Return once it lacks none or the coordinators have none left, after
+        ``WAIT_TIMEOUT`` at the latest.
+
+        :param lacks_token: returns whether the request lacks a token of a service.
+        """
+        lacking = self._rates.lacking(
+            services,
+            priority=priority,
+            lacks_token=lacks_token,
+            now=self._clock.now(),
+        )
+        if not lacking:
+            return
+        self._counters.add("gateway_rate_claims", "awaited")
+        async with ignore_after(WAIT_TIMEOUT):
+            with self._rates.waits.waiting(lacking):
+                for _ in range(WAIT_CLAIMS):
+                    await self._claim_for_waiting(lacking)
+                    lacking = self._rates.lacking(
+                        lacking,
+                        priority=priority,
+                        lacks_token=lacks_token,
+                        now=self._clock.now(),
+                    )
+                    if not lacking:
+                        return
+
+    async def _claim_for_waiting(self, services: Sequence[str]) -> None:
+        """Claim ``services`` unless a claim is unanswered; return after an answer."""
+        now = self._clock.now()
+        unclaimed = [s for s in services if s not in self._unanswered]
+        if unclaimed:
+            await self._start_claims(
+                [self._rates.claim(service, now) for service in unclaimed], now
+            )
+        for service in services:
+            if (answered := self._unanswered.get(service)) is not None:
+                await answered.wait()
+                return
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the shares that another instance claims."""
         try:
@@ -216,21 +268,55 @@
         limits.set_instance_count(self._instance_count())
         limits.retain(self._registry.all(), now)
         self._rates.admission.expire(now)
+        self._rates.waits.expire(now)
         self._coordinator.expire(now)
 
     async def _claim_all(self, now: float) -> None:
         self._claimed_at = now
+        claims = self._rates.claims(now)
+        unanswered = await self._start_claims(
+            [claim for claim in claims if claim.service not in self._unanswered], now
+        )
+        for answered in unanswered:
+            await answered.wait()
+
+    async def _start_claims(
+        self, claims: Iterable[RateClaim], now: float
+    ) -> list[Event]:
+        """Answer or send ``claims``; return an event for each message sent."""
         remote: dict[str, tuple[Instance, list[RateClaim]]] = {}
-        for claim in self._rates.claims(now):
+        for claim in claims:
             peer = self._choice.coordinator(claim.service)
             if peer is None:
                 share = self._coordinator.divide(self._own_name, claim, now)
                 self._rates.apply(share, claimed_at=now, now=now)
+                self._rates.end_claim(claim, now)
             else:
                 remote.setdefault(peer.name, (peer, []))[1].append(claim)
-        async with TaskGroup() as group:
-            for peer, claims in remote.values():
-                await group.spawn(self._send, peer, self._message(tuple(claims)), now)
+        events = []
+        for peer, of_peer in remote.values():
+            answered = Event()
+            events.append(answered)
+            self._unanswered.update((claim.service, answered) for claim in of_peer)
+            await spawn(
+                self._claim_from, peer, tuple(of_peer), answered, now, daemon=True
+            )
+        return events
+
+    async def _claim_from(
+        self,
+        peer: Instance,
+        claims: tuple[RateClaim, ...],
+        answered: Event,
+        now: float,
+    ) -> None:
+        try:
+            await self._send(peer, self._message(claims), now)
+        finally:
+            for claim in claims:
+                del self._unanswered[claim.service]
+                self._rates.end_claim(claim, self._clock.now())
+            await answered.set()
 
     async def _tell(self, news: dict[str, tuple[ServerLimit, ...]], now: float) -> None:
         message = self._message(news=news)
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -203,6 +203,14 @@
             dependencies.budget.record_request(service=service, now=now)
         if not self._is_admitted(direct, now, is_delegated=bool(groups)):
             return
+        await dependencies.tokens.wait_for_tokens(
+            direct,
+            priority=spec.route.priority,
+            lacks_token=lambda service: self._chooser.lacks_token(
+                service, dependencies.clock.now()
+            ),
+        )
+        now = dependencies.clock.now()
         attempts = self._plan.start(now)
         if self._plan.verdict(now) is not None:
             return
--- a/src/savorypond/gateway/request_tokens.py
+++ b/src/savorypond/gateway/request_tokens.py
@@ -6,13 +6,15 @@
 """
 
 from dataclasses import dataclass
-from math import floor
+from math import floor, inf
 from random import Random
 
 LEASE_TIME = 1.5  # seconds for which tokens are held without a new claim
 SAVED_TIME = 1.5  # seconds of the rate that a pool saves, besides one token
 RESERVE_TIME = 1.0  # seconds for which tokens of the reserve can be used
 SURPLUS_SHARE = 0.8  # of the tokens that may be free, from which instances get more
+# Part of the free tokens that is kept for instances that earned them.
+EARNED_SHARE = 0.25
 
 
 def whole_tokens(tokens: float, draw: float) -> int:
@@ -45,7 +47,7 @@
 
     An instance gets its part of the rate, and more while no more tokens can be saved.
     Of what it does not use it keeps only its part of all tokens: of a small limit, most
-    instances hold none.
+    instances hold none. Requests that wait for a token get one if there are some left.
     """
 
     def __init__(self, *, random: Random, now: float) -> None:
@@ -77,11 +79,22 @@
         self._most_free = max(0.0, self._capacity - in_use)
         self._free = min(self._free + rate * elapsed, self._most_free)
 
-    def grant(self, instance: str, *, held: int, share: float, now: float) -> int:
+    def grant(
+        self,
+        instance: str,
+        *,
+        held: int,
+        share: float,
+        now: float,
+        needed: float = inf,
+        waiting: int = 0,
+    ) -> int:
         """Return the tokens to add to those of ``instance``, or to take if negative.
 
         :param held: tokens that it holds already.
         :param share: its part of the tokens, from 0 to 1.
+        :param needed: tokens that it can use before they end.
+        :param waiting: its requests that wait for a token.
         """
         holder = self._holders.setdefault(instance, _Holder(claimed_at=now))
         share_of_all = share * self._capacity
@@ -89,12 +102,18 @@
             holder.earned + share * self._rate * (now - holder.claimed_at),
             1.0 + share_of_all,
         )
-        kept = whole_tokens(share_of_all, self._random.random())
+        draw = self._random.random()
+        kept = whole_tokens(min(share_of_all, needed), draw)
+        least = whole_tokens(min(1.0, needed), draw)
         has_surplus = self._free >= SURPLUS_SHARE * self._most_free
         change = kept - held
         if change >= 0:
             entitled = self._free if has_surplus else min(self._free, holder.earned)
-            change = min(max(change, 1 - held), floor(entitled))
+            change = min(max(change, least - held), floor(entitled))
+        if waiting > held:
+            spare = floor((1.0 - EARNED_SHARE) * self._free)
+            change = max(change, min(waiting - held, spare))
+        if change > 0:
             holder.earned = max(0.0, holder.earned - change)
         self._free -= change
         holder.held = held + change
--- a/src/savorypond/gateway/run_types.py
+++ b/src/savorypond/gateway/run_types.py
@@ -1,6 +1,8 @@
 """Parameters and results of the run of a request."""
 
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 from savorypond.clock import Clock
 from savorypond.gateway.attempts import AttemptResult, AttemptRunner, ForwardedRequest
@@ -54,6 +56,19 @@
     cut_off: bool
 
 
+class TokenSource(Protocol):
+    """Obtains tokens of servers with rate limits."""
+
+    async def wait_for_tokens(
+        self,
+        services: Iterable[str],
+        *,
+        priority: int,
+        lacks_token: Callable[[str], bool],
+    ) -> None:
+        """Obtain the tokens of ``services`` that a request lacks, if there are some."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RunDependencies:
     """Objects shared by all requests of an instance."""
@@ -66,6 +81,7 @@
     budget: ServiceRetryBudget
     latencies: RouteLatencies
     rates: RateControl
+    tokens: TokenSource
     clock: Clock
     counters: Counters
 
--- a/src/savorypond/gateway/server_chooser.py
+++ b/src/savorypond/gateway/server_chooser.py
@@ -53,6 +53,20 @@
             now=now,
         )
 
+    def lacks_token(self, service: str, now: float) -> bool:
+        """Return whether only rate limits leave no server of ``service`` to choose."""
+        limits = self._rates.limits
+        if not limits.is_limited(service):
+            return False
+        registered = self._registry.servers(service)
+        usable = [s for s in registered if not limits.lacks_token(s, now)]
+        if len(usable) == len(registered):
+            return False
+        choice = self._loads.choose(
+            usable, exclude=(), mean_latency=self._mean_latency, now=now
+        )
+        return choice is None
+
     def count(self, service: str) -> int:
         """Return the number of servers of ``service``."""
         return len(self._registry.servers(service))
--- a/src/savorypond/gateway/server_rate_limits.py
+++ b/src/savorypond/gateway/server_rate_limits.py
@@ -138,17 +138,22 @@
         return service in self._services
 
     def has_room(self, server: RegisteredServer, now: float) -> bool:
-        """Return whether this instance may send ``server`` a request now."""
+        """Return whether this instance may send ``server`` a request now.
+
+        Counts an attempt that it may not send.
+        """
         limit = self._find(server)
-        if limit is None or limit.rate is None:
-            return True
-        reserve_rate = RESERVED_SHARE * max(limit.rate, MIN_RATE) / self._instances
-        if limit.tokens.available(reserve_rate, now):
+        if limit is None or not self._lacks_token(limit, now):
             return True
         limit.refused += 1
         self._counters.add("gateway_limited_attempts", "refused")
         return False
 
+    def lacks_token(self, server: RegisteredServer, now: float) -> bool:
+        """Return whether ``server`` has a limit and this instance no token of it."""
+        limit = self._find(server)
+        return limit is not None and self._lacks_token(limit, now)
+
     def has_limit(self, server: RegisteredServer) -> bool:
         """Return whether ``server`` has a limit."""
         limit = self._find(server)
@@ -225,6 +230,12 @@
             if not of_service:
                 del self._services[service]
 
+    def _lacks_token(self, limit: _Limit, now: float) -> bool:
+        if limit.rate is None:
+            return False
+        reserve_rate = RESERVED_SHARE * max(limit.rate, MIN_RATE) / self._instances
+        return not limit.tokens.available(reserve_rate, now)
+
     def _find(self, server: RegisteredServer) -> _Limit | None:
         limit = self._services.get(server.service, {}).get(server.name)
         if limit is None or limit.started != server.started:
--- a/tests/rate_limit_simulation.py
+++ b/tests/rate_limit_simulation.py
@@ -262,6 +262,33 @@
         if rank >= share:
             return
         request = RankedRequest(priority=priority, rank=rank)
+        waits = rates.lacking(
+            self._services,
+            priority=priority,
+            lacks_token=lambda s: self._lacks_token(instance, s, now),
+            now=now,
+        )
+        if not waits:
+            self._start(instance, request, is_counted, now)
+            return
+        with rates.waits.waiting(waits):
+            for service in waits:
+                self._claim(instance, rates.claim(service, now), now)
+        started_at = now + 2 * MESSAGE_TIME + 0.001
+        self._at(started_at, self._start, instance, request, is_counted)
+
+    def _lacks_token(self, instance, service, now):
+        limits = instance.rates.limits
+        return all(limits.lacks_token(s, now) for s in self._up(service, now))
+
+    def _up(self, service, now):
+        down = {n for n, start, end in self.load.outages if start <= now < end}
+        servers = self._servers[service]
+        return [s for n, s in enumerate(servers) if n not in down]
+
+    def _start(self, instance, request, is_counted, now):
+        outcome, load = self.outcome, self.load
+        priority = request.priority
         chosen = [self._choose(instance, s, request, now) for s in self._services]
         covered = sum(c is not None for c in chosen)
         if covered < load.least_share * load.shards - 1e-9:
@@ -282,11 +309,8 @@
             extra=exclude is not None,
             now=now,
         )
-        down = {n for n, start, end in self.load.outages if start <= now < end}
-        servers = self._servers[service]
-        candidates = [
-            s for s in usable if s is not exclude and servers.index(s) not in down
-        ]
+        up = self._up(service, now)
+        candidates = [s for s in usable if s is not exclude and s in up]
         return self._random.choice(candidates) if candidates else None
 
     def _hedge(self, instance, target, request, now):
@@ -361,6 +385,7 @@
         if peer is None:
             share = instance.coordinator.divide(instance.name, claim, now)
             instance.rates.apply(share, claimed_at=now, now=now)
+            instance.rates.end_claim(claim, now)
             return
         coordinator = self._by_name[peer.name]
         if coordinator.is_running and not self._are_cut(instance, coordinator, now):
@@ -373,7 +398,9 @@
         if coordinator.choice.coordinator(claim.service) is not None:
             return
         share = coordinator.coordinator.divide(instance.name, claim, now)
-        self._at(now + MESSAGE_TIME, self._apply, instance, share, claimed_at)
+        answer = (instance, claim, share, claimed_at)
+        self._at(now + MESSAGE_TIME, self._apply, *answer)
 
-    def _apply(self, instance, share, claimed_at, now):
+    def _apply(self, instance, claim, share, claimed_at, now):
         instance.rates.apply(share, claimed_at=claimed_at, now=now)
+        instance.rates.end_claim(claim, now)
--- a/tests/test_gateway_rate_limit_fleet.py
+++ b/tests/test_gateway_rate_limit_fleet.py
@@ -162,6 +162,19 @@
 
         run(main)
 
+    def test_an_instance_without_tokens_asks_for_one_when_a_request_needs_it(self):
+        async def main():
+            limited = FakeServer("i1", service="s1", rate_limit=20.0)
+            async with Fleet(READ, QUERY, servers=(limited,)) as fleet:
+                await fleet.ask(fleet.gateways[0], "/r/1", "first")
+                await sleep(1.5)
+                for path in ("/r/1", "/q/1"):
+                    for number, gateway in enumerate(fleet.gateways):
+                        response = await fleet.ask(gateway, path, f"{path}{number}")
+                        self.assertEqual(response.status, 200)
+
+        run(main)
+
     def test_a_restarted_instance_learns_limits_before_it_uses_a_server(self):
         async def main():
             limited = FakeServer("i1", service="s1", rate_limit=LIMIT)
--- a/tests/test_gateway_rate_limit_simulation.py
+++ b/tests/test_gateway_rate_limit_simulation.py
@@ -59,6 +59,22 @@
                 served = outcome.full[1] / (110.0 - SETTLING_TIME)
                 self.assertGreater(served, 0.75 * 7.0)
 
+    def test_instances_that_seldom_need_a_server_may_use_what_it_allows(self):
+        """Both servers of the service have limits; callers need a quarter of them."""
+        for instances, limit, rate in ((7, 6.0, 3.0), (60, 20.0, 10.0)):
+            for seed in range(1, 4):
+                with self.subTest(instances=instances, seed=seed):
+                    load = Load(
+                        instances=instances,
+                        data_centres=3,
+                        limits=(limit, limit),
+                        rates={1: rate},
+                        known_from=5.0,
+                        seed=seed,
+                    )
+                    outcome = self.play(load)
+                    self.assertGreater(outcome.full[1], 0.95 * outcome.offered[1])
+
     def test_restarts_do_not_exceed_a_limit(self):
         restarts = tuple((n, 12.0 + 1.3 * n) for n in range(7))
         for seed in range(1, 6):
--- a/tests/test_gateway_request_tokens.py
+++ b/tests/test_gateway_request_tokens.py
@@ -64,6 +64,22 @@
         pool.fill(10.0, end)
         self.assertEqual(pool.grant("b", held=0, share=1.0, now=end), 15)
 
+    def test_keeps_no_more_tokens_than_an_instance_can_use(self):
+        pool = self.make_pool()
+        pool.fill(10.0, 2.0)
+        for name, needed, tokens in (("a", 0.0, 0), ("b", 0.4, 0), ("c", 2.0, 2)):
+            granted = pool.grant(name, held=0, share=0.5, now=2.0, needed=needed)
+            self.assertEqual(granted, tokens)
+
+    def test_requests_that_wait_get_tokens_that_are_left(self):
+        pool = self.make_pool()
+        pool.fill(10.0, 0.5)
+        tokens = [
+            pool.grant("a", held=0, share=0.0, now=0.5, needed=0.0, waiting=2)
+            for _ in range(4)
+        ]
+        self.assertEqual(tokens, [2, 2, 0, 0])
+
     def test_who_claims_first_gets_no_more_than_its_part(self):
         pool = self.make_pool()
         total = {"a": 0, "b": 0}
@@ -97,7 +113,9 @@
             balance = balances[name]
             pool.fill(rate, now)
             held = balance.held(now)
-            change = pool.grant(name, held=held, share=share, now=now)
+            change = pool.grant(
+                name, held=held, share=share, now=now, waiting=max(0, wanted - 4)
+            )
             balance.add(change, until=now + LEASE_TIME, now=now)
             for _ in range(min(wanted, max(0, balance.held(now)))):
                 balance.take(now)
