Leave the division of limits to others while an instance stops

What servers would see: during planned stops, each stopping instance that is the coordinator of a service by its rank divides the limits of its servers among itself, as others do among the rest.

Cause: an instance counted itself as a candidate also after it had announced that it leaves, and before it had joined. Others no longer or not yet count it.

Change: the coordinator is one of the live instances as membership has them, for the instance itself too.

Before: test_instances_that_are_stopping_do_not_exceed_a_limit fails.

--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -131,7 +131,7 @@
         self._rate_sync = RateShareSync(
             own_name=settings.host,
             data_centre=settings.data_centre,
-            peers=self.peers,
+            live=lambda: self._membership.membership.live(),
             rates=self._rates,
             client=client,
             registry=self._registry,
--- a/src/savorypond/gateway/rate_share_sync.py
+++ b/src/savorypond/gateway/rate_share_sync.py
@@ -50,9 +50,9 @@
     """Selects the coordinator of each service, the same at every instance.
 
     It is in a data centre of the service's servers, where most of its users are, if
-    any instance there is live.
+    any instance there is live. An instance that is stopping is none.
 
-    :param peers: returns the live instances other than this one.
+    :param live: returns the live instances, without this one if it may not own work.
     """
 
     def __init__(
@@ -61,63 +61,64 @@
         own_name: str,
         data_centre: str,
         registry: ServerRegistry,
-        peers: Callable[[], Sequence[Instance]],
+        live: Callable[[], Sequence[Instance]],
     ) -> None:
         self._own_name = own_name
         self._data_centre = data_centre
         self._registry = registry
-        self._peers = peers
-        self._known_peers: Sequence[Instance] | None = None
+        self._live = live
+        self._known_live: Sequence[Instance] | None = None
         self._chosen: dict[tuple[str, frozenset[str]], Instance | None] = {}
 
     def coordinator(self, service: str) -> Instance | None:
         """Return the coordinator of ``service``, or None if it is this instance."""
-        peers = self._peers()
-        if peers is not self._known_peers:
-            self._known_peers = peers
+        live = self._live()
+        if live is not self._known_live:
+            self._known_live = live
             self._chosen.clear()
         data_centres = frozenset(
             server.data_centre for server in self._registry.servers(service)
         )
         key = (service, data_centres)
         if key not in self._chosen:
-            self._chosen[key] = self._choose(service, data_centres, peers)
+            self._chosen[key] = self._choose(service, data_centres, live)
         return self._chosen[key]
 
     def sample(self, count: int, random: Random) -> list[Instance]:
         """Return up to ``count`` live peers, those of this data centre first."""
-        peers = list(self._peers())
-        random.shuffle(peers)
+        peers = self._shuffled_peers(random)
         peers.sort(key=lambda peer: peer.data_centre != self._data_centre)
         return peers[:count]
 
     def news_peers(self, random: Random) -> list[Instance]:
         """Return the live peers to tell of news, some of them of any data centre."""
-        peers = list(self._peers())
-        random.shuffle(peers)
+        peers = self._shuffled_peers(random)
         anywhere, rest = peers[:ANY_NEWS_PEERS], peers[ANY_NEWS_PEERS:]
         near = [peer for peer in rest if peer.data_centre == self._data_centre]
         return anywhere + near[:NEAR_NEWS_PEERS]
 
+    def _shuffled_peers(self, random: Random) -> list[Instance]:
+        peers = [peer for peer in self._live() if peer.name != self._own_name]
+        random.shuffle(peers)
+        return peers
+
     def _choose(
-        self, service: str, data_centres: frozenset[str], peers: Sequence[Instance]
+        self, service: str, data_centres: frozenset[str], live: Sequence[Instance]
     ) -> Instance | None:
-        instances: dict[str, Instance | None] = {peer.name: peer for peer in peers}
-        instances[self._own_name] = None
-        near = {
-            name: peer
-            for name, peer in instances.items()
-            if (peer.data_centre if peer else self._data_centre) in data_centres
-        }
-        candidates = near or instances
-        name = max(candidates, key=lambda name: rendezvous_score(service, name))
-        return candidates[name]
+        near = [instance for instance in live if instance.data_centre in data_centres]
+        chosen = max(
+            near or live,
+            key=lambda instance: rendezvous_score(service, instance.name),
+            default=None,
+        )
+        is_own = chosen is not None and chosen.name == self._own_name
+        return None if is_own else chosen
 
 
 class RateShareSync:
     """Claims this instance's shares of limits, and answers the claims of others.
 
-    :param peers: returns the live instances other than this one.
+    :param live: returns the live instances, without this one if it may not own work.
     :param instance_count: returns the number of instances that share a limit.
     :param reachable_share: returns the part of the instances that are not cut off from
         this one, from 0 to 1.
@@ -128,7 +129,7 @@
         *,
         own_name: str,
         data_centre: str,
-        peers: Callable[[], Sequence[Instance]],
+        live: Callable[[], Sequence[Instance]],
         rates: RateControl,
         client: PeerClient,
         registry: ServerRegistry,
@@ -140,7 +141,7 @@
     ) -> None:
         self._own_name = own_name
         self._choice = CoordinatorChoice(
-            own_name=own_name, data_centre=data_centre, registry=registry, peers=peers
+            own_name=own_name, data_centre=data_centre, registry=registry, live=live
         )
         self._coordinator = RateCoordinator(
             servers=registry.servers,
--- a/tests/rate_limit_simulation.py
+++ b/tests/rate_limit_simulation.py
@@ -44,6 +44,8 @@
     :param server_data_centre: data centre of all servers.
     :param joined: whether the instances know each other at the start.
     :param stops: times at which an instance, by number, ends for good.
+    :param leaves: times at which an instance, by number, announces that it stops, and
+        at which it ends.
     :param restarts: times at which an instance, by number, restarts.
     :param cuts: periods in which an instance, by number, reaches no other one.
     :param partitions: periods in which a data centre, by name, reaches no other one.
@@ -68,6 +70,7 @@
     server_data_centre: str = "dc0"
     joined: bool = True
     stops: tuple = ()
+    leaves: tuple = ()
     restarts: tuple = ()
     cuts: tuple = ()
     partitions: tuple = ()
@@ -136,7 +139,7 @@
             own_name=self.name,
             data_centre=self.data_centre,
             registry=SimpleNamespace(servers=self.servers),
-            peers=self.peers,
+            live=lambda: self.fleet.node(number).membership.live(),
         )
         self.shares = FleetShares(
             membership=lambda: self.fleet.node(number).membership,
@@ -220,6 +223,9 @@
             self._at(self._random.uniform(0.0, CHECK_INTERVAL), self._check, instance)
             if load.known_from is not None and instance.number < load.known_by:
                 self._at(load.known_from, self._learn, instance)
+        for number, time, end in load.leaves:
+            self._at(time, self._leave, self._instances[number])
+            self._at(end, self._stop, self._instances[number])
         for number, time in load.restarts:
             self._at(time, self._restart, self._instances[number])
         while self._events:
@@ -236,6 +242,9 @@
         instance.is_running = False
         self.fleet.node(instance.number).alive = False
 
+    def _leave(self, instance, now):
+        self.fleet.leave(self.fleet.node(instance.number))
+
     def _restart(self, instance, now):
         self.fleet.node(instance.number).alive = False
         self.fleet.start(instance.number, instance.data_centre)
--- a/tests/test_gateway_rate_limit_simulation.py
+++ b/tests/test_gateway_rate_limit_simulation.py
@@ -75,6 +75,14 @@
                     outcome = self.play(load)
                     self.assertGreater(outcome.full[1], 0.95 * outcome.offered[1])
 
+    def test_instances_that_are_stopping_do_not_exceed_a_limit(self):
+        """Their connections stay open, and callers keep using them."""
+        for leaving in (range(3, 5), range(2, 7)):
+            for seed in range(1, 4):
+                with self.subTest(leaving=leaving, seed=seed):
+                    leaves = tuple((number, 10.0, 22.0) for number in leaving)
+                    self.play(replace(ONE_OF_TWO, leaves=leaves, seed=seed))
+
     def test_restarts_do_not_exceed_a_limit(self):
         restarts = tuple((n, 12.0 + 1.3 * n) for n in range(7))
         for seed in range(1, 6):
