Assume many instances until the number is known

What servers would see: an instance that learns of a limit before it has counted the others uses the reserve of all instances alone: 27 requests in 10 s of a limit of 14 a second in the new test, in place of at most one.

Cause: the number of instances that share the reserve was one until the first check.

Change: 100 until then, as for the budget of extra attempts. A service that a query names twice is also claimed only once.

Before: test_an_instance_that_has_just_started_assumes_many_others fails (27 requests).

--- a/src/savorypond/gateway/rate_control.py
+++ b/src/savorypond/gateway/rate_control.py
@@ -124,7 +124,7 @@
         """
         return tuple(
             service
-            for service in services
+            for service in dict.fromkeys(services)
             if self._limits.is_limited(service)
             and self._admission.share(service, priority=priority, now=now) >= 1.0
             and self._waits.may_ask(service, now)
--- a/src/savorypond/gateway/server_rate_limits.py
+++ b/src/savorypond/gateway/server_rate_limits.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from savorypond.gateway.fleet_shares import ASSUMED_INSTANCES
 from savorypond.gateway.rate_coordinator import MIN_RATE, RESERVED_SHARE
 from savorypond.gateway.rate_messages import RateShare, ServerLimit, ServerShare
 from savorypond.gateway.request_tokens import LEASE_TIME, TokenBalance, TokenReserve
@@ -69,7 +70,7 @@
     def __init__(self, *, random: Random, counters: Counters) -> None:
         self._reserve = TokenReserve(random=random)
         self._counters = counters
-        self._instances = 1
+        self._instances = ASSUMED_INSTANCES
         self._services: dict[str, dict[str, _Limit]] = {}
         self._news: dict[tuple[str, str], _Limit] = {}
 
--- a/tests/test_gateway_server_rate_limits.py
+++ b/tests/test_gateway_server_rate_limits.py
@@ -111,6 +111,11 @@
         sent = self.sent(0.0, 200.0)
         self.assertAlmostEqual(sent, 14.0 * 200.0 * RESERVED_SHARE / 7, delta=20)
 
+    def test_an_instance_that_has_just_started_assumes_many_others(self):
+        self.limits = ServerRateLimits(random=Random(1), counters=Counters())
+        self.observe(14.0, 0.0)
+        self.assertLess(self.sent(0.0, 10.0), 2)
+
     def test_uses_its_tokens_while_they_last(self):
         self.observe(7.0, 0.0)
         self.grant(4, 0.0)
