Count listed instances while none has ever answered

What servers would see: an instance that starts while it is cut off divides limits as if it were alone.

Cause: listed instances that are dead and never answered have no part, so that stale seeds take none. To an instance that is cut off, all of them look like that.

Change: as long as no listed instance has ever answered, all have their part.

Before: test_an_instance_that_starts_cut_off_takes_only_its_part fails (1.0 in place of 0.25).

--- a/src/savorypond/membership/membership.py
+++ b/src/savorypond/membership/membership.py
@@ -122,9 +122,13 @@
     def confirmed_size(self) -> int:
         """The fleet size without listed instances that are dead and never answered.
 
-        Other dead instances are included: they may only be cut off from this one.
+        Other dead instances are included: they may only be cut off from this one. So
+        may all those that are listed, as long as no instance at all has answered.
         """
-        return self.fleet_size - self._table.unconfirmed_dead_count
+        unconfirmed = self._table.unconfirmed_dead_count
+        if unconfirmed == len(self._table):
+            return self.fleet_size
+        return self.fleet_size - unconfirmed
 
     @property
     def unreachable(self) -> frozenset[str]:
--- a/tests/test_gateway_fleet_shares.py
+++ b/tests/test_gateway_fleet_shares.py
@@ -60,6 +60,13 @@
                     self.assertAlmostEqual(both[0], 1 / data_centres)
                     self.assertAlmostEqual(sum(both), 1.0)
 
+    def test_an_instance_that_starts_cut_off_takes_only_its_part(self):
+        fleet = SimulatedFleet(size=4)
+        fleet.cut = lambda sender, target: fleet.node(0) in (sender, target)
+        fleet.run(30.0)
+        self.assertEqual(share_of(fleet.node(0)).reachable_share(), 0.25)
+        self.assertEqual(share_of(fleet.node(1)).reachable_share(), 1.0)
+
     def test_instances_that_left_or_never_answered_have_no_share(self):
         fleet = SimulatedFleet(size=7)
         fleet.node(5).alive = False
