Keep the part of instances that have just become silent

What servers would see: a coordinator that is cut off goes on to grant the whole limit to itself until it has noticed, some seconds later, while the others have another one.

Cause: the demand of instances that no longer claim was forgotten with their tokens, after 1.5 s, and the others got all of the limit.

Change: it counts for 8 s, as part of a limit that is not granted; by then membership knows who is cut off. An instance that no longer needs a service says so with a last claim, which also returns its tokens at once.

--- a/src/savorypond/gateway/rate_control.py
+++ b/src/savorypond/gateway/rate_control.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from msgspec.structs import replace
+
 from savorypond.gateway.demand_meter import DemandMeter
 from savorypond.gateway.rate_admission import RateAdmission
 from savorypond.gateway.rate_messages import RateClaim, RateShare
@@ -34,6 +36,7 @@
         self._admission = RateAdmission()
         self._demand = DemandMeter()
         self._waits = TokenWaits()
+        self._claimed: set[str] = set()
 
     @property
     def limits(self) -> ServerRateLimits:
@@ -86,6 +89,7 @@
         """
         services = self._limits.services
         self._demand.measure(services, now)
+        self._claimed.intersection_update(services)
         claims = []
         for service in services:
             demand = self._demand.rates(service, now)
@@ -95,10 +99,15 @@
                 is_needed = sum(demand.values()) >= MIN_CLAIMED_DEMAND
             if is_needed:
                 claims.append(self.claim(service, now))
+            elif service in self._claimed:
+                # Gives up this instance's part, which others may then use.
+                claims.append(replace(self.claim(service, now), demand={}))
+                self._claimed.discard(service)
         return tuple(claims)
 
     def claim(self, service: str, now: float) -> RateClaim:
         """Return a claim to the limits of ``service``."""
+        self._claimed.add(service)
         return RateClaim(
             service=service,
             limits=self._limits.known(service, now),
--- a/src/savorypond/gateway/rate_coordinator.py
+++ b/src/savorypond/gateway/rate_coordinator.py
@@ -37,6 +37,8 @@
 EVEN_SHARE = 0.1
 # Part of the room that every priority gets in proportion to its demand.
 UNPRIORITIZED_SHARE = 0.3
+# An instance that was cut off is replaced as coordinator, and knows it, by then.
+SILENCE_TIME = 8.0  # seconds for which instances that do not claim keep their part
 SERVICE_TIMEOUT = 10.0  # seconds after its last claim at which a service is forgotten
 
 
@@ -52,8 +54,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Demand:
+    """The demand of one instance, in requests a second by priority."""
+
     rates: Mapping[int, float]
-    until: float
+    claimed_at: float
 
     @property
     def total(self) -> float:
@@ -62,9 +66,48 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Service:
+    """The limits of a service's servers, and who needs them.
+
+    :param demand: of the instances that claim.
+    :param silent: total demand of those that no longer do.
+    """
+
     claimed_at: float
     servers: dict[str, _Server] = field(default_factory=dict)
     demand: dict[str, _Demand] = field(default_factory=dict)
+    silent: float = 0.0
+    known_demand: dict[str, _Demand] = field(default_factory=dict)
+
+    def update_demand(
+        self, instance: str, rates: Mapping[int, float], now: float
+    ) -> None:
+        self.known_demand[instance] = _Demand(rates=rates, claimed_at=now)
+        self.known_demand = {
+            name: demand
+            for name, demand in self.known_demand.items()
+            if now - demand.claimed_at < SILENCE_TIME
+        }
+        self.demand = {
+            name: demand
+            for name, demand in self.known_demand.items()
+            if now - demand.claimed_at < LEASE_TIME
+        }
+        self.silent = sum(
+            demand.total
+            for name, demand in self.known_demand.items()
+            if name not in self.demand
+        )
+
+    @property
+    def total_demand(self) -> float:
+        return sum(demand.total for demand in self.demand.values())
+
+    @property
+    def claimed_share(self) -> float:
+        """The part of the demand that comes from instances that claim, from 0 to 1."""
+        if not self.silent:
+            return 1.0
+        return self.total_demand / (self.total_demand + self.silent)
 
 
 class RateCoordinator:
@@ -96,12 +139,7 @@
         service.claimed_at = now
         for limit in claim.limits:
             self._merge_limit(service, limit, now)
-        service.demand[instance] = _Demand(rates=claim.demand, until=now + LEASE_TIME)
-        service.demand = {
-            name: demand
-            for name, demand in service.demand.items()
-            if now < demand.until
-        }
+        service.update_demand(instance, claim.demand, now)
         share = _demand_share(service, instance)
         needed = service.demand[instance].total * LEASE_TIME
         granted = self._granted_share(service)
@@ -157,7 +195,9 @@
         """Return the part of each limit that is granted to instances with claims."""
         claiming = min(1.0, len(service.demand) / max(1, self._instance_count()))
         reserved = RESERVED_SHARE * (1.0 - claiming)
-        return max(0.0, USED_SHARE * self._reachable_share() - reserved)
+        # Instances that no longer claim may be cut off from here already.
+        reachable = min(self._reachable_share(), service.claimed_share)
+        return max(0.0, USED_SHARE * reachable - reserved)
 
     def _grant(
         self,
@@ -229,7 +269,7 @@
 
 def _demand_share(service: _Service, instance: str) -> float:
     """Return the part of the tokens that ``instance`` gets, from 0 to 1."""
-    total = sum(demand.total for demand in service.demand.values())
+    total = service.total_demand
     even = 1.0 / len(service.demand)
     if not total:
         return even
