--- a/src/savorypond/gateway/rate_control.py
+++ b/src/savorypond/gateway/rate_control.py
@@ -84,8 +84,8 @@
     def claims(self, now: float) -> tuple[RateClaim, ...]:
         """Return the claims to the limits of the services that are needed.
 
-        An instance that seldom needs a service makes do with its reserve. Otherwise
-        every instance of a large fleet would send claims all the time.
+        An instance that seldom needs a service claims only when a request lacks a
+        token. Otherwise every instance of a large fleet would send claims all the time.
         """
         services = self._limits.services
         self._demand.measure(services, now)
--- a/src/savorypond/gateway/rate_coordinator.py
+++ b/src/savorypond/gateway/rate_coordinator.py
@@ -4,7 +4,8 @@
 accept from all instances together. The instances cannot see each other's requests, use
 a server unequally, and come and go. One of them, the coordinator of a service, grants
 each some tokens, each for one request, in proportion to its demand. Tokens end after a
-short time, so that those of instances that stop or are cut off return to the others.
+short time. The part of an instance that stops to claim returns to the others some
+seconds later, since it may be cut off and have a coordinator on its side.
 
 Instances that do not reach each other have a coordinator each. It hands out only the
 part of the tokens that corresponds to the instances on its side.
@@ -69,7 +70,8 @@
     """The limits of a service's servers, and who needs them.
 
     :param demand: of the instances that claim.
-    :param silent: total demand of those that no longer do.
+    :param known_demand: of those too that no longer claim and keep their part.
+    :param silent: total demand of the latter, in requests a second.
     """
 
     claimed_at: float
@@ -81,6 +83,7 @@
     def update_demand(
         self, instance: str, rates: Mapping[int, float], now: float
     ) -> None:
+        """Record a claim of ``instance``; forget those that ended long ago."""
         self.known_demand[instance] = _Demand(rates=rates, claimed_at=now)
         self.known_demand = {
             name: demand
@@ -100,6 +103,7 @@
 
     @property
     def total_demand(self) -> float:
+        """Requests a second of the instances that claim."""
         return sum(demand.total for demand in self.demand.values())
 
     @property
