--- a/benchmarks/bench_gather.py
+++ b/benchmarks/bench_gather.py
@@ -64,7 +64,9 @@
             for shard in shards
         ]
         merged = merged_response(parts, top=TOP, shard_count=len(parts), names=NAMES)
-        return group_response(merged, answered=tuple(shards), pending=())
+        return group_response(
+            merged, answered=tuple(shards), pending=(), shares={}, rate_limited=False
+        )
     headers = (
         Header(name=NAMES.request_id, value=request.header(NAMES.request_id) or ""),
         Header(name=NAMES.signature, value="signature"),
@@ -99,6 +101,13 @@
         """Ignore the event."""
 
 
+class NoLimits:
+    """Stands for the tokens of servers without rate limits."""
+
+    async def wait_for_tokens(self, services, *, priority, lacks_token):
+        """Return at once."""
+
+
 def make_dependencies(address, services, *, group_size):
     """Return the dependencies of a run whose servers and peers are at ``address``."""
     clock, counters = SystemClock(), Counters()
@@ -158,6 +167,7 @@
         ),
         latencies=RouteLatencies(),
         rates=rates,
+        tokens=NoLimits(),
         clock=clock,
         counters=counters,
     )
