Log requests whose client has left

Callers of the large deployment were reported to have left while work went on for them. The logs could not tell where: a request that ends because its connection was closed left no line at all, neither at the instance that had accepted it nor at those to which its shards were delegated.

Change: the event client-left with the request, the route, the attempts and groups that were given up, and the time since the request arrived.

--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -1,7 +1,11 @@
 """Handles the requests of callers according to the current routes."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from random import Random
 
+from curio import CancelledError
+
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused
 from savorypond.gateway.answer_timing import AnswerTiming, partial_answer_delay
@@ -129,7 +133,7 @@
             admitted=group_request.admitted,
         )
         run = RequestRun(dependencies=self._dependencies, spec=spec)
-        async with self._running.track(run):
+        async with self._track(run, spec, received):
             result = await run.run(resumable=True)
         key = GroupKey(
             peer=request.peer,
@@ -150,10 +154,28 @@
         group = self._unfinished_groups.take(key)
         if group is None:
             return HttpResponse(status=_GONE)
-        async with self._running.track(group.run):
+        async with self._track(group.run, group.spec, group.received):
             result = await group.run.resume()
         return await self._answer_group(key, group, result)
 
+    @asynccontextmanager
+    async def _track(
+        self, run: RequestRun, spec: RunSpec, received: float
+    ) -> AsyncIterator[None]:
+        """Track a run in the context; log it if its client leaves meanwhile."""
+        async with self._running.track(run):
+            try:
+                yield
+            except CancelledError:
+                log_event(
+                    "client-left",
+                    request=spec.request.request_id,
+                    route=spec.route.name,
+                    abandoned=run.in_flight,
+                    ms=self._ms_since(received),
+                )
+                raise
+
     async def _answer_group(
         self, key: GroupKey, group: UnfinishedGroup, result: RunResult
     ) -> HttpResponse:
@@ -270,7 +292,7 @@
             may_delegate=bool(route.shards),
         )
         run = RequestRun(dependencies=self._dependencies, spec=spec)
-        async with self._running.track(run):
+        async with self._track(run, spec, received):
             result = await run.run()
         response = self._build_response(spec, result)
         self._record_answer(spec, result, response, received)
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -92,6 +92,11 @@
             budget=dependencies.budget,
         )
 
+    @property
+    def in_flight(self) -> int:
+        """Number of attempts and delegated groups that have not ended."""
+        return len(self._running)
+
     async def run(self, *, resumable: bool = False) -> RunResult:
         """Run the request and return its result.
 
