Do not run a request whose client has left before it is read

Cause: an instance that has no processor time reads a request late, with the end of its connection already behind it in the socket. It started the request first, which sent it on every pooled connection, and looked at the connection only afterwards. The same holds at an instance to which shards were delegated: the one that delegated them closes its connection, and the delegate sends the requests of all shards before it notices. The class is work that outlives its client in a queue; here the queue is the socket's.

Change: after a request has been read, its connection is read on without waiting, and the request is dropped if the client has closed it, by FIN or reset. It is logged with the time for which it lay unread, and counted as caller-gone.

Evidence: test_a_request_whose_caller_has_left_is_not_run blocks the event loop for 0.5 s, in which a caller sends a request and leaves, by FIN and by reset. Ruled out: checking only in the handler's task, which starts in the same turn of the event loop as the attempts that it spawns.

--- a/src/savorypond/http/channel.py
+++ b/src/savorypond/http/channel.py
@@ -109,21 +109,35 @@
         poller.register(self._sock.fileno(), POLLIN)
         return bool(poller.poll(0))
 
+    async def has_disconnected(self) -> bool:
+        """Return whether the client has closed the connection, without waiting."""
+        while self._may_read_ahead() and self.has_input():
+            if not await self._read_ahead():
+                return True
+        return False
+
     async def wait_disconnect(self) -> None:
         """Return once the client has closed the connection.
 
         Data received meanwhile is buffered for the next request. After more than
         ``_MAX_READ_AHEAD`` bytes, reading stops and a disconnect goes unnoticed.
         """
-        buffered = len(self._http.trailing_data[0])
-        with suppress(OSError):
-            while buffered <= _MAX_READ_AHEAD:
-                data = await self._sock.recv(_RECEIVE_BYTES)
-                self._http.receive_data(data)
-                if not data:
-                    return
-                buffered += len(data)
-            await Event().wait()
+        while self._may_read_ahead():
+            if not await self._read_ahead():
+                return
+        await Event().wait()
+
+    def _may_read_ahead(self) -> bool:
+        return len(self._http.trailing_data[0]) <= _MAX_READ_AHEAD
+
+    async def _read_ahead(self) -> bool:
+        """Buffer input for the next request; return False after a disconnect."""
+        try:
+            data = await self._sock.recv(_RECEIVE_BYTES)
+        except OSError:
+            return False
+        self._http.receive_data(data)
+        return bool(data)
 
     async def receive(self) -> HttpRequest | None:
         """Return the next request, or None if the client closed the connection.
--- a/src/savorypond/http/server.py
+++ b/src/savorypond/http/server.py
@@ -26,10 +26,13 @@
     HttpResponse,
     problem_response,
 )
+from savorypond.logs import log_event
 from savorypond.model import Address
 from savorypond.reasons import Execution, RefusalReason
 from savorypond.timeouts import timeout_after
 
+_MILLISECONDS = 1000.0  # per second
+
 
 class ConnectionLimiter(Protocol):
     """Decides which connections are admitted."""
@@ -227,6 +230,16 @@
         """Return the response, or None if the client has disconnected."""
         if not self._cancel_on_disconnect:
             return await self._respond(request)
+        # An overloaded process may read a request long after its client has left.
+        if await channel.has_disconnected():
+            log_event(
+                "client-left-unread",
+                client=request.peer,
+                path=request.path,
+                ms=round(request.unread_time * _MILLISECONDS, 1),
+            )
+            self._report_refusal(RefusalReason.CALLER_GONE)
+            return None
         async with TaskGroup(wait=any) as group:
             handler = await group.spawn(self._respond, request)
             await group.spawn(channel.wait_disconnect)
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -3,6 +3,8 @@
 from contextlib import AsyncExitStack
 from itertools import count
 from json import loads
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 from time import sleep as block
 from unittest import TestCase
 from unittest.mock import patch
@@ -289,19 +291,25 @@
         self.assertEqual((await env.ask(request_id="r2")).status, 200)
 
 
+def request_head(request_id, *, time_left=15000):
+    """Return the bytes of a request to ``/r/1``."""
+    head = (
+        "GET /r/1 HTTP/1.1\r\nhost: shop.example\r\n"
+        f"{HEADERS.request_id}: {request_id}\r\n"
+        f"{HEADERS.time_left}: {time_left}\r\n\r\n"
+    )
+    return head.encode()
+
+
 class UnreadRequestTests(TestCase):
     """An overloaded instance reads requests late; their deadlines run meanwhile."""
 
     async def ask_busy(self, env, *, time_left):
         """Return the response to a request that arrives while the loop is blocked."""
         address = env.gateway.caller_address
-        head = (
-            "GET /r/1 HTTP/1.1\r\nhost: shop.example\r\n"
-            f"{HEADERS.request_id}: r1\r\n{HEADERS.time_left}: {time_left}\r\n\r\n"
-        )
         async with socket(AF_INET, SOCK_STREAM) as sock:
             await sock.connect((address.host, address.port))
-            await sock.sendall(head.encode())
+            await sock.sendall(request_head("r1", time_left=time_left))
             block(BUSY_TIME)
             return await sock.recv(65536)
 
@@ -318,6 +326,28 @@
         self.assertIn(b" 503 ", await self.ask_busy(env, time_left=time_left))
         self.assertEqual([len(server.requests) for server in env.servers], [0, 0])
 
+    @with_gateway(READ, servers=replicas("good", "good"))
+    async def test_a_request_whose_caller_has_left_is_not_run(self, env):
+        for number in range(4):  # opens connections to the servers
+            await env.ask("/r/1", request_id=f"r{number}")
+        sent = sum(len(server.requests) for server in env.servers)
+        for is_reset in (False, True):
+            with self.subTest(is_reset=is_reset):
+                await self.leave_before_read(env, is_reset=is_reset)
+                await sleep(0.1)
+                requests = sum(len(server.requests) for server in env.servers)
+                self.assertEqual(requests, sent)
+
+    async def leave_before_read(self, env, *, is_reset):
+        """Send a request and close its connection while the loop is blocked."""
+        address = env.gateway.caller_address
+        async with socket(AF_INET, SOCK_STREAM) as sock:
+            await sock.connect((address.host, address.port))
+            await sleep(0.05)
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", is_reset, 0))
+            await sock.sendall(request_head("r9"))
+        block(BUSY_TIME)
+
 
 class ProtocolTests(TestCase):
     @with_gateway()
