Send no attempt after its request has ended

What servers saw: a non-idempotent request of a caller that had left, or that had been answered 504, could still reach a server up to 0.2 s later.

Cause: attempts of an ended request may finish within 0.2 s, so that their connections are kept. That includes attempts that are not sent yet: those that wait for a connection, and those that have not run since they were spawned. They are sent in that time and run for nobody. The same class as the request that is read late: work that outlives its client, here in the wait for a connection.

Change: once it has a connection, an attempt asks whether its request still goes on. If not, it ends as 'ended', which counts as not sent, neither for nor against the server, and the connection is kept.

Evidence: test_nothing_is_sent_after_the_caller_has_left holds back the connection until the caller has left. Idempotent requests of callers that leave were not affected, as their attempts are cancelled at once.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Sends attempts to backend servers and classifies their results."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import StrEnum
 from math import isfinite
@@ -30,6 +31,7 @@
     USABLE = "usable"
     NOT_SENT = "not-sent"  # the server could not be reached
     NO_CONNECTION = "no-connection"  # connection limit of this instance
+    ENDED = "ended"  # the request had ended before the attempt was sent
     REFUSED = "refused"  # the server states that it did not run the request
     MISDIRECTED = "misdirected"  # another server has the address
     FAILED = "failed"  # status below 200 or from 500 on
@@ -60,6 +62,7 @@
         return self.outcome not in (
             AttemptOutcome.NOT_SENT,
             AttemptOutcome.NO_CONNECTION,
+            AttemptOutcome.ENDED,
         )
 
     @property
@@ -129,6 +132,7 @@
         server: RegisteredServer,
         *,
         mean_latency: float,
+        is_wanted: Callable[[], bool],
     ) -> AttemptResult:
         """Send ``request`` to ``server`` and return the result.
 
@@ -136,6 +140,7 @@
         sent, this is taken back.
 
         :param mean_latency: mean latency of the route in seconds.
+        :param is_wanted: whether the request still goes on once there is a connection.
         """
         sent_at = self._clock.now()
         number = self._loads.begin(server, sent_at)
@@ -143,7 +148,7 @@
             async with timeout_after(
                 max(0.0, request.caller_deadline - self._clock.now())
             ):
-                result = await self._send(request, server)
+                result = await self._send(request, server, is_wanted)
         except TaskTimeout:
             result = AttemptResult(
                 outcome=AttemptOutcome.SILENT,
@@ -165,7 +170,10 @@
         return result
 
     async def _send(
-        self, request: ForwardedRequest, server: RegisteredServer
+        self,
+        request: ForwardedRequest,
+        server: RegisteredServer,
+        is_wanted: Callable[[], bool],
     ) -> AttemptResult:
         try:
             lease = await self._pools.lease(server, fresh=not request.repeatable)
@@ -180,6 +188,12 @@
         reservation = ResponseReservation(memory=self._memory)
         try:
             async with lease as connection:
+                if not is_wanted():
+                    return AttemptResult(
+                        outcome=AttemptOutcome.ENDED,
+                        server=server,
+                        problem="the request ended while connecting",
+                    )
                 response = await connection.request(
                     self._encode(request, server),
                     max_body_bytes=request.max_response_bytes,
@@ -280,8 +294,8 @@
             )
         elif result.outcome is AttemptOutcome.REFUSED:
             self._loads.record_refusal(server, number, now=now)
-        elif result.outcome is AttemptOutcome.NO_CONNECTION:
-            # The connection limit is local and tells nothing about the server.
+        elif result.outcome in (AttemptOutcome.NO_CONNECTION, AttemptOutcome.ENDED):
+            # Neither a local limit nor the end of the request tells of the server.
             self._loads.forget(server, number, now=now)
         else:
             unreachable = result.outcome in (
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -362,6 +362,7 @@
             self._spec.request,
             attempt.server,
             mean_latency=self._mean_latency,
+            is_wanted=lambda: not self._ended,
         )
         self._keep(result.reservation)
         if result.outcome is AttemptOutcome.USABLE:
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -15,6 +15,7 @@
 from savorypond.clock import SystemClock
 from savorypond.gateway.answer_timing import AnswerTiming
 from savorypond.gateway.attempts import ForwardedRequest
+from savorypond.gateway.connection_pool import ConnectionPools
 from savorypond.gateway.delegation import ShardGroup
 from savorypond.gateway.gather_plan import GatherPlan
 from savorypond.gateway.routes import Route
@@ -130,6 +131,16 @@
     )
 
 
+def request_head(request_id, *, path="/r/1", time_left=15000):
+    """Return the bytes of a request without a body."""
+    head = (
+        f"GET {path} HTTP/1.1\r\nhost: shop.example\r\n"
+        f"{HEADERS.request_id}: {request_id}\r\n"
+        f"{HEADERS.time_left}: {time_left}\r\n\r\n"
+    )
+    return head.encode()
+
+
 class QueryTests(TestCase):
     @with_gateway(QUERY, servers=shards())
     async def test_merges_the_greatest_records_of_all_shards(self, env):
@@ -252,6 +263,27 @@
             await busy.cancelled.wait()
         await task.cancel()
 
+    @with_gateway(WRITE, servers=replicas("good", "good"))
+    async def test_nothing_is_sent_after_the_caller_has_left(self, env):
+        is_connecting, may_connect = Event(), Event()
+        lease = ConnectionPools.lease
+
+        async def slow_lease(pools, server, **options):
+            await is_connecting.set()
+            await may_connect.wait()
+            return await lease(pools, server, **options)
+
+        address = env.gateway.caller_address
+        with patch.object(ConnectionPools, "lease", slow_lease):
+            async with socket(AF_INET, SOCK_STREAM) as sock:
+                await sock.connect((address.host, address.port))
+                await sock.sendall(request_head("r1", path="/w/1"))
+                await is_connecting.wait()
+            await env.wait_until(lambda: not env.gateway._caller_server.in_flight)
+            await may_connect.set()
+            await sleep(0.1)
+        self.assertEqual([len(server.requests) for server in env.servers], [0, 0])
+
 
 class ConnectionTests(TestCase):
     @with_gateway(READ, servers=replicas("silent", "silent"))
@@ -291,16 +323,6 @@
         self.assertEqual((await env.ask(request_id="r2")).status, 200)
 
 
-def request_head(request_id, *, time_left=15000):
-    """Return the bytes of a request to ``/r/1``."""
-    head = (
-        "GET /r/1 HTTP/1.1\r\nhost: shop.example\r\n"
-        f"{HEADERS.request_id}: {request_id}\r\n"
-        f"{HEADERS.time_left}: {time_left}\r\n\r\n"
-    )
-    return head.encode()
-
-
 class UnreadRequestTests(TestCase):
     """An overloaded instance reads requests late; their deadlines run meanwhile."""
 
