Do not compare revisions of the store across a restore

Cause: a revision of the store was trusted beyond the history that gave it. The store gives revisions out again after a restore. A reader that was away meanwhile watches on from a revision of the lost history, once the store has passed it again, and skips what was written below it. An instance that reads from a reader holds a position of the lost history above the reader's; it is told that nothing has changed until the revision has overtaken it. The second only exists with more than four instances in a data centre.

Change: a position is the store's era with the revision, ordered by the era first. The adapter takes the era from the header in every answer. A watch that is answered in another era is history lost, so everything is read anew; a complete read across two eras fails. Between instances the era goes with the revision; a reader asked for changes after a position of an earlier era answers that it lacks them, and one that is itself in an earlier era is passed over, as is its copy. Instances of the version before get complete copies.

--- a/src/savorypond/exceptions.py
+++ b/src/savorypond/exceptions.py
@@ -142,7 +142,7 @@
 class HistoryLost(SavorypondError):  # noqa: N818
     """The changes after a position are no longer retained."""
 
-    def __init__(self, *, source: str, position: int) -> None:
+    def __init__(self, *, source: str, position: object) -> None:
         super().__init__(
             f"{source} no longer retains the changes after position {position}"
         )
--- a/src/savorypond/gateway/changelog.py
+++ b/src/savorypond/gateway/changelog.py
@@ -5,7 +5,11 @@
 from dataclasses import replace
 
 from savorypond.exceptions import HistoryLost
-from savorypond.gateway.published_state import PublishedChanges, ServerChange
+from savorypond.gateway.published_state import (
+    Position,
+    PublishedChanges,
+    ServerChange,
+)
 from savorypond.gateway.servers import RegisteredServer
 
 MAX_ENTRIES = 64  # reads; an instance that lacks more reads the complete state
@@ -15,10 +19,10 @@
     """Changes by position, without those that only renew a registration."""
 
     def __init__(self) -> None:
-        self._start: int | None = None
+        self._start: Position | None = None
         self._entries: deque[PublishedChanges] = deque()
 
-    def restart(self, position: int) -> None:
+    def restart(self, position: Position) -> None:
         """Discard all changes after the complete state was read at ``position``."""
         self._start = position
         self._entries.clear()
@@ -40,7 +44,7 @@
         while len(self._entries) > MAX_ENTRIES:
             self._start = self._entries.popleft().position
 
-    def since(self, after: int, position: int) -> PublishedChanges:
+    def since(self, after: Position, position: Position) -> PublishedChanges:
         """Return the changes after ``after`` up to ``position``.
 
         :raises HistoryLost: some of the changes are no longer kept.
--- a/src/savorypond/gateway/peers.py
+++ b/src/savorypond/gateway/peers.py
@@ -17,6 +17,7 @@
 )
 from savorypond.gateway.connection_pool import ConnectionPools
 from savorypond.gateway.published_state import (
+    Position,
     PublishedChanges,
     ServerChange,
 )
@@ -56,10 +57,13 @@
 class _PublishedMessage(Struct, frozen=True, kw_only=True):
     """The published state, or changes of it, in a message between instances.
 
+    :param position: revision of the store.
+    :param era: era of the store to which the revision belongs.
     :param age: seconds since the store was read.
     """
 
     position: int
+    era: int = 0
     age: float
     table: _TableMessage | None
     servers: tuple[ServerChange, ...]
@@ -73,7 +77,8 @@
     table = changes.table
     return encode(
         _PublishedMessage(
-            position=changes.position,
+            position=changes.position.revision,
+            era=changes.position.era,
             age=changes.age,
             table=None
             if table is None
@@ -93,7 +98,7 @@
     message = _decoder.decode(data)
     table = message.table
     return PublishedChanges(
-        position=message.position,
+        position=Position(era=message.era, revision=message.position),
         age=message.age,
         table=None
         if table is None
@@ -155,7 +160,7 @@
         self._clock = clock
         self._random = random
 
-    async def read_any(self, *, after: int | None) -> PublishedChanges:
+    async def read_any(self, *, after: Position | None) -> PublishedChanges:
         """Return the changes known to some other instance.
 
         Most reads go to the same data centre, because traffic between data centres
@@ -176,7 +181,7 @@
             peers = local
         return await self._read(self._random.choice(peers), _published_path(after))
 
-    async def read_changes(self, *, after: int | None) -> PublishedChanges | None:
+    async def read_changes(self, *, after: Position | None) -> PublishedChanges | None:
         """Return the changes known to a reader of the store.
 
         Return None if this instance must read the store itself.
@@ -205,7 +210,7 @@
         except (BackendServerError, PoolExhausted) as error:
             raise PublishedStateError(source=peer.name, problem=str(error)) from error
         if response.status == _GONE:
-            raise HistoryLost(source=peer.name, position=0)
+            raise HistoryLost(source=peer.name, position=path.partition("=")[2])
         if response.status != 200:
             problem = f"status {response.status}"
             raise PublishedStateError(source=peer.name, problem=problem)
@@ -227,10 +232,18 @@
             return await connection.request(request)
 
 
-def _published_path(after: int | None) -> str:
+def _published_path(after: Position | None) -> str:
     return PUBLISHED_PATH if after is None else f"{PUBLISHED_PATH}?after={after}"
 
 
+def _parse_position(text: str) -> Position | None:
+    """Return the position in ``text``, or None if it is not one."""
+    era, _, revision = text.partition(".")
+    if not (era.isdigit() and revision.isdigit()):
+        return None
+    return Position(era=int(era), revision=int(revision))
+
+
 def _as_server(peer: Instance) -> RegisteredServer:
     """Return ``peer`` as a server for the connection pools."""
     return RegisteredServer(
@@ -257,7 +270,7 @@
     def __init__(
         self,
         *,
-        changes_since: Callable[[int | None], PublishedChanges],
+        changes_since: Callable[[Position | None], PublishedChanges],
         handle_delegated: Handler,
         handle_follow_up: Handler,
         handle_rate_claims: Handler,
@@ -284,7 +297,7 @@
 
     def _send_published(self, after: str) -> HttpResponse:
         try:
-            changes = self._changes_since(int(after) if after.isdigit() else None)
+            changes = self._changes_since(_parse_position(after))
         except HistoryLost:
             return HttpResponse(status=_GONE)
         except PublishedStateError as error:
--- a/src/savorypond/gateway/published_feed.py
+++ b/src/savorypond/gateway/published_feed.py
@@ -13,6 +13,7 @@
 from savorypond.gateway.changelog import ChangeLog
 from savorypond.gateway.published_state import (
     PeerSource,
+    Position,
     PublishedChanges,
     PublishedSource,
     PublishedState,
@@ -70,7 +71,10 @@
         self._settle_time = settle_time
         self._on_table = on_table
         self._table: RouteTable | None = None
-        self._position: int | None = None
+        # None if everything has to be read anew.
+        self._position: Position | None = None
+        # The latest position known, which stays when everything is read anew.
+        self._latest = Position(era=0, revision=0)
         self._read_at: float | None = None
         self._has_peer_state = False
         self._changelog = ChangeLog()
@@ -89,7 +93,7 @@
             self._read_at is not None or self._has_peer_state
         )
 
-    def changes_since(self, after: int | None) -> PublishedChanges:
+    def changes_since(self, after: Position | None) -> PublishedChanges:
         """Return the changes after a position, or everything for None.
 
         :raises HistoryLost: these changes are no longer kept.
@@ -100,6 +104,11 @@
                 source="this instance", problem="nothing has been read yet"
             )
         age = self.age(self._clock.now())
+        if after is not None and after.era > self._position.era:
+            raise PublishedStateError(
+                source="this instance",
+                problem=f"position {self._position} is of an earlier era than {after}",
+            )
         if after is not None:
             return replace(self._changelog.since(after, self._position), age=age)
         servers = tuple(
@@ -185,7 +194,10 @@
         """
         for _ in range(MAX_READERS_ASKED):
             try:
-                return await self._peers.read_changes(after=self._position)
+                relayed = await self._peers.read_changes(after=self._position)
+                if relayed is not None:
+                    self._check_era(relayed)
+                return relayed
             except PublishedStateError as error:
                 log_event("reader-failed", why=str(error))
                 self._counters.add("published_reads", "peer-failed")
@@ -202,6 +214,14 @@
         self._registry.end_outage(self._clock.now())
         self._apply_changes(changes)
 
+    def _check_era(self, changes: PublishedChanges) -> None:
+        """Raise PublishedStateError if a peer has not noticed the latest era."""
+        if changes.position.era < self._latest.era:
+            raise PublishedStateError(
+                source="peer",
+                problem=f"position {changes.position} is before era {self._latest.era}",
+            )
+
     def _apply_relayed(self, changes: PublishedChanges) -> None:
         now = self._clock.now()
         self._registry.end_outage(now)
@@ -209,7 +229,7 @@
         self._apply_from_peer(changes, after=self._position, source="reader")
 
     def _apply_from_peer(
-        self, changes: PublishedChanges, *, after: int | None, source: str
+        self, changes: PublishedChanges, *, after: Position | None, source: str
     ) -> None:
         """Apply the changes after a position, or everything for None."""
         if after is not None:
@@ -222,14 +242,20 @@
         self._apply_state(state, source=source)
 
     def _apply_state(self, state: PublishedState, *, source: str) -> None:
-        self._registry.replace_all(state.servers, self._clock.now())
+        now = self._clock.now()
+        if self._latest.era < state.position.era and self._latest.revision:
+            log_event(
+                "store-restored", before=str(self._latest), at=str(state.position)
+            )
+            self._counters.add("published_reads", "restored")
+        self._registry.replace_all(state.servers, now)
         self._apply_table(state.table)
-        self._position = state.position
+        self._position = self._latest = state.position
         self._changelog.restart(state.position)
         log_event(
             "read-all",
             source=source,
-            position=state.position,
+            position=str(state.position),
             servers=len(state.servers),
         )
 
@@ -240,7 +266,8 @@
         for change in changes.servers:
             _log_server(before.get(change.name), change.name, change.server)
         self._apply_table(changes.table)
-        self._position = max(self._position or 0, changes.position)
+        self._position = max(self._position or changes.position, changes.position)
+        self._latest = self._position
         self._changelog.add(changes, before)
 
     def _apply_table(self, table: RouteTable | None) -> None:
@@ -279,6 +306,7 @@
             except HistoryLost:
                 after = None
                 changes = await self._peers.read_any(after=None)
+            self._check_era(changes)
         except (HistoryLost, PublishedStateError) as error:
             self._counters.add("published_reads", "peer-failed")
             if self._failures in _LOGGED_FAILURES:
--- a/src/savorypond/gateway/published_state.py
+++ b/src/savorypond/gateway/published_state.py
@@ -7,6 +7,24 @@
 from savorypond.gateway.servers import RegisteredServer
 
 
+@dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class Position:
+    """A point in the history of the store.
+
+    Positions are ordered: every position of a later era is after all of an earlier one.
+
+    :param era: rises each time that the store returns from an older copy, after which
+        it gives out revisions again.
+    :param revision: number of the latest change.
+    """
+
+    era: int
+    revision: int
+
+    def __str__(self) -> str:
+        return f"{self.era}.{self.revision}"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerChange:
     """A registration that was written, or removed if ``server`` is None."""
@@ -23,7 +41,7 @@
     :param table: the configuration, or None if there is none yet.
     """
 
-    position: int
+    position: Position
     table: RouteTable | None
     servers: tuple[RegisteredServer, ...]
 
@@ -35,7 +53,7 @@
     :param age: seconds since the store was read, if reported by another instance.
     """
 
-    position: int
+    position: Position
     age: float = 0.0
     table: RouteTable | None
     servers: tuple[ServerChange, ...]
@@ -44,7 +62,7 @@
 class PeerSource(Protocol):
     """Access to the published state known to other instances."""
 
-    async def read_any(self, *, after: int | None) -> PublishedChanges:
+    async def read_any(self, *, after: Position | None) -> PublishedChanges:
         """Return the changes known to some other instance.
 
         :param after: position of the last known change, or None for everything.
@@ -52,7 +70,7 @@
         :raises PublishedStateError: it has no recent state.
         """
 
-    async def read_changes(self, *, after: int | None) -> PublishedChanges | None:
+    async def read_changes(self, *, after: Position | None) -> PublishedChanges | None:
         """Return the changes known to a reader of the store.
 
         Return None if this instance must read the store itself.
@@ -69,10 +87,11 @@
     async def read_all(self) -> PublishedState:
         """Return the complete published state; raise PublishedStateError."""
 
-    async def changes(self, *, after: int, wait: float) -> PublishedChanges:
+    async def changes(self, *, after: Position, wait: float) -> PublishedChanges:
         """Return the changes after a position, waiting up to ``wait`` seconds.
 
-        :raises HistoryLost: the source no longer has these changes.
+        :raises HistoryLost: the source no longer has these changes, or the position is
+            of another era.
         :raises PublishedStateError: the source cannot be read.
         """
 
--- a/src/savorypond/platform/names.py
+++ b/src/savorypond/platform/names.py
@@ -5,6 +5,9 @@
 READY_PATH = "/savorypond/readyz"
 SETTINGS_VARIABLE = "SAVORYPOND_NODE_FILE"
 
+# Rises each time that the store returns from an older copy.
+STORE_ERA_HEADER = "store-era"
+
 HEADERS = HeaderNames(
     request_id="savorypond-request-id",
     time_left="savorypond-deadline-ms",
--- a/src/savorypond/platform/store.py
+++ b/src/savorypond/platform/store.py
@@ -12,6 +12,7 @@
 
 from savorypond.exceptions import BackendServerError, HistoryLost, PublishedStateError
 from savorypond.gateway.published_state import (
+    Position,
     PublishedChanges,
     PublishedState,
     ServerChange,
@@ -22,12 +23,14 @@
 from savorypond.logs import log_event
 from savorypond.model import Address
 from savorypond.platform.documents import read_registration, read_route_table
+from savorypond.platform.names import STORE_ERA_HEADER
 from savorypond.timeouts import timeout_after
 
 _CONFIGURATION = "op/config"
 _SERVERS = "servers/"
 # The store answers in about 4 ms; answers that take 50 times as long are still used.
 _READ_TIMEOUT = 1.0  # seconds
+_MAX_ERA_DIGITS = 18  # fits into 64 bits
 _WATCH_MARGIN = 0.5  # seconds beyond the wait time of a watch
 _OK = 200
 _NOT_FOUND = 404
@@ -87,7 +90,7 @@
         :raises PublishedStateError: the request failed, or the response was invalid.
         """
         items, position = await self._read_servers()
-        table = await self._read_configuration()
+        table = await self._read_configuration(position)
         changes = (_to_change(item) for item in items)
         return PublishedState(
             position=position,
@@ -95,27 +98,30 @@
             servers=tuple(c.server for c in changes if c.server is not None),
         )
 
-    async def changes(self, *, after: int, wait: float) -> PublishedChanges:
+    async def changes(self, *, after: Position, wait: float) -> PublishedChanges:
         """Return the changes after the position ``after``.
 
         :param wait: maximum seconds to wait for the first change.
-        :raises HistoryLost: the store no longer has these changes.
+        :raises HistoryLost: the store no longer has these changes, or has returned from
+            an older copy since.
         :raises PublishedStateError: the request failed, or the response was invalid.
         """
-        path = f"/savorypond/kv-watch?prefix=&after={after}&wait_ms={int(wait * 1000)}"
+        path = f"/savorypond/kv-watch?prefix=&after={after.revision}"
+        path += f"&wait_ms={int(wait * 1000)}"
         response = await self._get(path, wait + _WATCH_MARGIN)
-        if response.status == _GONE:
+        is_answer = response.status == _OK
+        if response.status == _GONE or (is_answer and _era(response) != after.era):
             raise HistoryLost(source=str(self._address), position=after)
         watch = self._decode(self._watch_decoder, response)
         return PublishedChanges(
-            position=watch.as_of,
+            position=Position(era=after.era, revision=watch.as_of),
             table=_newest_table(watch.events),
             servers=_server_changes(watch.events),
         )
 
-    async def _read_servers(self) -> tuple[list[_Item], int]:
+    async def _read_servers(self) -> tuple[list[_Item], Position]:
         items: list[_Item] = []
-        position = None
+        position: Position | None = None
         after = ""
         while True:
             path = f"/savorypond/kv-range?prefix={_SERVERS}&after={quote(after)}"
@@ -124,14 +130,19 @@
             items.extend(page.items)
             # The state may change between pages; the lowest revision makes a watch
             # repeat every change that an earlier page misses.
-            position = page.as_of if position is None else min(position, page.as_of)
+            read_at = Position(era=_era(response), revision=page.as_of)
+            if position is not None and position.era != read_at.era:
+                raise self._error("returned from an older copy between two pages")
+            position = read_at if position is None else min(position, read_at)
             if not page.has_more or not page.items:
                 return items, position
             after = page.items[-1].key
 
-    async def _read_configuration(self) -> RouteTable | None:
+    async def _read_configuration(self, position: Position) -> RouteTable | None:
         path = f"/savorypond/kv-key?key={_CONFIGURATION}"
         response = await self._get(path, _READ_TIMEOUT)
+        if response.status in (_OK, _NOT_FOUND) and _era(response) != position.era:
+            raise self._error("returned from an older copy before its configuration")
         if response.status == _NOT_FOUND:
             return None
         return _decode_table(self._decode(self._key_decoder, response))
@@ -183,6 +194,17 @@
     )
 
 
+def _era(response: HttpResponse) -> int:
+    """Return the era of the store, 0 if it states none."""
+    text = response.header(STORE_ERA_HEADER)
+    if text is None:
+        return 0
+    if not (text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS):
+        log_event("store-era-unreadable", value=text[:40])
+        return 0
+    return int(text)
+
+
 def _newest_table(events: Iterable[_Item]) -> RouteTable | None:
     newest = None
     for event in events:
--- a/tests/gateway_loopback.py
+++ b/tests/gateway_loopback.py
@@ -2,6 +2,7 @@
 
 from base64 import b64encode
 from contextlib import suppress
+from dataclasses import replace
 from json import dumps
 from os import getpid
 from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
@@ -37,6 +38,7 @@
         self.statuses = []
         self.rejected_hosts = set()
         self.read_paths = []
+        self.era = 3
         self._server = HttpServer(
             address=LOOPBACK, handler=self.handle, limits=HttpLimits()
         )
@@ -77,7 +79,22 @@
         self.dropped_until = self.revision
         self.events = []
 
+    def copy(self):
+        """Return a copy to which the store can return."""
+        return dict(self.items), list(self.events), self.revision
+
+    def restore(self, copy):
+        """Return to a copy; later changes are lost and their revisions given again."""
+        items, events, self.revision = copy
+        self.items, self.events = dict(items), list(events)
+        self.era += 1
+
     async def handle(self, request):
+        response = await self._answer(request)
+        era = Header(name="store-era", value=str(self.era))
+        return replace(response, headers=(*response.headers, era))
+
+    async def _answer(self, request):
         path, _, query = request.path.partition("?")
         parameters = dict(part.split("=", 1) for part in query.split("&"))
         self.read_paths.append(path)
@@ -108,7 +125,7 @@
 
     async def _watch(self, parameters):
         after = int(parameters["after"])
-        if after < self.dropped_until:
+        if not self.dropped_until <= after <= self.revision:
             return HttpResponse(status=410)
         async with ignore_after(int(parameters["wait_ms"]) / 1000):
             while self.revision <= after:
--- a/tests/test_gateway_published_feed.py
+++ b/tests/test_gateway_published_feed.py
@@ -9,6 +9,7 @@
 from savorypond.exceptions import PublishedStateError
 from savorypond.gateway.published_feed import MAX_READERS_ASKED, PublishedFeed
 from savorypond.gateway.published_state import (
+    Position,
     PublishedChanges,
     PublishedState,
     ServerChange,
@@ -20,6 +21,7 @@
 
 TEST_TIMEOUT = 30  # seconds
 TABLE = RouteTable(version=1, routes=())
+POSITION = Position(era=0, revision=5)
 
 
 class FakeSource:
@@ -30,7 +32,7 @@
 
     async def read_all(self):
         self.reads += 1
-        return PublishedState(position=5, table=TABLE, servers=(server("x"),))
+        return PublishedState(position=POSITION, table=TABLE, servers=(server("x"),))
 
     async def changes(self, *, after, wait):
         self.reads += 1
@@ -60,7 +62,7 @@
         if self.reads <= self._failures:
             raise PublishedStateError(source="a1", problem="turned away")
         servers = (ServerChange(name="x", server=server("x")),)
-        return PublishedChanges(position=5, table=TABLE, servers=servers)
+        return PublishedChanges(position=POSITION, table=TABLE, servers=servers)
 
     async def read_any(self, *, after):
         raise PublishedStateError(source="peers", problem="no live peer is known")
--- a/tests/test_gateway_reader_selection.py
+++ b/tests/test_gateway_reader_selection.py
@@ -4,7 +4,11 @@
 
 from savorypond.exceptions import HistoryLost
 from savorypond.gateway.changelog import MAX_ENTRIES, ChangeLog
-from savorypond.gateway.published_state import PublishedChanges, ServerChange
+from savorypond.gateway.published_state import (
+    Position,
+    PublishedChanges,
+    ServerChange,
+)
 from savorypond.gateway.reader_selection import (
     MAX_DIRECT_READERS,
     READERS_PER_DATA_CENTRE,
@@ -75,9 +79,13 @@
         )
 
 
-def changes(position, *servers):
+def at(revision, *, era=0):
+    return Position(era=era, revision=revision)
+
+
+def changes(revision, *servers):
     return PublishedChanges(
-        position=position,
+        position=at(revision),
         table=None,
         servers=tuple(ServerChange(name=s.name, server=s) for s in servers),
     )
@@ -86,27 +94,35 @@
 class ChangeLogTests(TestCase):
     def setUp(self):
         self.log = ChangeLog()
-        self.log.restart(10)
+        self.log.restart(at(10))
 
     def test_returns_the_changes_after_a_position(self):
         self.log.add(changes(11, server("x")), {})
         self.log.add(changes(12, server("y")), {})
-        since = self.log.since(11, 12)
+        since = self.log.since(at(11), at(12))
         self.assertEqual([c.name for c in since.servers], ["y"])
-        self.assertEqual(since.position, 12)
+        self.assertEqual(since.position, at(12))
 
     def test_omits_renewed_registrations(self):
         before = {"x": server("x", cold_for=2.0)}
         self.log.add(changes(11, server("x")), before)
-        self.assertEqual(self.log.since(10, 11).servers, ())
+        self.assertEqual(self.log.since(at(10), at(11)).servers, ())
         self.log.add(changes(12, server("x", leaving=True)), before)
-        self.assertEqual(len(self.log.since(10, 12).servers), 1)
+        self.assertEqual(len(self.log.since(at(10), at(12)).servers), 1)
 
     def test_raises_if_older_changes_are_no_longer_kept(self):
         with self.assertRaises(HistoryLost):
-            self.log.since(9, 10)
-        for position in range(11, 13 + MAX_ENTRIES):
-            self.log.add(changes(position, server("x")), {})
+            self.log.since(at(9), at(10))
+        for revision in range(11, 13 + MAX_ENTRIES):
+            self.log.add(changes(revision, server("x")), {})
         with self.assertRaises(HistoryLost):
-            self.log.since(10, 99)
-        self.assertEqual(len(self.log.since(12, 99).servers), 1)
+            self.log.since(at(10), at(99))
+        self.assertEqual(len(self.log.since(at(12), at(99)).servers), 1)
+
+    def test_raises_if_the_store_has_been_restored_since(self):
+        self.log.add(changes(12, server("x")), {})
+        self.log.restart(at(5, era=1))
+        for revision in (4, 6, 12, 99):
+            with self.subTest(revision), self.assertRaises(HistoryLost):
+                self.log.since(at(revision), at(7, era=1))
+        self.assertEqual(self.log.since(at(5, era=1), at(7, era=1)).servers, ())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,7 +17,7 @@
     "savorypond-(request-id|deadline|response-stamp|target-instance|not-executed)"
     "|savorypond-(part-stamps|missing-parts)|kv-(key|range|watch)|op/config"
     "|warmup_left_ms|min_version|target_latency_ms|traffic_split|max_concurrency"
-    "|listen_addrs|retry_budget_ratio|SAVORYPOND_NODE_FILE"
+    "|store-era|listen_addrs|retry_budget_ratio|SAVORYPOND_NODE_FILE"
 )
 NODE_FILE = """
 node_name = "front-a-1"
