Keep servers out of use that a restored copy still lists

What servers would see: one that had said that it leaves, or whose registration had been removed, gets requests again after the store has returned from a copy made before.

Cause: the copy lists it as ready, and a complete read replaces all registrations. What the instance knew of the lost history was thrown away with it. Registrations made after the copy are missing from it, and were dropped at once unless the instance had noticed that the store was away.

Change: registrations of a copy of a new era do not bring back an incarnation that was leaving, lapsed or removed here; its next registration does, as that comes from the server itself. Servers that the copy lacks are kept for the grace period of an outage. The start times of the 4,096 servers removed last are kept for this.

Evidence: test_a_server_that_left_is_not_in_use_again, with a reader of the store and an instance that reads from it. Before: the server was in use at once, after a leave and after a removal; after: neither, until it registers again.

--- a/src/savorypond/gateway/published_feed.py
+++ b/src/savorypond/gateway/published_feed.py
@@ -248,7 +248,9 @@
                 "store-restored", before=str(self._latest), at=str(state.position)
             )
             self._counters.add("published_reads", "restored")
-        self._registry.replace_all(state.servers, now)
+            self._registry.restore(state.servers, now)
+        else:
+            self._registry.replace_all(state.servers, now)
         self._apply_table(state.table)
         self._position = self._latest = state.position
         self._changelog.restart(state.position)
--- a/src/savorypond/gateway/servers.py
+++ b/src/savorypond/gateway/servers.py
@@ -10,6 +10,7 @@
 LAPSE_GRACE = 2.5  # seconds
 # If this share of all registrations lapses at once, the store itself was unavailable.
 MASS_LAPSE_SHARE = 0.3
+MAX_REMOVED = 4096  # servers; those removed before are forgotten
 MIN_MASS_LAPSE = 3  # registrations; fewer may lapse together without an outage
 
 
@@ -56,6 +57,8 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, _Entry] = {}
+        # Start times of the servers removed last, by name.
+        self._removed: dict[str, int] = {}
         self._services: dict[str, tuple[RegisteredServer, ...]] = {}
         self._in_outage = False
         self._grace_until = 0.0
@@ -98,6 +101,26 @@
         self._drop(unlisted, now)
         self._rebuild()
 
+    def restore(self, servers: Iterable[RegisteredServer], now: float) -> None:
+        """Replace all registrations by those of an older copy.
+
+        Servers that left after the copy was made are listed in it; they stay left until
+        they register again. Servers that registered after it are missing; they are kept
+        for a grace period in which they register again.
+        """
+        self._grace_until = max(self._grace_until, now + LAPSE_GRACE)
+        self.replace_all(
+            [server for server in servers if not self._has_left(server)], now
+        )
+
+    def _has_left(self, server: RegisteredServer) -> bool:
+        """Return whether this incarnation of ``server`` was leaving, lapsed or gone."""
+        entry = self._entries.get(server.name)
+        if entry is None:
+            return self._removed.get(server.name) == server.started
+        is_known = entry.server.started == server.started
+        return is_known and (entry.server.leaving or entry.until is not None)
+
     def apply(
         self, changes: Iterable[tuple[str, RegisteredServer | None]], now: float
     ) -> None:
@@ -119,12 +142,13 @@
             if entry.until is not None and now >= entry.until
         )
         for name in expired:
-            del self._entries[name]
+            self._remove(name)
         if expired:
             self._rebuild()
         return expired
 
     def _put(self, name: str, server: RegisteredServer) -> None:
+        self._removed.pop(name, None)
         self._entries[name] = _Entry(server=server)
 
     def _drop(self, names: list[str], now: float) -> None:
@@ -136,7 +160,13 @@
             if now < self._grace_until and not entry.server.leaving:
                 entry.until = self._grace_until
             else:
-                del self._entries[name]
+                self._remove(name)
+
+    def _remove(self, name: str) -> None:
+        self._removed.pop(name, None)
+        self._removed[name] = self._entries.pop(name).server.started
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
 
     def _is_mass_lapse(self, count: int) -> bool:
         threshold = max(MIN_MASS_LAPSE, MASS_LAPSE_SHARE * len(self._entries))
--- a/tests/test_gateway_store_restore.py
+++ b/tests/test_gateway_store_restore.py
@@ -1,6 +1,7 @@
 """Tests of an instance whose store returns from an older copy, over loopback."""
 
 from contextlib import AsyncExitStack
+from functools import partial
 from unittest import TestCase
 from unittest.mock import patch
 
@@ -106,3 +107,29 @@
                 await sleep(0.01)
 
         self.run_test(test, readers=1)
+
+    def test_a_server_that_left_is_not_in_use_again(self):
+        for change in ("leaving", "removed"):
+            with self.subTest(change):
+                self.run_test(partial(self.check_server_that_left, change), readers=1)
+
+    async def check_server_that_left(self, change):
+        copy = self.store.copy()
+        if change == "leaving":
+            self.store.put("servers/i1", self.server.entry(phase="draining"))
+        else:
+            self.store.remove("servers/i1")
+        await self.wait_until(lambda: not self.servers())
+        await sleep(0.5)
+        self.store.restore(copy)
+        for _ in range(300):
+            self.assertEqual(self.servers(), set())
+            await sleep(0.01)
+        # A server that was only taken for gone renews its registration.
+        self.heartbeat(1)
+        async with timeout_after(IN_FORCE_TIME):
+            await self.wait_until(lambda: self.servers() == {"i1"})
+
+    def servers(self):
+        """Return the names of the servers in use at any instance."""
+        return {s.name for g in self.gateways for s in g.servers("s1")}
