Bound what one entry of the store may hold

What operators would see: another writer leaves one odd entry among the registrations, and no instance follows the store any more, or requests hang.

Cause: entries were checked for the types of their fields only. Of 24 odd entries tried, - documents nested 100,000 deep, as a whole or in an unknown field, raised RecursionError, and a number of 400 digits OverflowError. Neither is a decoding error, so reading failed as a whole and was repeated with the same result for ever; - numbers over 64 bits were taken, and then could not be encoded for other instances, which got nothing from this reader; - ports over 65535, host names, and names with spaces, line breaks or letters that no header can hold were taken, and ended the tasks of requests sent there.

Change: the adapter bounds numbers, lengths and nesting, and accepts only IPv4 addresses, valid ports and server names of printable ASCII. What violates this names no server and is logged; an odd configuration is not taken, and the one before stays.

--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -235,6 +235,11 @@
         """Address for callers."""
         return self._caller_server.address
 
+    @property
+    def peer_address(self) -> Address:
+        """Address for other instances."""
+        return self._peer_server.address
+
     @property
     def ready_address(self) -> Address:
         """Address for the platform's readiness probes."""
--- a/src/savorypond/platform/documents.py
+++ b/src/savorypond/platform/documents.py
@@ -1,8 +1,11 @@
 """Decoders for the documents in the platform's store."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from ipaddress import IPv4Address
+from re import compile as compile_pattern
+from typing import Annotated, TypeVar
 
-from msgspec import Struct, ValidationError, convert, field
+from msgspec import Meta, Struct, ValidationError, convert, field
 from msgspec.json import Decoder
 
 from savorypond.gateway.routes import (
@@ -18,6 +21,20 @@
 _MILLISECONDS = 1000.0  # per second
 _SAFE = "safe"  # type of routes whose requests are idempotent
 _LEAVING_BY_PHASE = {"ready": False, "draining": True}
+_MAX_INT = 2**63 - 1  # larger numbers cannot be sent to other instances
+_MAX_DURATION = 10**10  # milliseconds
+_MAX_SLOTS = 2**16
+_MAX_PORT = 2**16 - 1
+_MAX_NAME_LENGTH = 200  # characters
+_EXCERPT = 80  # characters of an invalid value in an error
+# Server names are sent in headers.
+_SERVER_NAME = compile_pattern(rf"[!-~]{{1,{_MAX_NAME_LENGTH}}}")
+
+_Count = Annotated[int, Meta(ge=0, le=_MAX_INT)]
+_Number = Annotated[int, Meta(ge=-_MAX_INT, le=_MAX_INT)]
+_Duration = Annotated[int, Meta(ge=-_MAX_DURATION, le=_MAX_DURATION)]  # milliseconds
+_Name = Annotated[str, Meta(max_length=_MAX_NAME_LENGTH)]
+_Document = TypeVar("_Document")
 
 
 class _WeightedBackend(Struct, frozen=True):
@@ -30,14 +47,14 @@
     hostname: str
     prefix: str
     type: str = _SAFE
-    timeout_ms: int = 0
-    target_latency_ms: int = 0
-    max_attempts: int = 1
-    priority: int = 0
+    timeout_ms: _Duration = 0
+    target_latency_ms: _Duration = 0
+    max_attempts: _Number = 1
+    priority: _Number = 0
     backend: str = ""
     traffic_split: tuple[_WeightedBackend, ...] = ()
     gather: tuple[str, ...] = ()
-    top_k: int = 0
+    top_k: _Number = 0
     # Despite its name, the minimum share of the shards that an answer must cover.
     min_version: float = 0.0
 
@@ -45,18 +62,18 @@
 class _Service(Struct, frozen=True):
     name: str
     health_path: str = ""
-    max_connections: int = 0
+    max_connections: _Number = 0
 
 
 class _Limits(Struct, frozen=True):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 1024 * 1024
-    header_timeout_ms: int = 5000
-    idle_timeout_ms: int = 75_000
+    max_header_bytes: _Number = 16 * 1024
+    max_body_bytes: _Number = 1024 * 1024
+    header_timeout_ms: _Duration = 5000
+    idle_timeout_ms: _Duration = 75_000
 
 
 class _Configuration(Struct, frozen=True):
-    version: int
+    version: _Count
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: _Limits = field(default_factory=_Limits)
@@ -64,15 +81,15 @@
 
 class _Registration(Struct, frozen=True):
     # Service that the server belongs to.
-    backend: str
+    backend: _Name
     address: str
     phase: str
-    zone: str = ""
+    zone: _Name = ""
     # Maximum number of requests that the server runs concurrently.
-    max_concurrency: int = 1
-    warmup_left_ms: int = 0
+    max_concurrency: Annotated[int, Meta(ge=-_MAX_INT, le=_MAX_SLOTS)] = 1
+    warmup_left_ms: _Duration = 0
     # Unix milliseconds at which this incarnation of the server started.
-    born: int = 0
+    born: _Number = 0
 
 
 _decode_configuration = Decoder(_Configuration).decode
@@ -82,10 +99,10 @@
 def read_route_table(data: bytes) -> RouteTable:
     """Return the configuration in ``data``.
 
-    :raises msgspec.DecodeError: the data is not JSON, or a field has a wrong type.
-    :raises ValueError: a number is out of range.
+    :raises msgspec.DecodeError: the data is not JSON, a field has a wrong type, or a
+        number is out of range.
     """
-    document = _decode_configuration(data)
+    document = _decode(_decode_configuration, data)
     return RouteTable(
         version=document.version,
         routes=tuple(_to_route(route) for route in document.routes),
@@ -129,25 +146,41 @@
     )
 
 
+def _decode(decode: Callable[[bytes], _Document], data: bytes) -> _Document:
+    try:
+        return decode(data)
+    except RecursionError as error:
+        raise ValidationError("document is nested too deeply") from error
+
+
+def _parse_address(text: str) -> Address:
+    """Return the IPv4 address and port in ``text``; raise ValueError."""
+    host, _, digits = text[:_EXCERPT].rpartition(":")
+    port = int(digits) if digits.isascii() and digits.isdigit() else 0
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f"invalid address {text[:_EXCERPT]!r}")
+    return Address(host=str(IPv4Address(host)), port=port)
+
+
 def read_registration(*, name: str, data: bytes) -> RegisteredServer:
     """Return the registration of the backend server ``name``.
 
-    :raises msgspec.DecodeError: the data is not JSON, or a field has a wrong type.
-    :raises ValueError: the phase is unknown or the address is invalid.
+    :raises msgspec.DecodeError: the data is not JSON, a field has a wrong type, or a
+        number is out of range.
+    :raises ValueError: the name, the phase or the address is invalid.
     """
-    content = _decode_registration(data)
+    if not _SERVER_NAME.fullmatch(name):
+        raise ValueError(f"invalid name {name[:_EXCERPT]!r}")
+    content = _decode(_decode_registration, data)
     if not isinstance(content, Mapping):
         raise ValidationError("registration is not a JSON object")
     entry = convert(content, _Registration)
     if entry.phase not in _LEAVING_BY_PHASE:
-        raise ValueError(f"unknown phase {entry.phase!r}")
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"invalid address {entry.address!r}")
+        raise ValueError(f"unknown phase {entry.phase[:_EXCERPT]!r}")
     return RegisteredServer(
         name=name,
         service=entry.backend,
-        address=Address(host=host, port=int(port)),
+        address=_parse_address(entry.address),
         data_centre=entry.zone,
         slots=max(1, entry.max_concurrency),
         leaving=_LEAVING_BY_PHASE[entry.phase],
--- a/tests/test_gateway_robustness.py
+++ b/tests/test_gateway_robustness.py
@@ -1,16 +1,21 @@
 """Tests of malformed messages, stray responses and unexpected errors at a gateway."""
 
 from contextlib import suppress
+from json import dumps
 from random import Random
 from unittest import TestCase
 
+from curio import sleep
 from curio.socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 from msgspec.msgpack import encode
 
 from savorypond.gateway.delegation_client import decode_group_request
+from savorypond.gateway.peers import decode_changes
+from savorypond.http.client import HttpConnection
 from savorypond.http.listener import Listener
 from savorypond.http.messages import HttpRequest
 from savorypond.platform.names import HEADERS
+from savorypond.timeouts import timeout_after
 from tests.gateway_loopback import (
     LOOPBACK,
     PEER_PORT,
@@ -25,6 +30,7 @@
 LATER = route("l", "/l/", backend="s1")
 MESSAGES = 200  # malformed messages of each kind
 REQUESTS = 40
+IN_FORCE_TIME = 5.0  # seconds from a change until it is in force
 
 
 class RepeatingServer(FakeServer):
@@ -124,6 +130,68 @@
         self.assertEqual((await env.ask("/l/")).status, 200)
 
 
+def odd_entries(entry):
+    """Return documents of another writer, made from the entry of a server."""
+    entry = {**entry, "address": "127.0.0.1:9"}
+    changes: list[dict[str, object]] = [
+        {"address": address}
+        for address in (
+            "127.0.0.1:70000",
+            "127.0.0.1:0",
+            "127.0.0.1:" + "9" * 5000,
+            "127.0.0.300:80",
+            "127.0.0.1\0:80",
+            "a\nb:80",
+            "host:80",
+        )
+    ]
+    changes += [
+        {field: number}
+        for field in ("born", "max_concurrency", "warmup_left_ms")
+        for number in (2**64, 10**30, 10**400, -(10**400))
+    ]
+    changes += [{"zone": "a" * 100_000}, {"backend": ["s1"]}, {"phase": "p" * 10_000}]
+    documents = [dumps({**entry, **change}).encode() for change in changes]
+    nested = b"[" * 100_000 + b"]" * 100_000
+    return [*documents, nested, dumps(entry)[:-1].encode() + b', "x": ' + nested + b"}"]
+
+
+class OddEntryTests(TestCase):
+    @with_gateway(READ, servers=lambda: (FakeServer("i1", service="s1"),))
+    async def test_odd_entries_among_the_registrations_harm_nothing_else(self, env):
+        entry = env.servers[0].entry()
+        for number, document in enumerate(odd_entries(entry)):
+            env.store.put_bytes(f"servers/x{number}", document)
+        for name in ("a b", "a\nb", "\u0161", "", "x" * 201):
+            env.store.put(f"servers/{name}", entry)
+        env.store.put("op/config", configuration(READ, LATER, version=2))
+        async with timeout_after(IN_FORCE_TIME):
+            await env.wait_until(lambda: env.gateway.version == 2)
+        self.assertEqual([s.name for s in env.gateway.servers("s1")], ["i1"])
+        async with HttpConnection(address=env.gateway.peer_address) as connection:
+            request = HttpRequest(method="GET", path="/peer/published")
+            response = await connection.request(request)
+        self.assertEqual(decode_changes(response.body).table.version, 2)
+        async with timeout_after(IN_FORCE_TIME):
+            self.assertEqual((await env.ask("/l/")).status, 200)
+
+    @with_gateway(READ, servers=lambda: (FakeServer("i1", service="s1"),))
+    async def test_odd_configurations_are_not_taken(self, env):
+        odd_values = [
+            b'{"version": 9, "routes": [], "x": ' + b"[" * 100_000 + b"]" * 100_000,
+            dumps(configuration(READ, version=2**64)).encode(),
+            dumps(configuration({**READ, "timeout_ms": 10**400}, version=9)).encode(),
+            dumps(configuration({**READ, "priority": 2**64}, version=9)).encode(),
+        ]
+        for value in odd_values:
+            env.store.put_bytes("op/config", value)
+            await sleep(0.05)
+        env.store.put("op/config", configuration(READ, LATER, version=2))
+        async with timeout_after(IN_FORCE_TIME):
+            await env.wait_until(lambda: env.gateway.version == 2)
+        self.assertEqual((await env.ask("/l/")).status, 200)
+
+
 class EarlierVersionTests(TestCase):
     def test_a_delegation_of_an_instance_before_follow_ups_is_read(self):
         """Instances of two versions serve together while they are replaced."""
