End an attempt that fails with an unexpected error

What callers would see: a request that waits until its deadline for an attempt that has already ended.

Cause: an error that is neither of the connection nor of the protocol ended the task of the attempt, and nobody told the request.

Change: it is logged with its traceback and counts as a broken attempt, which may have run.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from math import isfinite
 
+from absl.logging import exception as log_exception
 from curio import CancelledError, TaskTimeout
 
 from savorypond.clock import Clock
@@ -155,6 +156,12 @@
                 server=server,
                 problem="no answer in time",
             )
+        except Exception as error:
+            # Without a result the request would wait for it until its deadline.
+            log_exception("attempt at server %s failed", server.name)
+            result = AttemptResult(
+                outcome=AttemptOutcome.BROKEN, server=server, problem=repr(error)
+            )
         except CancelledError:
             now = self._clock.now()
             self._loads.record_abandoned(
--- a/tests/test_gateway_robustness.py
+++ b/tests/test_gateway_robustness.py
@@ -4,11 +4,13 @@
 from json import dumps
 from random import Random
 from unittest import TestCase
+from unittest.mock import patch
 
 from curio import sleep
 from curio.socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 from msgspec.msgpack import encode
 
+from savorypond.gateway.connection_pool import ConnectionPools
 from savorypond.gateway.delegation_client import decode_group_request
 from savorypond.gateway.peers import decode_changes
 from savorypond.http.client import HttpConnection
@@ -221,6 +223,14 @@
 
 
 class UnexpectedErrorTests(TestCase):
+    @with_gateway(READ, servers=lambda: (FakeServer("i1", service="s1"),))
+    async def test_an_unexpected_error_in_an_attempt_ends_its_request(self, env):
+        error = ValueError("unexpected")
+        with patch.object(ConnectionPools, "lease", side_effect=error):
+            async with timeout_after(IN_FORCE_TIME):
+                self.assertEqual((await env.ask("/r/")).status, 502)
+        self.assertEqual((await env.ask("/r/", request_id="r2")).status, 200)
+
     @with_gateway(READ, servers=lambda: (FakeServer("i1", service="s1"),))
     async def test_reading_goes_on_after_an_unexpected_error(self, env):
         feed = env.gateway._feed
