Pass lapsed registrations on to other instances as lapsed

What callers and servers would see, in data centres whose instances read from a reader, after the store was away: an instance that had started meanwhile sends requests to a server that is gone, for good; or an instance lacks a server that serves and is registered, until its entry changes.

Cause: a registration that lapsed while the store was away is kept for a grace period. The reader passed it on as if it were registered. A complete copy then holds it without the grace period, and its end at the reader is no change of the store that anybody is told. And when the server registers again, the reader compares with the entry that it kept, takes this for a heartbeat and does not pass it on; the others drop the server at the end of their own grace period.

Change: what a reader passes on, and what it compares changes with, are the registrations that have not lapsed. The grace period is each instance's own.

--- a/src/savorypond/gateway/published_feed.py
+++ b/src/savorypond/gateway/published_feed.py
@@ -113,7 +113,7 @@
             return replace(self._changelog.since(after, self._position), age=age)
         servers = tuple(
             ServerChange(name=server.name, server=server)
-            for server in self._registry.all()
+            for server in self._registry.registered()
         )
         return PublishedChanges(
             position=self._position, table=self._table, servers=servers, age=age
@@ -263,7 +263,7 @@
 
     def _apply_changes(self, changes: PublishedChanges) -> None:
         now = self._clock.now()
-        before = {server.name: server for server in self._registry.all()}
+        before = {server.name: server for server in self._registry.registered()}
         self._registry.apply(((c.name, c.server) for c in changes.servers), now)
         for change in changes.servers:
             _log_server(before.get(change.name), change.name, change.server)
--- a/src/savorypond/gateway/servers.py
+++ b/src/savorypond/gateway/servers.py
@@ -82,6 +82,11 @@
         """Return every registered server, including those that are leaving."""
         return tuple(entry.server for entry in self._entries.values())
 
+    def registered(self) -> tuple[RegisteredServer, ...]:
+        """Return every server whose registration has not lapsed."""
+        entries = self._entries.values()
+        return tuple(entry.server for entry in entries if entry.until is None)
+
     def start_outage(self) -> None:
         """Record that the store cannot be read."""
         self._in_outage = True
