Cancel a query whose caller has left

What servers saw: the entry's queries went on after their callers had closed their connections, until an answer or the deadline of the query.

The entry never watched a caller's connection; queries could be cancelled, but nothing did so.

Change: the entry cancels queries, here and at owners, when the caller's connection ends. Calls go on: they may have run, and a repeat gets their result. A caller that only half-closes its connection counts as gone, as at the gateway.

Evidence: test_a_query_of_a_caller_that_has_left_is_cancelled, two instances and servers that take 10 s: before, they were still at work 2 s after the caller had left; after, none is.

--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -36,7 +36,7 @@
 from savorypond.peers.link import PeerLinks, PeerServer
 from savorypond.peers.link_delay import link_delay
 from savorypond.placement.forward_run import ForwardDependencies
-from savorypond.queries.caller_api import MAX_TIME_LIMIT_MS, CallerApi
+from savorypond.queries.caller_api import MAX_TIME_LIMIT_MS, CallerApi, is_query
 from savorypond.queries.fanout_policies import FanoutPolicies, FanoutSettings
 from savorypond.queries.query_run import QueryDependencies
 from savorypond.queries.shard_calls import ShardCaller
@@ -336,6 +336,7 @@
             handler=self._drain_controller.guard(self._make_caller_api().handle),
             limits=caller_limits(settings),
             on_refusal=lambda reason: self._counters.add("refusals", reason),
+            cancel_on_disconnect=is_query,
         )
         await self._enter(self._caller_server)
 
--- a/src/savorypond/http/server.py
+++ b/src/savorypond/http/server.py
@@ -85,8 +85,8 @@
         refuses or whose handler raises RequestRefused.
     :param limiter: decides which connections are admitted; by default a
         PerPeerLimiter with the initial ``connections_per_peer``.
-    :param cancel_on_disconnect: cancel the handler of a request if its client
-        closes the connection.
+    :param cancel_on_disconnect: whether to cancel the handler of a request if its
+        client closes the connection, for all requests or for each one.
     """
 
     def __init__(
@@ -97,14 +97,18 @@
         limits: HttpLimits | Callable[[], HttpLimits],
         on_refusal: Callable[[RefusalReason], None] | None = None,
         limiter: ConnectionLimiter | None = None,
-        cancel_on_disconnect: bool = False,
+        cancel_on_disconnect: bool | Callable[[HttpRequest], bool] = False,
     ) -> None:
         self._handler = handler
         self._limits = _constant(limits) if isinstance(limits, HttpLimits) else limits
         self._limiter = limiter or PerPeerLimiter(
             max_connections=self._limits().connections_per_peer
         )
-        self._cancel_on_disconnect = cancel_on_disconnect
+        self._cancel_on_disconnect = (
+            _always(cancel_on_disconnect)
+            if isinstance(cancel_on_disconnect, bool)
+            else cancel_on_disconnect
+        )
         self._connection_ids = count(1)
         self._on_refusal = on_refusal
         self._draining = False
@@ -228,7 +232,7 @@
         self, channel: HttpChannel, request: HttpRequest
     ) -> HttpResponse | None:
         """Return the response, or None if the client has disconnected."""
-        if not self._cancel_on_disconnect:
+        if not self._cancel_on_disconnect(request):
             return await self._respond(request)
         # An overloaded process may read a request long after its client has left.
         if await channel.has_disconnected():
@@ -274,5 +278,9 @@
         await channel.send(problem_response(refusal), close=True)
 
 
+def _always(value: bool) -> Callable[[HttpRequest], bool]:
+    return lambda request: value
+
+
 def _constant(limits: HttpLimits) -> Callable[[], HttpLimits]:
     return lambda: limits
--- a/src/savorypond/queries/caller_api.py
+++ b/src/savorypond/queries/caller_api.py
@@ -85,7 +85,7 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to ``request``."""
         path = request.path.partition("?")[0]
-        if path == QUERY_PATH:
+        if is_query(request):
             _require_method(request, "POST")
             return await self._query(request)
         if path == TICKETS_PATH:
@@ -143,6 +143,11 @@
         )
 
 
+def is_query(request: HttpRequest) -> bool:
+    """Return whether ``request`` is a query, which ends if its caller leaves."""
+    return request.path.partition("?")[0] == QUERY_PATH
+
+
 def _require_method(request: HttpRequest, method: str) -> None:
     if request.method != method:
         raise RequestRefused(
--- a/src/savorypond/standins/backend_server.py
+++ b/src/savorypond/standins/backend_server.py
@@ -187,6 +187,11 @@
     async def __aexit__(self, *reason: object) -> None:
         await self._server.__aexit__(None, None, None)
 
+    @property
+    def running(self) -> int:
+        """Number of requests that the server is working on."""
+        return len(self._running)
+
     def set_faults(self, faults: Faults) -> None:
         """Replace the injected faults."""
         self._faults = faults
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -3,6 +3,7 @@
 from unittest import TestCase
 
 from curio import Event, TaskGroup, run, sleep, timeout_after
+from curio.socket import AF_INET, SOCK_STREAM, socket
 from msgspec.json import decode, encode
 
 from savorypond.http.client import HttpConnection
@@ -17,6 +18,7 @@
 from tests.sites import SHARDS, TEST_TIMEOUT, RunningSite, until
 
 ALL_SHARDS = len(SHARDS)
+CANCEL_TIME = 2.0  # seconds
 
 
 def in_site(instances):
@@ -138,6 +140,21 @@
         covered = [answer["coverage"]["covered"] for answer in answers]
         self.assertEqual(covered, [ALL_SHARDS] * 5)
 
+    @in_site(instances=2)
+    async def test_a_query_of_a_caller_that_has_left_is_cancelled(self, site):
+        await site.query("entry-1")
+        for server in site.servers.values():
+            server.set_faults(Faults(slow_factor=5000.0))  # about 10 s
+        body = encode({"index": "boats", "query": 1, "time_limit_ms": 9000})
+        head = f"POST /v1/query HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}"
+        address = site.address("entry-1")
+        async with socket(AF_INET, SOCK_STREAM) as sock:
+            await sock.connect((address.host, address.port))
+            await sock.sendall(f"{head}\r\n\r\n".encode() + body)
+            await until(lambda: sum(s.running for s in site.servers.values()) > 0)
+        async with timeout_after(CANCEL_TIME):
+            await until(lambda: not any(s.running for s in site.servers.values()))
+
     @in_site(instances=2)
     async def test_a_stop_tells_each_connection_once_and_cuts_no_request(self, site):
         """Refusals during a stop left connections open, and its end cut them."""
