Wait for the close behind a delegated message that was delayed

What servers saw: requests of callers that had left reached them through instances to which the shards had been delegated, after the instance that had accepted the request had given it up.

A packet of the message had been lost and sent again. One that is lost twice comes more than 0.5 s late, and a single message starts up to 19 requests. Only deployments whose queries are split into chunks delegate that much.

Change: a delegated message states when it was sent, by its sender's clock. The least difference to the time of arrival among a peer's latest 16 messages stands for one without a delay. One that comes more than 0.1 s later than that is started 50 ms later, unless its connection is closed meanwhile. Deadlines are not shortened by the estimate, since a sender that was suspended makes it wrong for a while.

--- a/src/savorypond/gateway/delegation_client.py
+++ b/src/savorypond/gateway/delegation_client.py
@@ -77,6 +77,8 @@
     :param left: seconds until the request must have its final answer.
     :param within: seconds until the answer may be partial.
     :param admitted: share of the requests like this one that were not refused before.
+    :param sent_at: monotonic seconds by the clock of the instance that sends it, or
+        None from one of an earlier version.
     """
 
     method: str
@@ -90,6 +92,7 @@
     left: float
     within: float
     admitted: float = 1.0
+    sent_at: float | None = None
 
 
 class GroupFollowUp(Struct, frozen=True, kw_only=True):
@@ -226,6 +229,7 @@
             left=max(0.0, request.caller_deadline - now),
             within=max(0.0, return_by - now),
             admitted=admitted,
+            sent_at=now,
         )
         return HttpRequest(method="POST", path=DELEGATED_PATH, body=encode(message))
 
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -4,13 +4,14 @@
 from contextlib import asynccontextmanager
 from random import Random
 
-from curio import CancelledError
+from curio import CancelledError, sleep
 
 from savorypond.clock import Clock
 from savorypond.exceptions import RequestRefused
 from savorypond.gateway.answer_timing import AnswerTiming, partial_answer_delay
 from savorypond.gateway.attempts import ForwardedRequest, forward_headers
 from savorypond.gateway.delegation_client import (
+    GroupRequest,
     decode_follow_up,
     decode_group_request,
     group_response,
@@ -28,6 +29,7 @@
 from savorypond.gateway.routes import Route, RouteTable
 from savorypond.gateway.run_types import RunDependencies, RunResult, RunSpec
 from savorypond.gateway.running_requests import RunningRequests
+from savorypond.gateway.transit_delay import CLOSE_WAIT, LATE_AFTER, TransitDelays
 from savorypond.gateway.unfinished_groups import (
     GroupKey,
     UnfinishedGroup,
@@ -75,6 +77,7 @@
         self._metrics = metrics
         self._split = WeightedSplit(random=random)
         self._unfinished_groups = UnfinishedGroups()
+        self._transit_delays = TransitDelays()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to ``request``."""
@@ -110,6 +113,7 @@
         """Return the response to a request that a peer delegated."""
         received = self._clock.now() - request.unread_time
         group_request = decode_group_request(request)
+        await self._await_close_behind(request.peer, group_request, received)
         spec = RunSpec(
             route=group_request.route,
             version=group_request.version,
@@ -143,6 +147,29 @@
         group = UnfinishedGroup(run=run, spec=spec, received=received)
         return await self._answer_group(key, group, result)
 
+    async def _await_close_behind(
+        self, peer: str, group_request: GroupRequest, received: float
+    ) -> None:
+        """Let the close arrive that may follow a message that was delayed.
+
+        This task is cancelled if the peer has closed the connection.
+        """
+        if group_request.sent_at is None:
+            return
+        delay = self._transit_delays.record(
+            peer, sent_at=group_request.sent_at, received_at=received
+        )
+        if delay < LATE_AFTER:
+            return
+        self._metrics.counters.add("gateway_handovers", "delayed")
+        log_event(
+            "delegation-delayed",
+            request=group_request.request_id,
+            peer=peer,
+            ms=round(delay * _MILLISECONDS, 1),
+        )
+        await sleep(CLOSE_WAIT)
+
     async def handle_follow_up(self, request: HttpRequest) -> HttpResponse:
         """Return the next answers of a group that a peer delegated."""
         follow_up = decode_follow_up(request)
