--- a/tests/test_gateway_transit_delay.py
+++ b/tests/test_gateway_transit_delay.py
@@ -19,7 +19,6 @@
 from savorypond.platform.names import HEADERS
 from tests.test_gateway_daemon import QUERY, shards, with_gateway
 
-
 DELAY = 0.6  # seconds, as after a packet that was lost twice
 
 
