--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,5 +1,6 @@
 """Fault injection of the soak."""
 
+from base64 import b64decode
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 from time import monotonic
 
@@ -8,6 +9,7 @@
 from tests.soak.proxy import ProxyFaults
 from tests.soak.records import DrainStart, RateLimitPeriod
 
+LAPSE_TIME = 3.0  # seconds after which a registration lapses that is not renewed
 LIMITED_TIME = 6.0  # seconds for which a server announces a rate limit, at least
 
 
@@ -28,6 +30,7 @@
             self._store_fails,
             self._store_unreachable,
             self._store_loses_history,
+            self._store_is_restored,
             self._fail_proxy,
             self._silence,
             self._reset_connections,
@@ -135,6 +138,24 @@
         site.record_fault("", "store history lost", 0.5)
         site.store.drop_history()
 
+    async def _store_is_restored(self, duration):
+        """Return the store from an older copy; its writers then write again."""
+        site = self._site
+        copy = site.store.copy()
+        await sleep(duration)
+        site.record_fault("", "store restored", LAPSE_TIME)
+        configuration = site.store.items["op/config"]
+        site.store.restore(copy)
+        if site.store.items["op/config"] != configuration:
+            site.store.put_bytes("op/config", b64decode(configuration["value"]))
+        for server in list(site.servers.values()):
+            site.register(server)
+        await sleep(LAPSE_TIME)
+        for key in list(site.store.items):
+            name = key.removeprefix("servers/")
+            if name != key and name not in site.servers:
+                site.store.remove(key)
+
     async def _fail_proxy(self, duration):
         proxy = self._server().proxy
         choices = (
@@ -222,7 +243,8 @@
         site.records.drain_starts.append(DrainStart(server=old.name, at=monotonic()))
         await sleep(site.bounds.drain_time + 2.0)
         del site.servers[old.name]
-        site.store.remove(f"servers/{old.name}")
+        if f"servers/{old.name}" in site.store.items:
+            site.store.remove(f"servers/{old.name}")
 
     async def _restart_server(self, duration):
         """Restart a server under the same name at another address."""
