Count only staying servers as lapsed in an outage

What servers saw: one that leaves without saying so, by the removal of its registration, got a request 3.48 s later (DRAIN, 3 s allowed).

Cause: at 21.8 s front-gye-1 read 32 removals at once, of 99 registrations: 31 servers of a set of shards that had been replaced, all leaving for 4 s, and the one that had not said so. 30% at once counts as an outage of the store, in which registrations lapse though their servers live, so the one was kept for 2.5 s, and used until the read after.

Change: only removals of servers that were not leaving count, against the servers that are not leaving.

--- a/src/savorypond/gateway/servers.py
+++ b/src/savorypond/gateway/servers.py
@@ -8,7 +8,8 @@
 # Registrations that lapsed during an outage of the store are renewed within two seconds
 # of its end and read half a second later.
 LAPSE_GRACE = 2.5  # seconds
-# If this share of all registrations lapses at once, the store itself was unavailable.
+# If this share of the servers that are not leaving lapses at once, the store itself was
+# unavailable.
 MASS_LAPSE_SHARE = 0.3
 MAX_REMOVED = 4096  # servers; those removed before are forgotten
 MIN_MASS_LAPSE = 3  # registrations; fewer may lapse together without an outage
@@ -158,7 +159,7 @@
 
     def _drop(self, names: list[str], now: float) -> None:
         registered_names = [name for name in names if name in self._entries]
-        if self._is_mass_lapse(len(registered_names)):
+        if self._is_mass_lapse(registered_names):
             self._grace_until = max(self._grace_until, now + LAPSE_GRACE)
         for name in registered_names:
             entry = self._entries[name]
@@ -173,9 +174,11 @@
         if len(self._removed) > MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
 
-    def _is_mass_lapse(self, count: int) -> bool:
-        threshold = max(MIN_MASS_LAPSE, MASS_LAPSE_SHARE * len(self._entries))
-        return count >= threshold
+    def _is_mass_lapse(self, names: list[str]) -> bool:
+        """Return whether so many of the servers lapse that do not leave."""
+        lapsed = sum(not self._entries[name].server.leaving for name in names)
+        staying = sum(not entry.server.leaving for entry in self._entries.values())
+        return lapsed >= max(MIN_MASS_LAPSE, MASS_LAPSE_SHARE * staying)
 
     def _rebuild(self) -> None:
         self._version += 1
--- a/tests/test_gateway_servers.py
+++ b/tests/test_gateway_servers.py
@@ -45,6 +45,13 @@
         self.registry.replace_all([server(f"i{n}") for n in range(1, 8)], 5.0)
         self.assertEqual(self.registry.count, 7)
 
+    def test_planned_removals_of_many_servers_do_not_count_as_an_outage(self):
+        self.registry.apply(
+            [(f"i{n}", server(f"i{n}", leaving=True)) for n in range(6)], 1.0
+        )
+        self.registry.apply([(f"i{n}", None) for n in range(7)], 4.0)
+        self.assertEqual(names(self.registry), {"i7"})
+
     def test_many_simultaneous_lapses_count_as_an_outage(self):
         self.registry.apply([(f"i{n}", None) for n in range(5)], 1.0)
         self.assertEqual(len(names(self.registry)), 8)
