Add a case: an incomplete entry of another writer is used as a server

Cause: the decoder of registrations has defaults for four of their fields and ignores two, so an entry without them, or with other types, names a server. Another writer puts entries of three fields under ids of a second service's searchers.

--- a/review/standins/checks.py
+++ b/review/standins/checks.py
@@ -81,8 +81,26 @@
         ):
             by_machine.setdefault(answer.zone, []).append(answer.request_id)
     return [
-        f"LOST: the instance of {zone} closed {len(closed)} kept connections without an"
+        f"LOST: the instance {zone} closed {len(closed)} kept connections without an"
         f" answer to a request that it had passed on; the first is {closed[0]}"
         for zone, closed in by_machine.items()
         if len(closed) > ALLOWED_CLOSES
     ]
+
+
+def misrouted(site, services):
+    """ROUTE: a request is run by a service to which no configuration lets it go.
+
+    :param services: the only service of each route, by its prefix.
+    """
+    service_of = {searcher.id: searcher.service for searcher in site.searchers}
+    broken = []
+    for request_id, ran_at in site.runs.items():
+        path = site.requests[request_id]
+        allowed = {s for prefix, s in services.items() if path.startswith(prefix)}
+        broken += [
+            f"ROUTE: {request_id} for {path} ran at {searcher_id} of {service_of[searcher_id]}"
+            for searcher_id in ran_at
+            if service_of[searcher_id] not in allowed
+        ]
+    return broken
--- a/review/standins/site_standin.py
+++ b/review/standins/site_standin.py
@@ -31,7 +31,7 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 SETTINGS = """\
-node_name = "front-{zone}-1"
+node_name = "front-{zone}-{number}"
 role = "gateway"
 machine_class = "front"
 serves = ["front","control_plane"]
@@ -98,12 +98,15 @@
     :param folder: folder of the case, in which ``record.txt`` is written.
     """
 
+    # Instances of each zone; the site has three, two and two.
+    instances = {"split": 1, "zadar": 1, "sibenik": 1}
+
     def __init__(self, folder):
         self.trouble = environ.get("TROUBLE", "1") != "0"
         self.random = Random(20261205)
         block = f"127.{40 + getpid() % 80}.{getpid() // 80 % 250}"
         self.server_host = f"{block}.200"
-        self.hosts = {zone: f"{block}.{n + 1}" for n, zone in enumerate(ZONES)}
+        self._block = block
         self.store = Store(f"{block}.100")
         self.searchers = []
         self.requests = {}
@@ -137,6 +140,8 @@
     # The processes
 
     async def start(self, routes, services):
+        names = [(z, n + 1) for z in ZONES for n in range(self.instances[z])]
+        self.hosts = {name: f"{self._block}.{n + 1}" for n, name in enumerate(names)}
         await self.store.start()
         self.store.put("op/config", configuration(routes, services))
         for searcher in self.searchers:
@@ -144,11 +149,12 @@
         command = loads((ROOT / "deploy/system.toml").read_text())["roles"]["gateway"]
         ports = free_ports(list(self.hosts.values()))
         self.front, ready, control, internal = ports
-        seeds = ",".join(f'"{ip}:{control}"' for ip in self.hosts.values())
-        for zone, ip in self.hosts.items():
-            path = self._temporary / f"{zone}.toml"
+        seeds = ",".join(f'"{ip}:{control}"' for ip in list(self.hosts.values())[:3])
+        for (zone, number), ip in self.hosts.items():
+            path = self._temporary / f"{zone}-{number}.toml"
             settings = SETTINGS.format(
                 zone=zone,
+                number=number,
                 ip=ip,
                 internal=internal,
                 internal_last=internal + 15,
@@ -160,7 +166,7 @@
             )
             path.write_text(settings)
             kept = {k: environ[k] for k in ("PATH", "HOME", "LANG") if k in environ}
-            log = open(self._temporary / f"{zone}.log", "wb")
+            log = open(self._temporary / f"{zone}-{number}.log", "wb")
             process = subprocess.Popen(
                 command["run"].split(),
                 cwd=ROOT,
@@ -174,7 +180,7 @@
                 stderr=subprocess.STDOUT,
             )
             log.close()
-            self._processes.append((zone, process))
+            self._processes.append((f"{zone}-{number}", process))
         await asyncio.gather(*(self._wait_ready(ip, ready) for ip in self.hosts.values()))
         self.note("all instances are ready")
 
@@ -194,14 +200,14 @@
         raise CouldNotRun(f"the instance at {ip} was not ready after {READY_WAIT} s")
 
     def check_processes(self):
-        for zone, process in self._processes:
+        for name, process in self._processes:
             if process.poll() is not None:
-                self.note(f"the instance of {zone} ended with {process.returncode}")
+                self.note(f"the instance {name} ended with {process.returncode}")
 
     async def stop(self):
         for _, process in self._processes:
             process.terminate()
-        for zone, process in self._processes:
+        for _, process in self._processes:
             try:
                 await asyncio.to_thread(process.wait, 8)
             except subprocess.TimeoutExpired:
@@ -235,7 +241,7 @@
 class Answer:
     """How one attempt of a client ended; ``message`` is None without an answer.
 
-    :param zone: zone of the instance that was asked.
+    :param zone: the instance that was asked.
     :param kept: whether the connection had carried a request before.
     :param was_closed: whether the instance closed the connection without an answer.
     """
@@ -255,13 +261,14 @@
 class Client:
     """A client of one zone, which keeps its connection and repeats as PROTOCOL.md says.
 
+    :param number: the instance of the zone to which its connections go.
     :param retries: further attempts after the first.
     """
 
-    def __init__(self, site, zone, *, retries=1):
+    def __init__(self, site, zone, number, *, retries=1):
         self.site = site
-        self.address = (site.hosts[zone], site.front)
-        self.zone = zone
+        self.address = (site.hosts[zone, number], site.front)
+        self.zone = f"{zone}-{number}"
         self.retries = retries
         self._connection = None
 
--- a/review/standins/traffic.py
+++ b/review/standins/traffic.py
@@ -55,7 +55,11 @@
 
 async def traffic(site, ask, *, clients, per_s, seconds):
     """Let ``clients`` of each zone ask ``per_s`` times a second in all."""
-    everyone = [Client(site, zone) for zone in ZONES for _ in range(clients)]
+    everyone = [
+        Client(site, zone, n % site.instances[zone] + 1)
+        for zone in ZONES
+        for n in range(clients)
+    ]
     pause = len(everyone) / per_s
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
