--- a/review/standins/site_standin.py
+++ b/review/site_standin.py
@@ -21,7 +21,7 @@
 from http_wire import read_message, request_bytes
 from store import Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 ZONES = ("split", "zadar", "sibenik")
 HOST = "pupu76.example"
 PROMISES = (408, 421, 429, 503)  # statuses that say that a request has not run
