Merge only successes of shards

Cause: AttemptRunner classed every signed status from 200 to 499 as usable, which is right for an answer that is passed on unchanged, and RequestRun made a part of it. Ruled out: that only the accepting instance does so; a delegate runs the same code, and its test failed as well.

Change: a decision module, gateway/response_classifier, which knows whether a response becomes a part. Only a success does, not partial content and not an encoded body. A status from 300 to 499 makes the server less likely but does not eject it: a request at which every server answers 400 would otherwise eject all of them.

The end-to-end tests failed on ('i1.r1, i2.r1' for 'i1.r1', statuses 206, 301, 404 and 429, and at a delegate), and pass now.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -1,8 +1,7 @@
 """Sends attempts to backend servers and classifies their results."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
-from enum import StrEnum
+from dataclasses import dataclass
 from math import isfinite
 
 from absl.logging import exception as log_exception
@@ -12,6 +11,7 @@
 from savorypond.exceptions import BackendServerError, PoolExhausted
 from savorypond.gateway.connection_pool import ConnectionPools
 from savorypond.gateway.headers import CONNECTION_HEADERS, HeaderNames
+from savorypond.gateway.response_classifier import AttemptOutcome, ResponseClassifier
 from savorypond.gateway.response_memory import ResponseMemory, ResponseReservation
 from savorypond.gateway.server_load import ServerLoadTracker
 from savorypond.gateway.server_rate_limits import ServerRateLimits
@@ -23,22 +23,6 @@
 from savorypond.timeouts import timeout_after
 
 _MILLISECONDS = 1000.0  # per second
-_MISDIRECTED = 421
-
-
-class AttemptOutcome(StrEnum):
-    """The ways in which an attempt ends."""
-
-    USABLE = "usable"
-    NOT_SENT = "not-sent"  # the server could not be reached
-    NO_CONNECTION = "no-connection"  # connection limit of this instance
-    ENDED = "ended"  # the request had ended before the attempt was sent
-    REFUSED = "refused"  # the server states that it did not run the request
-    MISDIRECTED = "misdirected"  # another server has the address
-    FAILED = "failed"  # status below 200 or from 500 on
-    BROKEN = "broken"  # connection lost, or invalid or mismatched response
-    SILENT = "silent"  # no answer before the caller's deadline
-    FOREIGN = "foreign"  # answer without a signature
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +65,7 @@
 
     :param headers: headers that are the same for each attempt.
     :param caller_deadline: monotonic seconds until which the caller waits.
+    :param is_part: whether a server's response is merged with those of other shards.
     :param max_response_bytes: maximum size of the body of a server's response.
     """
 
@@ -91,6 +76,7 @@
     request_id: str
     caller_deadline: float
     repeatable: bool
+    is_part: bool = False
     max_response_bytes: int = MAX_BODY_BYTES
 
 
@@ -120,6 +106,7 @@
         counters: Counters,
     ) -> None:
         self._names = names
+        self._classifier = ResponseClassifier(names=names)
         self._memory = memory
         self._pools = pools
         self._loads = loads
@@ -214,7 +201,14 @@
         except BaseException:
             reservation.release()
             raise
-        return replace(self._classify(response, server), reservation=reservation)
+        classification = self._classifier.classify(response, is_part=request.is_part)
+        return AttemptResult(
+            outcome=classification.outcome,
+            server=server,
+            problem=classification.problem,
+            response=response,
+            reservation=reservation,
+        )
 
     def _encode(
         self, request: ForwardedRequest, server: RegisteredServer
@@ -258,25 +252,6 @@
                 server=server.name, problem="answer to another request", sent=True
             )
 
-    def _classify(
-        self, response: HttpResponse, server: RegisteredServer
-    ) -> AttemptResult:
-        signature = response.header(self._names.signature)
-        problem = f"status {response.status}"
-        if response.status == _MISDIRECTED:
-            outcome = AttemptOutcome.MISDIRECTED
-        elif response.header(self._names.not_run) is not None:
-            outcome = AttemptOutcome.REFUSED
-        elif not 200 <= response.status < 500:
-            outcome = AttemptOutcome.FAILED
-        elif signature is None:
-            outcome, problem = AttemptOutcome.FOREIGN, "answer without a signature"
-        else:
-            outcome, problem = AttemptOutcome.USABLE, ""
-        return AttemptResult(
-            outcome=outcome, server=server, problem=problem, response=response
-        )
-
     def _observe_rate_limit(self, result: AttemptResult, sent_at: float) -> None:
         response, server = result.response, result.server
         if response is None or result.outcome is AttemptOutcome.MISDIRECTED:
@@ -301,6 +276,8 @@
             )
         elif result.outcome is AttemptOutcome.REFUSED:
             self._loads.record_refusal(server, number, now=now)
+        elif result.outcome is AttemptOutcome.REJECTED:
+            self._loads.record_rejection(server, number, now=now)
         elif result.outcome in (AttemptOutcome.NO_CONNECTION, AttemptOutcome.ENDED):
             # Neither a local limit nor the end of the request tells of the server.
             self._loads.forget(server, number, now=now)
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -129,6 +129,7 @@
                     received + group_request.left
                 ),
                 repeatable=group_request.route.idempotent,
+                is_part=True,
                 max_response_bytes=group_request.route.max_response_bytes,
             ),
             partial_after=received
@@ -292,6 +293,7 @@
             request_id=request_id,
             caller_deadline=caller_deadline,
             repeatable=route.idempotent,
+            is_part=bool(route.shards),
             max_response_bytes=route.max_response_bytes,
         )
 
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -5,7 +5,7 @@
 
 from curio import CancelledError, Queue, TaskTimeout, spawn
 
-from savorypond.gateway.attempts import AttemptOutcome, AttemptResult
+from savorypond.gateway.attempts import AttemptResult
 from savorypond.gateway.delegation import ShardGroup
 from savorypond.gateway.delegation_client import (
     FALLBACK_DELAY,
@@ -17,6 +17,7 @@
 from savorypond.gateway.ranked_merge import PartialAnswer
 from savorypond.gateway.rate_admission import OVERADMISSION, admission_rank
 from savorypond.gateway.rate_control import RankedRequest
+from savorypond.gateway.response_classifier import AttemptOutcome
 from savorypond.gateway.response_memory import ResponseReservation
 from savorypond.gateway.run_types import RunDependencies, RunResult, RunSpec
 from savorypond.gateway.server_chooser import RegistryServerChooser
--- a/src/savorypond/gateway/server_load.py
+++ b/src/savorypond/gateway/server_load.py
@@ -149,17 +149,24 @@
         :param unreachable: whether the address refuses connections or belongs to
             another server.
         """
-        load = self._load(server, now)
-        load.in_flight.pop(attempt, None)
+        load = self._record_error(server, attempt, now)
         load.failures += self._config.failures if unreachable else 1
-        load.error_rate += self._config.smoothing * (1.0 - load.error_rate)
-        load.measured_at = now
         if load.failures >= self._config.failures:
             ejection = self._config.base_ejection * 2 ** min(load.ejections, 8)
             ejection = min(ejection, self._config.max_ejection)
             load.ejected_until = now + ejection * self._random.uniform(0.75, 1.0)
             load.ejections += 1
 
+    def record_rejection(
+        self, server: RegisteredServer, attempt: int, *, now: float
+    ) -> None:
+        """Record that the server answered ``attempt`` with a status from 300 to 499.
+
+        The request may be at fault rather than the server, so that ejecting servers
+        would let one faulty request disable all of them.
+        """
+        self._record_error(server, attempt, now)
+
     def choose(
         self,
         servers: Sequence[RegisteredServer],
@@ -228,6 +235,15 @@
             cost += self._config.remote_cost
         return cost * self._random.uniform(0.95, 1.05)
 
+    def _record_error(
+        self, server: RegisteredServer, attempt: int, now: float
+    ) -> _Load:
+        load = self._load(server, now)
+        load.in_flight.pop(attempt, None)
+        load.error_rate += self._config.smoothing * (1.0 - load.error_rate)
+        load.measured_at = now
+        return load
+
     def _record_latency(
         self, load: _Load, seconds: float, mean_latency: float, now: float
     ) -> None:
--- a/tests/gateway_loopback.py
+++ b/tests/gateway_loopback.py
@@ -143,10 +143,24 @@
         ``silent``, ``slow`` (after SLOW_TIME), ``other`` (another server has the
         address) or ``crossed`` (answers another request).
     :param rate_limit: requests a second that it announces, or None.
+    :param status: status of its answers if it is good.
+    :param headers: further headers of its answers, or other values of those it sends.
     """
 
-    def __init__(self, name, *, service, body=b"", behaviour="good", rate_limit=None):
+    def __init__(
+        self,
+        name,
+        *,
+        service,
+        body=b"",
+        behaviour="good",
+        rate_limit=None,
+        status=200,
+        headers=(),
+    ):
         self.rate_limit = rate_limit
+        self.status = status
+        self.headers = dict(headers)
         self.name = name
         self.service = service
         self.body = body
@@ -195,7 +209,7 @@
             HEADERS.request_id: request_id,
             HEADERS.signature: f"{self.name}.{request_id}",
         }
-        status = 200
+        status = self.status
         if self.behaviour == "failing":
             status = 500
         elif self.behaviour == "full":
@@ -208,6 +222,7 @@
             headers[HEADERS.request_id] = "another"
         if self.rate_limit is not None:
             headers[HEADERS.rate_limit] = str(self.rate_limit)
+        headers.update(self.headers)
         return HttpResponse(
             status=status,
             headers=tuple(Header(name=n, value=v) for n, v in headers.items()),
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -642,6 +642,19 @@
 
         self.run_test(test, behaviour="failing")
 
+    def test_a_peer_does_not_merge_the_rejection_of_a_shard(self):
+        """A signed 404 counted as a part at the instance that gathers, too."""
+
+        async def test(env, delegate):
+            env.servers[3].status = 404
+            response = await env.ask()
+            self.assertEqual(response.header(HEADERS.missing_parts), "1")
+            self.assertEqual(response.body, b"c" * 16 + b"b" * 16)
+            (request,) = env.servers[3].requests
+            self.assertEqual(request.peer, "127.0.0.2")
+
+        self.run_test(test)
+
     def test_an_answer_that_lacks_too_much_waits_for_a_slow_server(self):
         async def test(env, delegate):
             for number in range(3):
--- /dev/null
+++ b/tests/test_gateway_response_classifier.py
@@ -0,0 +1,107 @@
+"""Tests of savorypond.gateway.response_classifier."""
+
+from unittest import TestCase
+
+from savorypond.gateway.response_classifier import AttemptOutcome, ResponseClassifier
+from savorypond.http.messages import Header, HttpResponse
+from savorypond.platform.names import HEADERS
+from tests.gateway_loopback import FakeServer, RemoteServer, route
+from tests.test_gateway_daemon import with_gateway
+
+NO_SUCCESSES = (300, 301, 302, 304, 307, 400, 401, 403, 404, 408, 409, 410, 429, 499)
+QUERY = route("q", "/q/", gather=["s1", "s2"], top_k=2, min_version=0.5)
+READ = route("r", "/r/", backend="s2")
+RECORD = b"a" * 16
+FAILURE_TEXT = b"no such segment, its replica is newer"
+
+
+def response(status=200, *, signature="i1.r1", **headers):
+    fields = {"x-other": "1", **headers}
+    if signature is not None:
+        fields[HEADERS.signature] = signature
+    return HttpResponse(
+        status=status, headers=tuple(Header(name=n, value=v) for n, v in fields.items())
+    )
+
+
+class ResponseClassifierTests(TestCase):
+    def setUp(self):
+        self.classifier = ResponseClassifier(names=HEADERS)
+
+    def classify(self, response, *, is_part):
+        return self.classifier.classify(response, is_part=is_part).outcome
+
+    def test_only_a_success_is_a_part(self):
+        self.assertEqual(self.classify(response(), is_part=True), AttemptOutcome.USABLE)
+        for status in NO_SUCCESSES:
+            with self.subTest(status):
+                self.assertEqual(
+                    self.classify(response(status), is_part=True),
+                    AttemptOutcome.REJECTED,
+                )
+
+    def test_an_answer_to_one_server_is_passed_on_whatever_it_rejects(self):
+        for status in (200, 206, 301, 400, 404):
+            with self.subTest(status):
+                self.assertEqual(
+                    self.classify(response(status), is_part=False),
+                    AttemptOutcome.USABLE,
+                )
+
+    def test_partial_or_encoded_content_is_not_a_part(self):
+        encoded = {"content-encoding": "gzip"}
+        for part in (response(206), response(**encoded)):
+            with self.subTest(part):
+                self.assertEqual(
+                    self.classify(part, is_part=True), AttemptOutcome.FAILED
+                )
+        plain = {"content-encoding": "identity"}
+        self.assertEqual(
+            self.classify(response(**plain), is_part=True), AttemptOutcome.USABLE
+        )
+
+
+def shards(status):
+    return lambda: (
+        FakeServer("i1", service="s1", body=RECORD),
+        FakeServer("i2", service="s2", body=FAILURE_TEXT, status=status),
+    )
+
+
+def with_replica():
+    return (*shards(404)(), RemoteServer("i3", service="s2", body=b"b" * 16))
+
+
+class FailureOfAShardTests(TestCase):
+    def test_the_failure_of_a_shard_is_never_merged(self):
+        """A signed failure counted as a part, and its text as records."""
+        for status in (206, 301, 404, 429):
+            with self.subTest(status):
+                self.check(status)
+
+    def check(self, status):
+        @with_gateway(QUERY, servers=shards(status))
+        async def ask(self, env):
+            response = await env.ask()
+            self.assertEqual(response.status, 200)
+            self.assertEqual(response.header(HEADERS.part_signatures), "i1.r1")
+            self.assertEqual(response.header(HEADERS.missing_parts), "1")
+            self.assertEqual(response.body, RECORD)
+
+        ask(self)
+
+    # The retry budget allows a retry of every request, however often the failing
+    # server is chosen first.
+    @with_gateway(QUERY, servers=with_replica, retry_slack=1000.0)
+    async def test_another_server_of_the_shard_answers_instead(self, env):
+        for number in range(6):
+            response = await env.ask(request_id=f"r{number}")
+            signatures = response.header(HEADERS.part_signatures).split(", ")
+            self.assertEqual(set(signatures), {f"i1.r{number}", f"i3.r{number}"})
+            self.assertEqual(response.header(HEADERS.missing_parts), "0")
+
+    @with_gateway(READ, servers=shards(404))
+    async def test_a_rejection_by_the_only_server_asked_is_passed_on(self, env):
+        response = await env.ask("/r/1")
+        self.assertEqual((response.status, response.body), (404, FAILURE_TEXT))
+        self.assertEqual(response.header(HEADERS.signature), "i2.r1")
--- a/tests/test_gateway_server_load.py
+++ b/tests/test_gateway_server_load.py
@@ -60,6 +60,14 @@
         )
         self.assertEqual(self.choose(0.6, exclude={"remote"}), "local")
 
+    def test_rejections_make_a_server_less_likely_but_do_not_eject_it(self):
+        """A faulty request, which all servers reject, must not disable them."""
+        for _ in range(10 * DEFAULT_SERVER_LOAD.failures):
+            number = self.tracker.begin(self.local, 0.0)
+            self.tracker.record_rejection(self.local, number, now=0.0)
+        self.assertEqual(self.choose(0.1), "remote")
+        self.assertEqual(self.choose(0.1, exclude={"remote"}), "local")
+
     def test_an_attempt_that_was_never_sent_does_not_count(self):
         for _ in range(DEFAULT_SERVER_LOAD.failures):
             number = self.tracker.begin(self.local, 0.0)
