Pass on a promise of a server only if it is true

Cause: the last failure was passed on whenever it was signed. The status and may_have_run were not looked at. Ruled out: a second send by the instance; each such request reached one server.

Change: response_classifier counts 408, 429 and 503 as refusals only with the statement that the request did not run, and does not believe one that contradicts its status. failures, split from the handler, passes on such a status only if no attempt may have run or may still run the request; else the caller gets 502 or 504 without a signature.

--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -16,6 +16,7 @@
     decode_group_request,
     group_response,
 )
+from savorypond.gateway.failures import failure_to_pass_on, refusal_of
 from savorypond.gateway.headers import HeaderNames
 from savorypond.gateway.plan_types import Verdict
 from savorypond.gateway.published_feed import PublishedFeed
@@ -39,11 +40,10 @@
 from savorypond.http.messages import HttpRequest, HttpResponse
 from savorypond.logs import log_event
 from savorypond.metrics import Metrics
-from savorypond.reasons import Execution, RefusalReason
+from savorypond.reasons import RefusalReason
 
 _MILLISECONDS = 1000.0  # per second
 _GONE = 410
-_FULL_RETRY_AFTER = 0.3  # seconds, while servers have no room
 
 
 class GatewayHandler:
@@ -334,16 +334,11 @@
                 return self._merge(spec, result)
             assert result.response is not None
             return proxied_response(result.response)
-        failure = result.last_failure
-        server_response = failure.response if failure is not None else None
-        if (
-            not spec.route.shards
-            and server_response is not None
-            and self._is_signed(server_response)
-        ):
-            return proxied_response(server_response)
+        failure = failure_to_pass_on(result, names=self._names)
+        if failure is not None and not spec.route.shards:
+            return proxied_response(failure)
         log_event("given-up", **self._log_fields(spec, result), verdict=result.verdict)
-        raise self._refusal(result, spec.services)
+        raise refusal_of(result, spec.services)
 
     def _merge(self, spec: RunSpec, result: RunResult) -> HttpResponse:
         return merged_response(
@@ -353,38 +348,6 @@
             names=self._names,
         )
 
-    def _is_signed(self, response: HttpResponse) -> bool:
-        return response.header(self._names.signature) is not None
-
-    def _refusal(self, result: RunResult, services: tuple[str, ...]) -> RequestRefused:
-        missing = ", ".join(result.missing[:4])
-        answered = len(services) - len(result.missing)
-        detail = f"{answered} of {len(services)} services answered; not {missing}"
-        if result.verdict is Verdict.TIMED_OUT:
-            return RequestRefused(
-                reason=RefusalReason.TIMED_OUT,
-                detail=detail,
-                execution=Execution.UNKNOWN,
-            )
-        if result.may_run or result.parts:
-            return RequestRefused(
-                reason=RefusalReason.CONNECTION_LOST,
-                detail=detail,
-                execution=Execution.UNKNOWN,
-            )
-        if result.rate_limited:
-            return RequestRefused(
-                reason=RefusalReason.RATE_LIMITED,
-                detail=f"rate limits of backend servers: {detail}",
-                retry_after=_FULL_RETRY_AFTER,
-            )
-        shed = result.reached
-        return RequestRefused(
-            reason=RefusalReason.SHED if shed else RefusalReason.NO_BACKEND_SERVER,
-            detail=detail,
-            retry_after=_FULL_RETRY_AFTER if shed else 1.0,
-        )
-
     def _record_refusal(
         self,
         request: HttpRequest,
--- a/src/savorypond/gateway/response_classifier.py
+++ b/src/savorypond/gateway/response_classifier.py
@@ -1,7 +1,9 @@
 """Decides what the response of a backend server says about its request.
 
 Guards against servers in trouble. A response counts for no more than it says: a failure
-is never a part of a merged answer, however complete it is.
+is never a part of a merged answer, however complete it is, and a status that promises
+callers that their request has not run counts only with the server's statement that it
+did not run it.
 """
 
 from dataclasses import dataclass
@@ -12,6 +14,9 @@
 
 _PARTIAL_CONTENT = 206
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+# Callers take these for a promise that the request has not run and never will.
+_PROMISING_STATUSES = frozenset({408, _MISDIRECTED, 429, _UNAVAILABLE})
 _IDENTITY = "identity"
 
 
@@ -25,7 +30,8 @@
     REFUSED = "refused"  # the server states that it did not run the request
     MISDIRECTED = "misdirected"  # another server has the address
     REJECTED = "rejected"  # status from 300 to 499 in place of a part
-    FAILED = "failed"  # status below 200 or from 500 on, or not a whole part
+    # status below 200 or from 500 on, an unfounded promise, or not a whole part
+    FAILED = "failed"
     BROKEN = "broken"  # connection lost, or invalid or mismatched response
     SILENT = "silent"  # no answer before the caller's deadline
     FOREIGN = "foreign"  # answer without a signature
@@ -59,7 +65,14 @@
         if status == _MISDIRECTED:
             return Classification(outcome=AttemptOutcome.MISDIRECTED, problem=problem)
         if response.header(self._names.not_run) is not None:
-            return Classification(outcome=AttemptOutcome.REFUSED, problem=problem)
+            if 400 <= status < 500 or status == _UNAVAILABLE:
+                return Classification(outcome=AttemptOutcome.REFUSED, problem=problem)
+            # The statement contradicts the status, so the request may have run.
+            problem += " with the statement that the request did not run"
+            return Classification(outcome=AttemptOutcome.FAILED, problem=problem)
+        if status in _PROMISING_STATUSES:
+            problem += " without a statement that the request did not run"
+            return Classification(outcome=AttemptOutcome.FAILED, problem=problem)
         if not 200 <= status < 500:
             return Classification(outcome=AttemptOutcome.FAILED, problem=problem)
         if response.header(self._names.signature) is None:
@@ -70,6 +83,11 @@
         return Classification(outcome=AttemptOutcome.USABLE)
 
 
+def promises_not_run(response: HttpResponse) -> bool:
+    """Return whether callers take ``response`` for a promise that nothing has run."""
+    return response.status in _PROMISING_STATUSES
+
+
 def _classify_part(response: HttpResponse) -> Classification:
     status = response.status
     if status >= 300:
--- a/tests/test_gateway_response_classifier.py
+++ b/tests/test_gateway_response_classifier.py
@@ -8,7 +8,7 @@
 from tests.gateway_loopback import FakeServer, RemoteServer, route
 from tests.test_gateway_daemon import with_gateway
 
-NO_SUCCESSES = (300, 301, 302, 304, 307, 400, 401, 403, 404, 408, 409, 410, 429, 499)
+REJECTIONS = (300, 301, 302, 304, 307, 400, 401, 403, 404, 409, 410, 499)
 QUERY = route("q", "/q/", gather=["s1", "s2"], top_k=2, min_version=0.5)
 READ = route("r", "/r/", backend="s2")
 RECORD = b"a" * 16
@@ -33,13 +33,34 @@
 
     def test_only_a_success_is_a_part(self):
         self.assertEqual(self.classify(response(), is_part=True), AttemptOutcome.USABLE)
-        for status in NO_SUCCESSES:
+        for status in REJECTIONS:
             with self.subTest(status):
                 self.assertEqual(
                     self.classify(response(status), is_part=True),
                     AttemptOutcome.REJECTED,
                 )
 
+    def test_a_promising_status_counts_only_with_the_statement_of_the_server(self):
+        """A server may answer 503 to a request that it has run."""
+        for status in (408, 429, 503):
+            with self.subTest(status):
+                self.assertEqual(
+                    self.classify(response(status), is_part=False),
+                    AttemptOutcome.FAILED,
+                )
+                refusal = response(status, **{HEADERS.not_run: "1"})
+                self.assertEqual(
+                    self.classify(refusal, is_part=False), AttemptOutcome.REFUSED
+                )
+
+    def test_a_statement_that_contradicts_the_status_is_not_believed(self):
+        for status in (200, 204, 301, 500, 502, 504):
+            with self.subTest(status):
+                contradiction = response(status, **{HEADERS.not_run: "1"})
+                self.assertEqual(
+                    self.classify(contradiction, is_part=False), AttemptOutcome.FAILED
+                )
+
     def test_an_answer_to_one_server_is_passed_on_whatever_it_rejects(self):
         for status in (200, 206, 301, 400, 404):
             with self.subTest(status):
