Send any header that was accepted of a server

Found beside it: a Keep-Alive time of superscript two, for str a digit but no number, failed the attempt at a sound server. Ruled out: a loss of bytes by the stand-in; the traceback of each closed connection is h11's.

Change: values go to h11 as bytes; white space is cut off by the parser; a signature must be single, intact and, where it is listed, without a comma; a response that h11 refuses is noticed before a byte of it is sent, logged, and answered with 500.

On the three OddHeaderTests, the two OddResponseTests that do not fuzz, and the two tests of the client failed; all pass now.

--- a/src/savorypond/exceptions.py
+++ b/src/savorypond/exceptions.py
@@ -87,7 +87,7 @@
 
 
 class ResponseError(SavorypondError):
-    """The data on a connection is not a complete HTTP/1.1 response."""
+    """Data received, or a response to be sent, is no complete HTTP/1.1 response."""
 
     def __init__(self, *, problem: str) -> None:
         super().__init__(problem)
--- a/src/savorypond/gateway/failures.py
+++ b/src/savorypond/gateway/failures.py
@@ -7,7 +7,7 @@
 from savorypond.exceptions import RequestRefused
 from savorypond.gateway.headers import HeaderNames
 from savorypond.gateway.plan_types import Verdict
-from savorypond.gateway.response_classifier import promises_not_run
+from savorypond.gateway.response_classifier import promises_not_run, signature_problem
 from savorypond.gateway.run_types import RunResult
 from savorypond.http.messages import HttpResponse
 from savorypond.reasons import Execution, RefusalReason
@@ -27,7 +27,7 @@
     response = failure.response if failure is not None else None
     if response is None or response.status < _FIRST_ERROR_STATUS:
         return None
-    if response.header(names.signature) is None:
+    if signature_problem(response, names=names, is_listed=False):
         return None
     return None if result.may_run and promises_not_run(response) else response
 
--- a/src/savorypond/gateway/peers.py
+++ b/src/savorypond/gateway/peers.py
@@ -218,7 +218,7 @@
 def _parse_position(text: str) -> Position | None:
     """Return the position in ``text``, or None if it is not one."""
     era, _, revision = text.partition(".")
-    if not (era.isdigit() and revision.isdigit()):
+    if not (text.isascii() and era.isdigit() and revision.isdigit()):
         return None
     return Position(era=int(era), revision=int(revision))
 
--- a/src/savorypond/gateway/response_classifier.py
+++ b/src/savorypond/gateway/response_classifier.py
@@ -34,7 +34,7 @@
     FAILED = "failed"
     BROKEN = "broken"  # connection lost, or invalid or mismatched response
     SILENT = "silent"  # no answer before the caller's deadline
-    FOREIGN = "foreign"  # answer without a signature
+    FOREIGN = "foreign"  # answer without an intact signature
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,14 +75,38 @@
             return Classification(outcome=AttemptOutcome.FAILED, problem=problem)
         if not 200 <= status < 500:
             return Classification(outcome=AttemptOutcome.FAILED, problem=problem)
-        if response.header(self._names.signature) is None:
-            problem = "answer without a signature"
+        problem = signature_problem(response, names=self._names, is_listed=is_part)
+        if problem:
             return Classification(outcome=AttemptOutcome.FOREIGN, problem=problem)
         if is_part:
             return _classify_part(response)
         return Classification(outcome=AttemptOutcome.USABLE)
 
 
+def signature_problem(
+    response: HttpResponse, *, names: HeaderNames, is_listed: bool
+) -> str:
+    """Return why ``response`` has no usable signature, or "" if it has one.
+
+    A damaged signature is worth nothing to the caller. In a merged answer it makes the
+    whole answer worthless.
+
+    :param is_listed: whether the signature is one of a list that is joined by commas.
+    """
+    signatures = [h.value for h in response.headers if h.name == names.signature]
+    if not signatures:
+        return "answer without a signature"
+    if len(signatures) > 1:
+        return f"answer with {len(signatures)} signatures"
+    (signature,) = signatures
+    is_intact = signature.isascii() and signature.isprintable()
+    if not is_intact or not signature or " " in signature:
+        return f"damaged signature {signature[:40]!r}"
+    if is_listed and "," in signature:
+        return f"signature {signature[:40]!r} with a comma"
+    return ""
+
+
 def promises_not_run(response: HttpResponse) -> bool:
     """Return whether callers take ``response`` for a promise that nothing has run."""
     return response.status in _PROMISING_STATUSES
--- a/src/savorypond/http/channel.py
+++ b/src/savorypond/http/channel.py
@@ -26,12 +26,13 @@
     Data,
     EndOfMessage,
     InformationalResponse,
+    LocalProtocolError,
     RemoteProtocolError,
     Request,
     Response,
 )
 
-from savorypond.exceptions import RequestRefused
+from savorypond.exceptions import RequestRefused, ResponseError
 from savorypond.http.messages import (
     Header as HttpHeader,
     HttpRequest,
@@ -204,14 +205,13 @@
             await self._sock.sendall(self._http.send(informational))
 
     async def send(self, response: HttpResponse, *, close: bool) -> bool:
-        """Send ``response``; return whether the connection can be reused."""
+        """Send ``response``; return whether the connection can be reused.
+
+        :raises ResponseError: the response is not valid, and nothing was sent of it.
+        """
         if self._http.our_state not in (IDLE, SEND_RESPONSE):
             return False
-        headers = [(h.name, h.value) for h in response.headers]
-        headers.append(("content-length", str(len(response.body))))
-        if close:
-            headers.append(("connection", "close"))
-        head = Response(status_code=response.status, headers=headers)
+        head = response_head(response, close=close)
         data = self._http.send(head) or b""
         if not self._omit_body:
             data += self._http.send(Data(data=response.body)) or b""
@@ -235,6 +235,26 @@
                     pass
 
 
+def response_head(response: HttpResponse, *, close: bool) -> Response:
+    """Return the h11 event for ``response``; raise ResponseError if it is not valid.
+
+    Values are sent as bytes, because those of other servers may hold any byte from 0x80
+    on (RFC 9110, section 5.5).
+    """
+    headers = [(h.name, h.value) for h in response.headers]
+    headers.append(("content-length", str(len(response.body))))
+    if close:
+        headers.append(("connection", "close"))
+    try:
+        return Response(
+            status_code=response.status,
+            headers=[(n.encode("ascii"), v.encode("latin-1")) for n, v in headers],
+        )
+    except (LocalProtocolError, UnicodeEncodeError) as error:
+        problem = f"response with status {response.status} cannot be sent: {error}"
+        raise ResponseError(problem=problem) from error
+
+
 def _check_version(head: Request) -> None:
     """Refuse other major versions; h11 accepts any version number."""
     if not head.http_version.startswith(b"1."):
--- a/src/savorypond/http/client.py
+++ b/src/savorypond/http/client.py
@@ -239,6 +239,7 @@
         return None
     for part in value.split(","):
         name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.isdigit():
+        is_number = number.isascii() and number.isdigit()
+        if name.lower() == "timeout" and is_number:
             return float(number)
     return None
--- a/src/savorypond/http/response_parser.py
+++ b/src/savorypond/http/response_parser.py
@@ -120,12 +120,15 @@
             self._has_trailing_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header; discard a field of the trailer."""
+        """Store one header; discard a field of the trailer.
+
+        httptools keeps white space behind a value, which is not part of it.
+        """
         if not self._has_head:
             self._headers.append(
                 Header(
                     name=name.decode("latin-1").lower(),
-                    value=value.decode("latin-1"),
+                    value=value.strip(b" \t").decode("latin-1"),
                 )
             )
 
--- a/src/savorypond/http/server.py
+++ b/src/savorypond/http/server.py
@@ -17,7 +17,7 @@
     RemoteProtocolError,
 )
 
-from savorypond.exceptions import RequestRefused
+from savorypond.exceptions import RequestRefused, ResponseError
 from savorypond.http.channel import HttpChannel, HttpLimits as HttpLimits
 from savorypond.http.listener import Listener
 from savorypond.http.messages import (
@@ -32,6 +32,7 @@
 from savorypond.timeouts import timeout_after
 
 _MILLISECONDS = 1000.0  # per second
+_MAX_LOGGED_PROBLEM = 200  # characters
 
 
 class ConnectionLimiter(Protocol):
@@ -226,7 +227,16 @@
         response = await self._await_response(channel, request)
         if response is None:
             return False
-        return await channel.send(response, close=response.close or self._draining)
+        try:
+            return await channel.send(response, close=response.close or self._draining)
+        except ResponseError as error:
+            log_event(
+                "response-invalid",
+                client=request.peer,
+                path=request.path,
+                why=error.problem[:_MAX_LOGGED_PROBLEM],
+            )
+            return await channel.send(self._internal_error(), close=True)
 
     async def _await_response(
         self, channel: HttpChannel, request: HttpRequest
@@ -260,14 +270,17 @@
             return problem_response(refusal)
         except Exception:
             log_exception("handler failed on %s %s", request.method, request.path)
-            self._report_refusal(RefusalReason.INTERNAL)
-            return problem_response(
-                RequestRefused(
-                    reason=RefusalReason.INTERNAL,
-                    detail="internal error of the instance",
-                    execution=Execution.UNKNOWN,
-                )
+            return self._internal_error()
+
+    def _internal_error(self) -> HttpResponse:
+        self._report_refusal(RefusalReason.INTERNAL)
+        return problem_response(
+            RequestRefused(
+                reason=RefusalReason.INTERNAL,
+                detail="internal error of the instance",
+                execution=Execution.UNKNOWN,
             )
+        )
 
     def _report_refusal(self, reason: RefusalReason) -> None:
         if self._on_refusal is not None:
--- a/tests/test_gateway_response_classifier.py
+++ b/tests/test_gateway_response_classifier.py
@@ -2,7 +2,11 @@
 
 from unittest import TestCase
 
-from savorypond.gateway.response_classifier import AttemptOutcome, ResponseClassifier
+from savorypond.gateway.response_classifier import (
+    AttemptOutcome,
+    ResponseClassifier,
+    signature_problem,
+)
 from savorypond.http.messages import Header, HttpResponse
 from savorypond.platform.names import HEADERS
 from tests.gateway_loopback import FakeServer, RemoteServer, route
@@ -82,6 +86,30 @@
         )
 
 
+class SignatureTests(TestCase):
+    def problem(self, *signatures, is_listed=True):
+        headers = tuple(Header(name=HEADERS.signature, value=s) for s in signatures)
+        return signature_problem(
+            HttpResponse(status=200, headers=headers),
+            names=HEADERS,
+            is_listed=is_listed,
+        )
+
+    def test_an_intact_signature_is_used(self):
+        self.assertEqual(self.problem("3e1b.07.5a2.600.0.c9f2a4d1"), "")
+
+    def test_missing_repeated_and_damaged_signatures_are_not(self):
+        damaged = ("\xb3e1b.07", "3e1b\x7f07", "3e1b 07", "3e1b\t07", "")
+        for signatures in ((), ("a1", "a2"), *((one,) for one in damaged)):
+            with self.subTest(signatures):
+                self.assertTrue(self.problem(*signatures))
+                self.assertTrue(self.problem(*signatures, is_listed=False))
+
+    def test_a_signature_in_a_list_has_no_comma(self):
+        self.assertTrue(self.problem("a1,a2"))
+        self.assertEqual(self.problem("a1,a2", is_listed=False), "")
+
+
 def shards(status):
     return lambda: (
         FakeServer("i1", service="s1", body=RECORD),
--- a/tests/test_gateway_robustness.py
+++ b/tests/test_gateway_robustness.py
@@ -97,6 +97,79 @@
         self.check(echoes_ids=False)
 
 
+class OddHeaderServer(FakeServer):
+    """Sends its header fields as they are, byte by byte.
+
+    :param signature: the bytes of its signature.
+    """
+
+    def __init__(self, name, *, service, signature, fields=b"", body=b""):
+        super().__init__(name, service=service, body=body)
+        self._head = (
+            b"HTTP/1.1 200 OK\r\n"
+            + HEADERS.signature.encode()
+            + b": "
+            + signature
+            + b"\r\n"
+            + fields
+            + f"Content-Length: {len(body)}\r\n".encode()
+        )
+        self._server = Listener(address=LOOPBACK, serve=self._serve)
+
+    async def _serve(self, sock, peer):
+        async with sock:
+            with suppress(OSError):
+                while head := await sock.recv(65536):
+                    self.requests.append(head)
+                    name = HEADERS.request_id.encode() + b": "
+                    request_id = head.partition(name)[2].partition(b"\r\n")[0]
+                    echo = name + request_id + b"\r\n\r\n"
+                    await sock.sendall(self._head + echo + self.body)
+
+
+def damaged_and_sound_shards():
+    return (
+        OddHeaderServer("i1", service="s1", signature=b"i1\xae", body=b"a" * 16),
+        FakeServer("i2", service="s2", body=b"b" * 16),
+    )
+
+
+def damaged_server():
+    return (OddHeaderServer("i1", service="s1", signature=b"i1\xae", body=b"one"),)
+
+
+def server_with_names():
+    fields = b"X-Place: \x8aibenik \t\r\nKeep-Alive: timeout=\xb2\r\n"
+    sent = {"signature": b"i1.r1 ", "fields": fields, "body": b"one"}
+    return (OddHeaderServer("i1", service="s1", **sent),)
+
+
+class OddHeaderTests(TestCase):
+    """A byte from 0x80 on in a header closed callers' connections without an answer."""
+
+    @with_gateway(
+        route("q", "/q/", gather=["s1", "s2"], top_k=2, min_version=0.5),
+        servers=damaged_and_sound_shards,
+    )
+    async def test_a_damaged_signature_costs_only_its_part(self, env):
+        response = await env.ask()
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.header(HEADERS.part_signatures), "i2.r1")
+        self.assertEqual(response.header(HEADERS.missing_parts), "1")
+
+    @with_gateway(READ, servers=damaged_server)
+    async def test_an_answer_with_a_damaged_signature_is_an_error(self, env):
+        response = await env.ask("/r/1")
+        self.assertEqual(response.status, 502)
+
+    @with_gateway(READ, servers=server_with_names)
+    async def test_other_headers_are_passed_on_unchanged(self, env):
+        response = await env.ask("/r/1")
+        self.assertEqual((response.status, response.body), (200, b"one"))
+        self.assertEqual(response.header("x-place"), "\x8aibenik")
+        self.assertEqual(response.header(HEADERS.signature), "i1.r1")
+
+
 class MalformedMessageTests(TestCase):
     @with_gateway(READ, servers=lambda: (FakeServer("i1", service="s1"),))
     async def test_malformed_messages_of_peers_leave_the_instance_serving(self, env):
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -115,6 +115,19 @@
 
             self.assertEqual(run(main), seconds)
 
+    def test_white_space_around_a_value_is_not_part_of_it(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Place: \t Split \t\r\n\r\n"
+        response, _ = exchange(head + b"ok")
+        self.assertEqual(response.header("x-place"), "Split")
+
+    def test_a_keep_alive_time_in_other_digits_is_ignored(self):
+        """Superscript two is a digit that is no number; the answer was discarded."""
+        head = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=\xb2\r\n\r\n"
+        )
+        response, reusable = exchange(head + b"ok")
+        self.assertEqual((response.body, reusable), (b"ok", True))
+
     def test_informational_response_is_skipped(self):
         response, reusable = exchange(b"HTTP/1.1 100 Continue\r\nA: b\r\n\r\n" + OK)
         self.assertEqual((response.status, response.body), (200, b"ok"))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -8,8 +8,12 @@
 from hypothesis import given, settings, strategies as st
 from msgspec.json import decode
 
+from savorypond.exceptions import ResponseError
+from savorypond.gateway.responses import proxied_response
+from savorypond.http.channel import response_head
 from savorypond.http.client import HttpConnection
-from savorypond.http.messages import HttpRequest, HttpResponse, text_response
+from savorypond.http.messages import Header, HttpRequest, HttpResponse, text_response
+from savorypond.http.response_parser import ResponseParser
 from savorypond.http.server import HttpLimits, HttpServer
 from savorypond.model import Address
 from savorypond.reasons import RefusalReason
@@ -230,6 +234,50 @@
         run(main)
 
 
+class OddResponseTests(TestCase):
+    """Headers of other servers are passed on, whatever bytes they hold."""
+
+    def exchange(self, *values):
+        async def handler(request):
+            headers = tuple(Header(name="x-place", value=value) for value in values)
+            return HttpResponse(status=200, headers=headers, body=b"ok")
+
+        async def main():
+            running = RunningServer(handler)
+            async with timeout_after(TEST_TIMEOUT), running.server:
+                return await running.exchange(
+                    b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                )
+
+        return run(main)
+
+    def test_a_byte_from_0x80_on_is_sent_unchanged(self):
+        """The connection was closed without an answer."""
+        data = self.exchange("\x8aibenik", "Zadar\xff")
+        self.assertTrue(data.startswith(b"HTTP/1.1 200 "))
+        self.assertIn(b"x-place: \x8aibenik\r\n", data)
+        self.assertIn(b"x-place: Zadar\xff\r\n", data)
+        self.assertTrue(data.endswith(b"\r\n\r\nok"))
+
+    @settings(max_examples=300, deadline=None)
+    @given(name=st.binary(min_size=1, max_size=6), value=st.binary(max_size=20))
+    def test_whatever_is_accepted_of_a_server_can_be_sent(self, name, value):
+        parser = ResponseParser(method="GET")
+        try:
+            parser.feed(b"HTTP/1.1 200 OK\r\n" + name + b": " + value + b"\r\n\r\n")
+            parser.feed_eof()
+        except ResponseError:
+            return
+        response_head(proxied_response(parser.response()), close=False)
+
+    def test_a_response_that_cannot_be_sent_is_answered_with_an_error(self):
+        for value in ("line\r\nbreak", "\u0160ibenik", "nul\x00"):
+            with self.subTest(value):
+                data = self.exchange(value)
+                self.assertTrue(data.startswith(b"HTTP/1.1 500 "))
+                self.assertNotIn(b"x-place", data)
+
+
 class DisconnectTests(TestCase):
     def test_handler_is_cancelled_on_disconnect(self):
         async def main():
