Keep no more memory for a response than is counted

What operators reported: a server sends bytes without end, the instance keeps them all and runs out of memory, and other callers' requests end with it.

Cause: limits counted bytes, but each chunk and each header was kept as objects of its own: 364 MB for one response that counted as 16.8 MB, 1.8 MB for a head of 64 KB, and heads were in no total of the instance. Ruled out: a single endless piece (status line, header, chunk, extension, body, trailer): peak memory stays near what is counted.

Change: the body is one buffer; at most 100 headers; heads count towards the memory of an instance; beyond 64 KiB of body, framing may take half a byte for each byte.

--- a/benchmarks/bench_gather.py
+++ b/benchmarks/bench_gather.py
@@ -26,7 +26,7 @@
 from savorypond.gateway.rate_control import RateControl
 from savorypond.gateway.reader_selection import ReaderSelection
 from savorypond.gateway.request_run import RequestRun
-from savorypond.gateway.response_memory import ResponseMemory
+from savorypond.http.response_memory import ResponseMemory
 from savorypond.gateway.responses import merged_response
 from savorypond.gateway.retry_budget import ServiceRetryBudget, ServiceRetryBudgetConfig
 from savorypond.gateway.route_latency import RouteLatencies
--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -12,11 +12,11 @@
 from savorypond.gateway.connection_pool import ConnectionPools
 from savorypond.gateway.headers import CONNECTION_HEADERS, HeaderNames
 from savorypond.gateway.response_classifier import AttemptOutcome, ResponseClassifier
-from savorypond.gateway.response_memory import ResponseMemory, ResponseReservation
 from savorypond.gateway.server_load import ServerLoadTracker
 from savorypond.gateway.server_rate_limits import ServerRateLimits
 from savorypond.gateway.servers import RegisteredServer
 from savorypond.http.messages import Header, HttpRequest, HttpResponse
+from savorypond.http.response_memory import ResponseMemory, ResponseReservation
 from savorypond.http.response_parser import MAX_BODY_BYTES
 from savorypond.logs import log_event
 from savorypond.model import Counters
@@ -191,7 +191,7 @@
                 response = await connection.request(
                     self._encode(request, server),
                     max_body_bytes=request.max_response_bytes,
-                    on_body=reservation.grow,
+                    on_bytes=reservation.grow,
                 )
                 self._check_request_id(request, response, server, reused=lease.reused)
         except BackendServerError as error:
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -28,7 +28,6 @@
 from savorypond.gateway.rate_control import RateControl
 from savorypond.gateway.rate_share_sync import RateShareSync
 from savorypond.gateway.reader_selection import ReaderSelection
-from savorypond.gateway.response_memory import ResponseMemory
 from savorypond.gateway.retry_budget import ServiceRetryBudget
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.run_types import RunDependencies
@@ -40,6 +39,7 @@
 from savorypond.gateway.status import GatewayStatus
 from savorypond.http.channel import HttpLimits
 from savorypond.http.messages import HttpRequest, HttpResponse, text_response
+from savorypond.http.response_memory import ResponseMemory
 from savorypond.http.server import HttpServer, PerPeerLimiter
 from savorypond.logs import log_event
 from savorypond.membership.pause import HEARTBEAT_INTERVAL, Paused, PauseDetector
--- a/src/savorypond/gateway/peers.py
+++ b/src/savorypond/gateway/peers.py
@@ -154,7 +154,7 @@
         try:
             async with timeout_after(READ_TIMEOUT):
                 response = await self.send(
-                    peer, request, on_body=received.add, max_silence=MAX_READ_SILENCE
+                    peer, request, on_bytes=received.add, max_silence=MAX_READ_SILENCE
                 )
         except TaskTimeout as error:
             problem = f"no complete answer in {READ_TIMEOUT} s: {received.count} bytes"
@@ -176,12 +176,12 @@
         peer: Instance,
         request: HttpRequest,
         *,
-        on_body: Callable[[int], None] = lambda size: None,
+        on_bytes: Callable[[int], None] = lambda size: None,
         max_silence: float | None = None,
     ) -> HttpResponse:
         """Return the response of ``peer``.
 
-        :param on_body: called with the number of bytes by which the body has grown.
+        :param on_bytes: called with the number of bytes that have been received.
         :param max_silence: seconds without a byte of the response after which it fails.
         :raises BackendServerError: the connection failed.
         :raises PoolExhausted: too many requests to the peer are in flight.
@@ -191,12 +191,12 @@
         )
         async with lease as connection:
             return await connection.request(
-                request, on_body=on_body, max_silence=max_silence
+                request, on_bytes=on_bytes, max_silence=max_silence
             )
 
 
 class _ReceivedBytes:
-    """Counts the bytes of a response's body."""
+    """Counts the bytes of a response."""
 
     def __init__(self) -> None:
         self._count = 0
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -18,10 +18,10 @@
 from savorypond.gateway.rate_admission import OVERADMISSION, admission_rank
 from savorypond.gateway.rate_control import RankedRequest
 from savorypond.gateway.response_classifier import AttemptOutcome
-from savorypond.gateway.response_memory import ResponseReservation
 from savorypond.gateway.run_types import RunDependencies, RunResult, RunSpec
 from savorypond.gateway.server_chooser import RegistryServerChooser
 from savorypond.http.messages import HttpResponse
+from savorypond.http.response_memory import ResponseReservation
 from savorypond.timeouts import ignore_after, timeout_after
 
 DEADLINE_MARGIN = 0.010  # seconds left for the answer before the caller's deadline
--- a/src/savorypond/http/client.py
+++ b/src/savorypond/http/client.py
@@ -111,7 +111,7 @@
         request: HttpRequest,
         *,
         max_body_bytes: int = MAX_BODY_BYTES,
-        on_body: Callable[[int], None] = lambda size: None,
+        on_bytes: Callable[[int], None] = lambda size: None,
         max_silence: float | None = None,
     ) -> HttpResponse:
         """Send ``request`` and return its response.
@@ -119,8 +119,8 @@
         After an error or a cancellation, the connection is not reusable.
 
         :param max_body_bytes: maximum size of the response body.
-        :param on_body: called with the number of bytes by which the response body has
-            grown; may raise ResponseError.
+        :param on_bytes: called with the number of bytes by which the head and the body
+            of the response have grown; may raise ResponseError.
         :param max_silence: maximum seconds until the first and between any two bytes
             of the response, or None for no limit. Unlike a limit on the whole request,
             it does not end a long response over a slow link.
@@ -134,8 +134,8 @@
         try:
             self._sent = True
             fully_sent = await self._send(data, parser)
-            on_body(parser.body_bytes)
-            await self._receive(parser, on_body, max_silence)
+            on_bytes(parser.held_bytes)
+            await self._receive(parser, on_bytes, max_silence)
         except (OSError, ResponseError) as error:
             raise BackendServerError(
                 server=self._host, problem=str(error) or repr(error), sent=True
@@ -174,14 +174,13 @@
     async def _receive(
         self,
         parser: ResponseParser,
-        on_body: Callable[[int], None],
+        on_bytes: Callable[[int], None],
         max_silence: float | None,
     ) -> None:
         while not parser.complete:
-            received = parser.body_bytes
+            held = parser.held_bytes
             _feed(parser, await self._receive_bytes(max_silence))
-            if parser.body_bytes > received:
-                on_body(parser.body_bytes - received)
+            on_bytes(parser.held_bytes - held)
 
     async def _receive_bytes(self, max_silence: float | None) -> bytes:
         if max_silence is None:
--- a/src/savorypond/http/response_parser.py
+++ b/src/savorypond/http/response_parser.py
@@ -11,9 +11,13 @@
 
 _MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
-# Chunk sizes, chunk extensions and trailers; a chunk has at least 5 bytes of framing.
+_MAX_HEADERS = 100
+# Chunk sizes, chunk extensions and trailers. A small body may come in chunks of one
+# byte, with 5 bytes of framing each; a large one would take much processor time.
 _MAX_FRAMING_BYTES = 16 * 1024
 _MAX_FRAMING_PER_BODY_BYTE = 6
+_SMALL_BODY_BYTES = 64 * 1024
+_MAX_FRAMING_PER_FURTHER_BYTE = 0.5
 _SWITCHING_PROTOCOLS = 101
 _MIN_FINAL_STATUS = 200
 
@@ -23,8 +27,9 @@
 
     Limits the size of everything that a server may send: the status line and headers,
     together with those of informational responses, the body, and the framing of a
-    chunked body. Trailers are discarded, because a field of a trailer must not be taken
-    for a header (RFC 9110, section 6.5.1).
+    chunked body. Keeps little more than the bytes that it accepts, however they are cut
+    into headers and chunks. Trailers are discarded, because a field of a trailer must
+    not be taken for a header (RFC 9110, section 6.5.1).
 
     :param method: method of the request; a response to HEAD has no body.
     :param max_body_bytes: maximum size of the body.
@@ -35,7 +40,8 @@
         self._max_body_bytes = max_body_bytes
         self._parser = HttpResponseParser(self)
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._header_count = 0
+        self._body = bytearray()
         self._head_bytes = 0
         self._body_bytes = 0
         self._framing_bytes = 0
@@ -53,6 +59,11 @@
         """Number of bytes of the body that have arrived."""
         return self._body_bytes
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes of the head and the body that are kept."""
+        return self._head_bytes + self._body_bytes
+
     @property
     def has_trailing_data(self) -> bool:
         """Whether bytes arrived after the end of the response."""
@@ -80,14 +91,15 @@
             raise ResponseError(
                 problem=f"response body exceeds {self._max_body_bytes} bytes"
             )
+        if self._header_count > _MAX_HEADERS:
+            raise ResponseError(problem=f"response has over {_MAX_HEADERS} headers")
         if self._complete:
             return
         if not self._has_head and self._head_bytes > _MAX_HEAD_BYTES:
             raise ResponseError(
                 problem=f"response headers exceed {_MAX_HEAD_BYTES} bytes"
             )
-        max_framing = _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
-        if self._framing_bytes > max_framing:
+        if self._framing_bytes > _max_framing(self._body_bytes):
             raise ResponseError(
                 problem=f"{self._framing_bytes} bytes of chunk extensions or trailers"
                 f" for {self._body_bytes} bytes of body"
@@ -110,7 +122,7 @@
         return HttpResponse(
             status=self._status,
             headers=tuple(self._headers),
-            body=b"".join(self._body),
+            body=bytes(self._body),
             close=self._closes_connection(),
         )
 
@@ -124,7 +136,10 @@
 
         httptools keeps white space behind a value, which is not part of it.
         """
-        if not self._has_head:
+        if self._has_head:
+            return
+        self._header_count += 1
+        if self._header_count <= _MAX_HEADERS:
             self._headers.append(
                 Header(
                     name=name.decode("latin-1").lower(),
@@ -150,7 +165,7 @@
             return
         self._body_bytes += len(data)
         if self._body_bytes <= self._max_body_bytes:
-            self._body.append(data)
+            self._body += data
 
     def on_message_complete(self) -> None:
         """Process the end of the final or of an informational response."""
@@ -176,3 +191,13 @@
             header.name == "connection" and "close" in header.value.lower()
             for header in self._headers
         )
+
+
+def _max_framing(body_bytes: int) -> float:
+    """Return the bytes of framing that a chunked body of ``body_bytes`` may have."""
+    small = min(body_bytes, _SMALL_BODY_BYTES)
+    return (
+        _MAX_FRAMING_BYTES
+        + _MAX_FRAMING_PER_BODY_BYTE * small
+        + _MAX_FRAMING_PER_FURTHER_BYTE * (body_bytes - small)
+    )
--- a/tests/published_feed_fleet.py
+++ b/tests/published_feed_fleet.py
@@ -172,13 +172,13 @@
         if kind is not None:
             self._source.connected.discard(self._target)
 
-    async def request(self, request, *, on_body, max_silence):
+    async def request(self, request, *, on_bytes, max_silence):
         try:
             async with timeout_after(max_silence):
                 response = await self._first_bytes(request)
         except TaskTimeout as error:
             raise BackendServerError(server="", problem="silence", sent=True) from error
-        await self._receive(response, on_body)
+        await self._receive(response, on_bytes)
         return response
 
     async def _first_bytes(self, request):
@@ -192,12 +192,12 @@
         await self._pass(target, source)
         return response
 
-    async def _receive(self, response, on_body):
+    async def _receive(self, response, on_bytes):
         """Receive the body over the link, which the other transfers share."""
         for _ in range(0, len(response.body), CHUNK_BYTES):
             async with self._target.link:
                 await sleep(CHUNK_BYTES / LINK_BYTES)
-            on_body(CHUNK_BYTES)
+            on_bytes(CHUNK_BYTES)
 
     async def _pass(self, sender, receiver):
         """Deliver a message; never, if one of the two is cut off."""
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -2,14 +2,15 @@
 
 from contextlib import suppress
 from itertools import pairwise
+from tracemalloc import get_traced_memory, start, stop
 from unittest import TestCase
 
 from curio import Event, sleep
 from hypothesis import given, settings, strategies as st
 
 from savorypond.exceptions import ResponseError
-from savorypond.gateway.response_memory import ResponseMemory, ResponseReservation
 from savorypond.http.listener import Listener
+from savorypond.http.response_memory import ResponseMemory, ResponseReservation
 from savorypond.http.response_parser import ResponseParser
 from savorypond.model import Counters
 from savorypond.platform.names import HEADERS
@@ -34,6 +35,21 @@
     "trailer": (CHUNKED + b"1\r\nx\r\n0\r\nX: ", b"x" * 1000),
 }
 NO_RESPONSE = {"noise": (b"\x16\x03\x01", b"\x00\xff" * 500)}
+# The same many small pieces, none of which exceeds a limit by itself.
+SMALL_PIECES = {
+    "short headers": (OK_LINE, b"a:\r\n" * 1000),
+    "short trailers": (CHUNKED + b"1\r\nx\r\n0\r\n", b"a:\r\n" * 1000),
+    "informational headers": (
+        b"",
+        b"HTTP/1.1 103 Early\r\n" + b"a:\r\n" * 30 + b"\r\n",
+    ),
+    **{
+        f"chunks of {size}": (CHUNKED, (b"%x\r\n%b\r\n" % (size, b"x" * size)) * 500)
+        for size in (1, 2, 5, 12, 20)
+    },
+}
+LARGE_BODY_BYTES = 1024 * 1024
+SPARE_BYTES = 128 * 1024  # of the parser and its buffers
 MAX_BODY_BYTES = 64 * 1024
 MAX_ACCEPTED_BYTES = 512 * 1024  # for small chunks, whose framing exceeds the body
 RESPONSE_START = st.sampled_from([b"", OK_LINE, CHUNKED, *dict(ENDLESS.values())])
@@ -79,6 +95,40 @@
             with self.subTest(name), self.assertRaises(ResponseError):
                 parse(endless(*sent))
 
+    def test_memory_stays_near_the_bytes_that_are_counted(self):
+        """Chunks of two bytes took 22 times what was counted, until it ran out."""
+        for name, (first, repeated) in SMALL_PIECES.items():
+            with self.subTest(name):
+                parser = ResponseParser(method="GET", max_body_bytes=LARGE_BODY_BYTES)
+                start()
+                try:
+                    with self.assertRaises(ResponseError):
+                        for block in endless(first, repeated):
+                            parser.feed(block)
+                    _, peak = get_traced_memory()
+                finally:
+                    stop()
+                self.assertLess(peak, 2 * parser.held_bytes + SPARE_BYTES)
+
+    def test_a_large_body_in_tiny_chunks_is_refused_early(self):
+        """Each chunk costs processor time that other requests lack."""
+        parser = ResponseParser(method="GET")
+        with self.assertRaises(ResponseError):
+            for block in endless(CHUNKED, b"1\r\nx\r\n" * 1000):
+                parser.feed(block)
+        self.assertLess(parser.body_bytes, 4 * MAX_BODY_BYTES)
+
+    def test_a_large_body_in_small_chunks_is_accepted(self):
+        chunk = b"10\r\n" + b"x" * 16 + b"\r\n"
+        parser = ResponseParser(method="GET")
+        for block in (CHUNKED, *[chunk * 1000] * 100, b"0\r\n\r\n"):
+            parser.feed(block)
+        self.assertEqual(len(parser.response().body), 1_600_000)
+
+    def test_a_hundred_headers_are_accepted(self):
+        parser, _ = parse([OK_LINE + b"a: b\r\n" * 99 + b"Content-Length: 0\r\n\r\n"])
+        self.assertEqual(len(parser.response().headers), 100)
+
     def test_bytes_after_a_response_are_not_part_of_it(self):
         parser, _ = parse([OK_LINE + b"Content-Length: 2\r\n\r\nok" + b"x" * 1000])
         self.assertEqual(parser.response().body, b"ok")
