--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -200,6 +200,22 @@
         second.release()
         self.assertEqual(memory.held, 0)
 
+    def test_large_responses_leave_room_for_small_ones(self):
+        """Servers that send without end must not fail the answers of others."""
+        memory = ResponseMemory(limit=4 * LARGE_BODY_BYTES, counters=Counters())
+        large = [ResponseReservation(memory=memory) for _ in range(4)]
+        for reservation in large:
+            with suppress(ResponseError):
+                while True:
+                    reservation.grow(16 * 1024)
+        small = [ResponseReservation(memory=memory) for _ in range(4)]
+        for reservation in small:
+            reservation.grow(32 * 1024)
+        self.assertLessEqual(memory.held, 4 * LARGE_BODY_BYTES)
+        for reservation in (*large, *small):
+            reservation.release()
+        self.assertEqual(memory.held, 0)
+
 
 class EndlessServer(FakeServer):
     """Sends one block, then another one without end, until its client closes.
