Limit the memory of arriving answers at the entry, too

Cause: the project's own entry limited each answer, to 16 MiB, but not all of them: a query over twenty shards whose servers send without end could take 320 MiB, and a probe's answer was as large.

Change: ResponseMemory, now in savorypond.http, also limits what an entry's connections receive at once (setting response_bytes, 64 MiB by default); a probe's answer has at most 64 KiB.

Evidence: test_an_answer_without_end_ends_at_the_limit_of_the_instance; ServerConnections had no such limit before. Not shown with processes.

--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -20,16 +20,21 @@
 from savorypond.exceptions import BackendServerError
 from savorypond.http.client import HttpConnection
 from savorypond.http.messages import HttpRequest, HttpResponse
+from savorypond.http.response_memory import ResponseMemory, ResponseReservation
 from savorypond.model import Address, Counters
 from savorypond.timeouts import timeout_after
 
 PROBE_TIMEOUT = 0.03  # seconds for a connection to answer a probe
 CONNECT_TIMEOUT = 0.25  # seconds for a connection to open
+_MAX_PROBE_BYTES = 64 * 1024  # size of the answer to a probe
 _PROBE = HttpRequest(method="GET", path="/v1/health")
 
 
 class ServerConnections:
-    """The connections of this instance to one backend server."""
+    """The connections of this instance to one backend server.
+
+    :param memory: limits what responses occupy while they arrive.
+    """
 
     def __init__(
         self,
@@ -41,7 +46,9 @@
         clock: Clock,
         rng: Random,
         counters: Counters,
+        memory: ResponseMemory,
     ) -> None:
+        self._memory = memory
         self._name = name
         self._address = address
         self._source_host = source_host
@@ -169,14 +176,17 @@
 
     def _make_lease(self, number: int) -> "ConnectionLease":
         return ConnectionLease(
-            server_connections=self, number=number, connection=self._connections[number]
+            server_connections=self,
+            number=number,
+            connection=self._connections[number],
+            memory=self._memory,
         )
 
     async def probe(self, connection: HttpConnection) -> bool:
         """Send a health request on ``connection``; return whether it was answered."""
         try:
             async with timeout_after(PROBE_TIMEOUT):
-                await connection.request(_PROBE)
+                await connection.request(_PROBE, max_body_bytes=_MAX_PROBE_BYTES)
         except (BackendServerError, TaskTimeout):
             self._counters.add("probes", "failed")
             return False
@@ -224,7 +234,9 @@
         server_connections: ServerConnections,
         number: int,
         connection: HttpConnection,
+        memory: ResponseMemory,
     ) -> None:
+        self._memory = memory
         self._server_connections = server_connections
         self._number = number
         self._connection = connection
@@ -275,14 +287,19 @@
             within ``seconds``.
         """
         self._used = True
+        reservation = ResponseReservation(memory=self._memory)
         try:
             async with timeout_after(seconds):
-                return await self._connection.request(request)
+                return await self._connection.request(
+                    request, on_bytes=reservation.grow
+                )
         except TaskTimeout as error:
             self._timed_out = True
             raise BackendServerError(
                 server=self._server_connections.name, problem="timed out", sent=True
             ) from error
+        finally:
+            reservation.release()
 
 
 def _connect_problem(error: Exception) -> str:
--- a/src/savorypond/controllers/pools.py
+++ b/src/savorypond/controllers/pools.py
@@ -8,9 +8,11 @@
 from savorypond.balancing.pool import PoolLimits
 from savorypond.clock import Clock
 from savorypond.controllers.connections import ServerConnections
+from savorypond.http.response_memory import ResponseMemory
 from savorypond.model import BackendServer, Counters, Service
 
 _REAP_INTERVAL = 5.0  # seconds
+DEFAULT_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 class ConnectionShare(Protocol):
@@ -21,7 +23,10 @@
 
 
 class ConnectionPools:
-    """Keeps a pool for each backend server of the active services."""
+    """Keeps a pool for each backend server of the active services.
+
+    :param response_bytes: memory that responses may occupy while they arrive.
+    """
 
     def __init__(
         self,
@@ -31,7 +36,9 @@
         clock: Clock,
         rng: Random,
         counters: Counters,
+        response_bytes: int = DEFAULT_RESPONSE_BYTES,
     ) -> None:
+        self._memory = ResponseMemory(limit=response_bytes, counters=counters)
         self._source_host = source_host
         self._share = share
         self._clock = clock
@@ -108,6 +115,7 @@
             clock=self._clock,
             rng=self._rng,
             counters=self._counters,
+            memory=self._memory,
         )
 
     async def _run_reaper(self) -> None:
--- a/src/savorypond/daemon.py
+++ b/src/savorypond/daemon.py
@@ -204,6 +204,7 @@
             clock=self._clock,
             rng=self._rng,
             counters=self._counters,
+            response_bytes=self._settings.response_bytes,
         )
         self._active = ActiveServices(
             config=self._config,
--- a/src/savorypond/settings.py
+++ b/src/savorypond/settings.py
@@ -53,6 +53,8 @@
 
     :param fleet: name that all instances of one installation share.
     :param peer_address: UDP port for membership and TCP port for gRPC.
+    :param response_bytes: memory that responses of backend servers may occupy while
+        they arrive.
     :param deadline_margin: seconds before the deadline at which the answer is
         composed of the results received so far.
     :param drain_time: seconds that a graceful stop waits for requests in flight.
@@ -70,6 +72,7 @@
     instance_list: Address
     placement: PlacementMode = PlacementMode.OWNER
     requests: RequestLimits = RequestLimits()
+    response_bytes: int = 64 * 1024 * 1024
     watchers_per_data_centre: int = 2
     log_format: LogFormat = LogFormat.JSON
     deadline_margin: float = 0.003
@@ -109,6 +112,7 @@
     instance_list: RemoteAddress
     placement: Literal["direct", "static", "owner"] = "owner"
     requests: _RequestSection = _RequestSection()
+    response_bytes: Annotated[Size, Field(ge=1 << 20, le=1 << 40)] = 64 * 1024 * 1024
     watchers_per_data_centre: Annotated[int, Field(ge=1, le=16)] = 2
     log_format: Literal["json", "text"] = "json"
     deadline_margin: Annotated[Duration, Field(le=1.0)] = 0.003
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -21,10 +21,12 @@
 from savorypond.exceptions import BackendServerError
 from savorypond.http.client import HttpConnection
 from savorypond.http.messages import HttpRequest
+from savorypond.http.response_memory import ResponseMemory
 from savorypond.model import Address, Counters
 
 TEST_TIMEOUT = 30  # seconds
 GET = HttpRequest(method="GET", path="/")
+MEMORY_BYTES = 1024 * 1024
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -303,6 +305,38 @@
         self.assertFalse(run(main))
 
 
+class ResponseMemoryTests(TestCase):
+    def test_an_answer_without_end_ends_at_the_limit_of_the_instance(self):
+        """The entry had a limit for each answer only, of 16 MiB."""
+        endless = [b"HTTP/1.1 200 OK\r\n\r\n", *[b"x" * 65536] * 64]
+
+        async def main():
+            memory = ResponseMemory(limit=MEMORY_BYTES, counters=Counters())
+            async with (
+                timeout_after(TEST_TIMEOUT),
+                fake_server(endless, [OK]) as address,
+            ):
+                connections = ServerConnections(
+                    name="s",
+                    address=address,
+                    source_host="",
+                    limits=PoolLimits(cap=2),
+                    clock=SystemClock(),
+                    rng=Random(1),
+                    counters=Counters(),
+                    memory=memory,
+                )
+                with self.assertRaises(BackendServerError) as caught:
+                    async with await connections.lease(seconds=1) as lease:
+                        await lease.request(GET, seconds=TEST_TIMEOUT)
+                await connections.close()
+            return caught.exception.problem, memory.held
+
+        problem, held = run(main)
+        self.assertIn("responses would occupy", problem)
+        self.assertEqual(held, 0)
+
+
 class LateResponseTests(TestCase):
     def test_late_response_never_reaches_next_request(self):
         late_response = [b"", OK.replace(b"ok", b"no")]
@@ -320,6 +354,7 @@
                     clock=SystemClock(),
                     rng=Random(1),
                     counters=Counters(),
+                    memory=ResponseMemory(limit=MEMORY_BYTES, counters=Counters()),
                 )
                 with self.assertRaises(BackendServerError):
                     async with await connections.lease(seconds=1) as lease:
