Use only complete registrations

Ruled out: a check of the server by its name; it is the named one and runs the request.

Change: every field that a server writes must be there and of its type; only the start of the server may be missing, as in the platform's own example.

Without it, three of the new tests fail (fields missing, of another type, an entry under a server's name). test_registration_is_decoded decoded an entry without four of the fields, which names no server; it now decodes a complete one, and checks the same of it.

--- a/src/savorypond/platform/documents.py
+++ b/src/savorypond/platform/documents.py
@@ -81,14 +81,24 @@
 
 
 class _Registration(Struct, frozen=True):
+    """What a server says of itself, in full.
+
+    An entry that lacks a field or has one of another type was not written by a server,
+    and must not be used even if what it has would do.
+    """
+
     # Service that the server belongs to.
     backend: _Name
     address: str
     phase: str
-    zone: _Name = ""
+    zone: _Name
+    # Version of the server's software.
+    version: str
     # Maximum number of requests that the server runs concurrently.
-    max_concurrency: Annotated[int, Meta(ge=-_MAX_INT, le=_MAX_SLOTS)] = 1
-    warmup_left_ms: _Duration = 0
+    max_concurrency: Annotated[int, Meta(ge=-_MAX_INT, le=_MAX_SLOTS)]
+    warmup_left_ms: _Duration
+    # Number of the server's last report.
+    sequence: _Number
     # Unix milliseconds at which this incarnation of the server started.
     born: _Number = 0
 
--- a/tests/test_gateway_robustness.py
+++ b/tests/test_gateway_robustness.py
@@ -232,6 +232,17 @@
 
 
 class OddEntryTests(TestCase):
+    @with_gateway(READ, servers=lambda: (FakeServer("i1", service="s1"),))
+    async def test_an_incomplete_entry_does_not_move_a_server_to_a_service(self, env):
+        other = FakeServer("i2", service="s2")
+        async with other:
+            fields = ("backend", "address", "phase")
+            entry = {name: other.entry(backend="s1")[name] for name in fields}
+            env.store.put("servers/i2", entry)
+            env.store.put("op/config", configuration(READ, LATER, version=2))
+            await env.wait_until(lambda: env.gateway.version == 2)
+            self.assertEqual([s.name for s in env.gateway.servers("s1")], ["i1"])
+
     @with_gateway(READ, servers=lambda: (FakeServer("i1", service="s1"),))
     async def test_odd_entries_among_the_registrations_harm_nothing_else(self, env):
         entry = env.servers[0].entry()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -56,6 +56,19 @@
                 self.assertEqual(findall(PLATFORM_NAMES, path.read_text()), [])
 
 
+REGISTRATION = {
+    "backend": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "max_concurrency": 2,
+    "phase": "draining",
+    "warmup_left_ms": 1500,
+    "sequence": 4,
+    "born": 12,
+}
+
+
 class DocumentTests(TestCase):
     def test_routes_are_decoded(self):
         table = read_route_table(
@@ -103,19 +116,31 @@
                 read_route_table(data)
 
     def test_registration_is_decoded(self):
-        data = {
-            "backend": "s",
-            "address": "10.0.0.1:80",
-            "phase": "draining",
-            "zone": "a",
-            "warmup_left_ms": 1500,
-            "born": 12,
-        }
-        server = read_registration(name="i", data=dumps(data).encode())
+        server = read_registration(name="i", data=dumps(REGISTRATION).encode())
         self.assertEqual(server.address, Address(host="10.0.0.1", port=80))
         self.assertTrue(server.leaving)
         self.assertEqual((server.cold_for, server.started), (1.5, 12))
 
+    def test_an_incomplete_registration_names_no_server(self):
+        """An entry of another writer made requests run at a wrong service."""
+        for name in REGISTRATION.keys() - {"born"}:
+            entry = {n: v for n, v in REGISTRATION.items() if n != name}
+            with self.subTest(name), self.assertRaises(ValueError):
+                read_registration(name="i", data=dumps(entry).encode())
+
+    def test_a_registration_with_a_field_of_another_type_names_no_server(self):
+        for name, value in REGISTRATION.items():
+            other = 7 if isinstance(value, str) else "7"
+            for wrong in (other, None, [value]):
+                data = dumps({**REGISTRATION, name: wrong}).encode()
+                with self.subTest(name), self.assertRaises(ValueError):
+                    read_registration(name="i", data=data)
+
+    def test_a_registration_may_lack_the_start_of_the_server(self):
+        entry = {n: v for n, v in REGISTRATION.items() if n != "born"}
+        server = read_registration(name="i", data=dumps(entry).encode())
+        self.assertEqual(server.started, 0)
+
 
 class NodeFileTests(TestCase):
     def test_settings_are_parsed(self):
