Believe a refusal without an id only on a new connection

Ruled out: that closing on unread bytes catches it; the copy arrives after the next request was sent.

Change: on a connection used before, nothing counts that has no id, and the connection is closed. The outcome is unidentified: the request may have run, and the server counts as full, not as failing.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -193,7 +193,11 @@
                     max_body_bytes=request.max_response_bytes,
                     on_bytes=reservation.grow,
                 )
-                self._check_request_id(request, response, server, reused=lease.reused)
+                mistaken = self._classifier.check_identity(
+                    response, request_id=request.request_id, reused=lease.reused
+                )
+                if mistaken is not None:
+                    await connection.close(abort=True)
         except BackendServerError as error:
             reservation.release()
             outcome = AttemptOutcome.BROKEN if error.sent else AttemptOutcome.NOT_SENT
@@ -201,6 +205,11 @@
         except BaseException:
             reservation.release()
             raise
+        if mistaken is not None:
+            reservation.release()
+            return AttemptResult(
+                outcome=mistaken.outcome, server=server, problem=mistaken.problem
+            )
         classification = self._classifier.classify(response, is_part=request.is_part)
         return AttemptResult(
             outcome=classification.outcome,
@@ -227,31 +236,6 @@
             body=request.body,
         )
 
-    def _check_request_id(
-        self,
-        request: ForwardedRequest,
-        response: HttpResponse,
-        server: RegisteredServer,
-        *,
-        reused: bool,
-    ) -> None:
-        """Raise BackendServerError if the response may be to another request.
-
-        On a connection that was used before, a response without an id cannot be told
-        from a late second copy of an earlier one.
-        """
-        received_id = response.header(self._names.request_id)
-        if received_id is None and reused and response.header(self._names.signature):
-            raise BackendServerError(
-                server=server.name,
-                problem="answer without a request id on a reused connection",
-                sent=True,
-            )
-        if received_id is not None and received_id != request.request_id:
-            raise BackendServerError(
-                server=server.name, problem="answer to another request", sent=True
-            )
-
     def _observe_rate_limit(self, result: AttemptResult, sent_at: float) -> None:
         response, server = result.response, result.server
         if response is None or result.outcome is AttemptOutcome.MISDIRECTED:
@@ -274,7 +258,8 @@
             self._loads.record_answer(
                 server, number, mean_latency=mean_latency, now=now
             )
-        elif result.outcome is AttemptOutcome.REFUSED:
+        elif result.outcome in (AttemptOutcome.REFUSED, AttemptOutcome.UNIDENTIFIED):
+            # A server that is full may not repeat the id of what it refuses.
             self._loads.record_refusal(server, number, now=now)
         elif result.outcome is AttemptOutcome.REJECTED:
             self._loads.record_rejection(server, number, now=now)
--- a/src/savorypond/gateway/response_classifier.py
+++ b/src/savorypond/gateway/response_classifier.py
@@ -34,6 +34,7 @@
     FAILED = "failed"
     BROKEN = "broken"  # connection lost, or invalid or mismatched response
     SILENT = "silent"  # no answer before the caller's deadline
+    UNIDENTIFIED = "unidentified"  # perhaps a late copy of an earlier refusal
     FOREIGN = "foreign"  # answer without an intact signature
 
 
@@ -54,6 +55,32 @@
     def __init__(self, *, names: HeaderNames) -> None:
         self._names = names
 
+    def check_identity(
+        self, response: HttpResponse, *, request_id: str, reused: bool
+    ) -> Classification | None:
+        """Return why ``response`` may be to another request, or None.
+
+        Nothing that it says counts then, and its connection must be closed, because the
+        answer to this request may follow.
+
+        :param reused: whether the connection has carried a request before. There, a
+            response without an id may be a late second copy of an earlier one.
+        """
+        received_id = response.header(self._names.request_id)
+        if received_id is not None:
+            if received_id == request_id:
+                return None
+            problem = "answer to another request"
+            return Classification(outcome=AttemptOutcome.BROKEN, problem=problem)
+        if not reused:
+            return None
+        problem = (
+            f"status {response.status} without a request id on a reused connection"
+        )
+        if response.header(self._names.signature) is not None:
+            return Classification(outcome=AttemptOutcome.BROKEN, problem=problem)
+        return Classification(outcome=AttemptOutcome.UNIDENTIFIED, problem=problem)
+
     def classify(self, response: HttpResponse, *, is_part: bool) -> Classification:
         """Return what ``response`` says about its request.
 
--- a/tests/test_gateway_response_classifier.py
+++ b/tests/test_gateway_response_classifier.py
@@ -86,6 +86,34 @@
         )
 
 
+class IdentityTests(TestCase):
+    def check(self, response, *, reused):
+        found = ResponseClassifier(names=HEADERS).check_identity(
+            response, request_id="r1", reused=reused
+        )
+        return found.outcome if found is not None else None
+
+    def test_a_response_with_the_id_of_its_request_is_identified(self):
+        own = response(**{HEADERS.request_id: "r1"})
+        self.assertIsNone(self.check(own, reused=True))
+        self.assertIsNone(self.check(own, reused=False))
+
+    def test_a_response_to_another_request_is_not_used(self):
+        other = response(503, signature=None, **{HEADERS.request_id: "r0"})
+        for reused in (False, True):
+            self.assertEqual(self.check(other, reused=reused), AttemptOutcome.BROKEN)
+
+    def test_without_an_id_only_a_new_connection_identifies_a_response(self):
+        refusal = response(503, signature=None, **{HEADERS.not_run: "1"})
+        misdirected = response(421, signature=None)
+        for unidentified in (refusal, misdirected, response(500, signature=None)):
+            self.assertIsNone(self.check(unidentified, reused=False))
+            self.assertEqual(
+                self.check(unidentified, reused=True), AttemptOutcome.UNIDENTIFIED
+            )
+        self.assertEqual(self.check(response(), reused=True), AttemptOutcome.BROKEN)
+
+
 class SignatureTests(TestCase):
     def problem(self, *signatures, is_listed=True):
         headers = tuple(Header(name=HEADERS.signature, value=s) for s in signatures)
--- a/tests/test_gateway_robustness.py
+++ b/tests/test_gateway_robustness.py
@@ -29,6 +29,7 @@
 from tests.test_gateway_daemon import with_gateway
 
 READ = route("r", "/r/", backend="s1")
+WRITE = route("w", "/w/", backend="s1", type="unsafe")
 LATER = route("l", "/l/", backend="s1")
 MESSAGES = 200  # malformed messages of each kind
 REQUESTS = 40
@@ -70,6 +71,30 @@
         return b"\r\n".join(lines) + b"\r\n\r\nok"
 
 
+class LateRefusalServer(RepeatingServer):
+    """Runs each request, and sends a refusal without an id ahead of the next answer.
+
+    :param status: status of the refusal.
+    """
+
+    def __init__(self, name, *, service, status):
+        super().__init__(name, service=service, echoes_ids=True)
+        self._refusal = (
+            f"HTTP/1.1 {status} Refused\r\n{HEADERS.not_run}: 1\r\n"
+            "Content-Length: 0\r\n\r\n"
+        ).encode()
+
+    async def _serve(self, sock, peer):
+        late = b""
+        async with sock:
+            with suppress(OSError):
+                while head := await sock.recv(65536):
+                    self.requests.append(head)
+                    await sock.sendall(late + self._response(head))
+                    self.sent_copies += bool(late)
+                    late = self._refusal
+
+
 class SecondCopyTests(TestCase):
     """A late second copy of a response must not answer the next request."""
 
@@ -96,6 +121,34 @@
     def test_a_copy_without_an_id(self):
         self.check(echoes_ids=False)
 
+    def test_a_late_refusal_does_not_make_a_request_run_twice(self):
+        """It counted as the answer to the next request, which was sent again."""
+        for status in (503, 421):
+            with self.subTest(status):
+                self.check_refusal(status)
+
+    def check_refusal(self, status):
+        servers = (
+            LateRefusalServer("i1", service="s1", status=status),
+            LateRefusalServer("i2", service="s1", status=status),
+        )
+
+        @with_gateway(WRITE, servers=lambda: servers)
+        async def ask(self, env):
+            statuses = []
+            for number in range(REQUESTS):
+                response = await env.ask(
+                    "/w/", method="POST", body=b"x", request_id=f"r{number}"
+                )
+                statuses.append(response.status)
+            runs = sum(len(server.requests) for server in servers)
+            self.assertEqual(runs, REQUESTS)
+            self.assertGreater(sum(server.sent_copies for server in servers), 0)
+            self.assertLessEqual(set(statuses), {200, 502})
+            self.assertIn(200, statuses)
+
+        ask(self)
+
 
 class OddHeaderServer(FakeServer):
     """Sends its header fields as they are, byte by byte.
