Refuse a time header that is no finite number

Cause: "nan" is a number for float(); the request then had no deadline, since every comparison with it is false. Found while looking for headers that count for more than they say.

Change: a time that is not finite is malformed (400).

Evidence: test_a_request_without_an_id_or_with_an_invalid_time_is_malformed with "nan", "inf" and "-inf". That it failed before was not run.

--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from math import isfinite
 from random import Random
 
 from curio import CancelledError, sleep
@@ -271,6 +272,11 @@
                 reason=RefusalReason.MALFORMED,
                 detail=f"header {self._names.time_left} is not a number: {text!r}",
             ) from error
+        if not isfinite(time_left):
+            raise RequestRefused(
+                reason=RefusalReason.MALFORMED,
+                detail=f"header {self._names.time_left} is not finite: {text!r}",
+            )
         if time_left <= request.unread_time:
             raise RequestRefused(
                 reason=RefusalReason.TIME_TOO_SHORT,
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -391,8 +391,9 @@
         self, env
     ):
         self.assertEqual((await env.ask("/r/", request_id="")).status, 400)
-        bad = {HEADERS.time_left: "soon"}
-        self.assertEqual((await env.ask("/r/", **bad)).status, 400)
+        for text in ("soon", "nan", "inf", "-inf", ""):
+            bad = {HEADERS.time_left: text}
+            self.assertEqual((await env.ask("/r/", **bad)).status, 400)
 
     @with_gateway(READ, servers=replicas("good", "good"))
     async def test_oversized_headers_and_bodies_are_refused(self, env):
