Let a delegate say whether its group may have run

Cause: a group that got no answer, because rate limits kept some shards from being sent and the servers of others failed after they had run, came back as 200 without parts, and the instance that had delegated it could then refuse the query as not run.

Change: a delegate says so if no server may have run its group; without that, the instance does not promise it.

--- a/benchmarks/bench_gather.py
+++ b/benchmarks/bench_gather.py
@@ -26,7 +26,6 @@
 from savorypond.gateway.rate_control import RateControl
 from savorypond.gateway.reader_selection import ReaderSelection
 from savorypond.gateway.request_run import RequestRun
-from savorypond.http.response_memory import ResponseMemory
 from savorypond.gateway.responses import merged_response
 from savorypond.gateway.retry_budget import ServiceRetryBudget, ServiceRetryBudgetConfig
 from savorypond.gateway.route_latency import RouteLatencies
@@ -35,6 +34,7 @@
 from savorypond.gateway.server_load import ServerLoadTracker
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.http.messages import Header, HttpResponse
+from savorypond.http.response_memory import ResponseMemory
 from savorypond.http.server import HttpLimits, HttpServer
 from savorypond.model import Counters, Instance
 
@@ -65,7 +65,12 @@
         ]
         merged = merged_response(parts, top=TOP, shard_count=len(parts), names=NAMES)
         return group_response(
-            merged, answered=tuple(shards), pending=(), shares={}, rate_limited=False
+            merged,
+            answered=tuple(shards),
+            pending=(),
+            shares={},
+            rate_limited=False,
+            may_have_run=True,
         )
     headers = (
         Header(name=NAMES.request_id, value=request.header(NAMES.request_id) or ""),
--- a/src/savorypond/gateway/delegation_client.py
+++ b/src/savorypond/gateway/delegation_client.py
@@ -37,6 +37,8 @@
 _ROOM_HEADER = "peer-room"
 # Response header that is present if rate limits kept shards from being sent.
 _RATE_LIMITED_HEADER = "peer-rate-limited"
+# Response header that is present if no backend server may have run the request.
+_NOT_RUN_HEADER = "peer-not-run"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -263,6 +265,7 @@
             pending=pending,
             shares=shares,
             rate_limited=response.header(_RATE_LIMITED_HEADER) is not None,
+            may_have_run=response.header(_NOT_RUN_HEADER) is None,
         )
 
     def _failure(
@@ -305,12 +308,14 @@
     pending: Sequence[int],
     shares: Mapping[int, float],
     rate_limited: bool,
+    may_have_run: bool,
 ) -> HttpResponse:
     """Return ``response`` with the indexes of the shards that it covers.
 
     :param pending: indexes of the shards that this instance is still waiting for.
     :param shares: share of the requests that shards have room for, by index.
     :param rate_limited: whether rate limits kept shards from being sent.
+    :param may_have_run: whether a backend server may have run the request.
     """
     headers = [
         Header(name=_SHARDS_HEADER, value=_encode_shards(answered)),
@@ -321,6 +326,8 @@
         headers.append(Header(name=_ROOM_HEADER, value=room))
     if rate_limited:
         headers.append(Header(name=_RATE_LIMITED_HEADER, value="1"))
+    if not may_have_run:
+        headers.append(Header(name=_NOT_RUN_HEADER, value="1"))
     return HttpResponse(
         status=response.status,
         headers=(*response.headers, *headers),
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -224,6 +224,7 @@
             pending=result.pending,
             shares=self._shares(spec),
             rate_limited=result.rate_limited,
+            may_have_run=result.may_run or bool(result.parts),
         )
 
     def _shares(self, spec: RunSpec) -> dict[int, float]:
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -279,6 +279,7 @@
 
     async def _record_group(self, attempt: GroupAttempt, result: GroupResult) -> None:
         self._record_shares(result)
+        self._may_run = self._may_run or result.may_have_run
         if not result.problem:
             self._group_numbers[attempt.number] = result.number
             is_used = self._plan.record_group_answer(
@@ -287,7 +288,6 @@
             if is_used and result.part is not None:
                 self._record_group_part(result.part, result.answered)
             return
-        self._may_run = self._may_run or result.may_have_run
         self._reached = self._reached or result.may_have_run
         self._problems.append(f"instance {result.peer}: {result.problem}")
         now = self._dependencies.clock.now()
