Let the soak's servers fail after a run and damage signatures

A failing server now answers with 500, 504, 404, 429 or 503 after it has run the request, and a new mode spoils a byte of half of the signatures. The checker also looks at signed failures: their status must be the server's.

The new violation "signed failure with another status" is found.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -111,6 +111,14 @@
                 problem = check(attempt)
                 if problem:
                     yield f"answer: {attempt.request_id} {problem}"
+            elif attempt.status and attempt.signature:
+                run = self._by_signature.get(attempt.signature)
+                if run is None or run.status != attempt.status:
+                    status = run.status if run is not None else "no"
+                    yield (
+                        f"answer: {attempt.request_id} has status {attempt.status} and"
+                        f" a signature of {status} status"
+                    )
 
     def _check_forwarded(self, attempt: AttemptRecord) -> str:
         if attempt.kind is RequestKind.GATHER:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 
 from tests.soak.proxy import ProxyFaults
 from tests.soak.records import DrainStart, RateLimitPeriod
+from tests.soak.servers import FAULTY_MODES
 
 LAPSE_TIME = 3.0  # seconds after which a registration lapses that is not renewed
 LIMITED_TIME = 6.0  # seconds for which a server announces a rate limit, at least
@@ -181,7 +182,7 @@
 
     async def _fail_server(self, duration):
         server = self._server()
-        server.mode = self._random.choice(("failing", "shedding", "losing"))
+        server.mode = self._random.choice(FAULTY_MODES)
         await sleep(duration)
         server.mode = "good"
 
@@ -190,7 +191,7 @@
         site = self._site
         service = self._server().service
         servers = [one for one in site.servers.values() if one.service == service]
-        mode = self._random.choice(("failing", "shedding", "losing"))
+        mode = self._random.choice(FAULTY_MODES)
         for server in servers:
             server.mode = mode
         await sleep(duration)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -18,6 +18,9 @@
 from tests.soak.records import LONG_SUFFIX, RunRecord
 
 RECORDS_PER_ANSWER = 8
+FAULTY_MODES = ("failing", "shedding", "losing", "damaging")
+# Some promise that the request has not run, without the statement of the server.
+FAILURE_STATUSES = (500, 504, 404, 429, 503)
 LONG_SERVICE_TIME = 0.9  # seconds
 _serials = count(1)
 
@@ -28,10 +31,11 @@
     :param slots: requests that run at the same time.
     :param service_time: median seconds of work for a request.
 
-    ``mode`` is ``good``, ``failing`` (half of the answers have status 500),
-    ``shedding`` (refuses requests as not run) or ``losing`` (closes the connection of
-    some requests after they have run, without an answer). ``rate_limit`` is the
-    requests a second that it announces, or None.
+    ``mode`` is ``good`` or one of ``FAULTY_MODES``: ``failing`` (half of the answers
+    have the status of a failure, though the request has run), ``shedding`` (refuses
+    requests as not run), ``losing`` (closes the connection of some requests after they
+    have run, without an answer) or ``damaging`` (spoils a byte of half of the
+    signatures). ``rate_limit`` is the requests a second that it announces, or None.
     """
 
     def __init__(self, *, name, service, random, records, slots=2, service_time=0.012):
@@ -128,15 +132,19 @@
                 detail="injected fault: answer dropped",
                 execution=Execution.UNKNOWN,
             )
-        failing = self.mode == "failing" and self._random.random() < 0.5
+        is_faulty = self._random.random() < 0.5
+        failing = self.mode == "failing" and is_faulty
         run.signature = f"{self.name}.{run.request_id}.{next(_serials)}"
         run.answer = self._answer(run.request_id)
-        run.status = 500 if failing else 200
+        run.status = self._random.choice(FAILURE_STATUSES) if failing else 200
+        signature = run.signature
+        if self.mode == "damaging" and is_faulty:
+            signature = chr(ord(signature[0]) | 0x80) + signature[1:]
         return HttpResponse(
             status=run.status,
             headers=(
                 Header(name=HEADERS.request_id, value=run.request_id),
-                Header(name=HEADERS.signature, value=run.signature),
+                Header(name=HEADERS.signature, value=signature),
                 *self._limit_headers(),
             ),
             body=run.answer,
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -96,6 +96,12 @@
     Case("foreign signature", "answer", (attempt(signature="x"),), (run(),)),
     Case("another body", "answer", (attempt(answer=B),), (run(),)),
     Case("failure as success", "answer", (attempt(),), (run(status=500),)),
+    Case(
+        "signed failure with another status",
+        "answer",
+        (attempt(status=502),),
+        (run(status=500),),
+    ),
     Case("wrong records", "answer", (gathered(answer=A + B),), SHARD_RUNS),
     Case("one part twice", "answer", (gathered(parts=("i1.r1",) * 2),), SHARD_RUNS),
     Case("false count", "answer", (gathered(missing=1),), SHARD_RUNS),
