Take no failed health answer for readiness

Cause: at the project's own entry, the body of a health answer counted with any status: a server that answers 503 with a ready state, or lists what it holds beside an error, was ready and held it.

Change: with a status other than 200 only "draining" counts; the rest is counted under health_failures as status.

--- a/src/savorypond/controllers/health.py
+++ b/src/savorypond/controllers/health.py
@@ -14,12 +14,14 @@
 from savorypond.controllers.backend_servers import BackendServers, KnownServer
 from savorypond.controllers.pools import ConnectionPools
 from savorypond.exceptions import BackendServerError
-from savorypond.http.messages import HttpRequest
+from savorypond.http.messages import HttpRequest, HttpResponse
 from savorypond.model import Counters, Holding, Service, ServiceKind
 
 HEALTH_PATH = "/v1/health"
 NOT_OWNED_FACTOR = 5.0  # intervals between polls if another instance is the owner
 _POLL_TIMEOUT = 0.25  # seconds
+_OK = 200
+_DRAINING = "draining"  # state of a server that must get no new work
 _BATCH_SIZE = 32  # health requests in flight at once
 _REQUEST = HttpRequest(method="GET", path=HEALTH_PATH)
 
@@ -132,13 +134,16 @@
         try:
             async with await connections.lease(seconds=_POLL_TIMEOUT) as lease:
                 response = await lease.request(_REQUEST, seconds=_POLL_TIMEOUT)
-            answer = _decoder.decode(response.body)
+            answer = read_health_answer(response)
         except BackendServerError:
             self._counters.add("health_failures", "connection")
             return
         except DecodeError:
             self._counters.add("health_failures", "malformed")
             return
+        if answer is None:
+            self._counters.add("health_failures", "status")
+            return
         self._record_answer(name, known, answer, asked_at)
 
     def _record_answer(
@@ -146,7 +151,7 @@
     ) -> None:
         self._drain_detector.record_health(
             server=name,
-            leaving=answer.state == "draining",
+            leaving=answer.state == _DRAINING,
             asked_at=asked_at,
             now=self._clock.now(),
         )
@@ -169,5 +174,18 @@
             self._servers.mark_cold(server=name)
 
 
+def read_health_answer(response: HttpResponse) -> HealthAnswer | None:
+    """Return what a health answer says, or None if it is a failure.
+
+    A failure is no evidence that a server is ready or what it holds. It may still say
+    that the server drains.
+
+    :raises DecodeError: the body is not a health answer.
+    """
+    answer = _decoder.decode(response.body)
+    is_usable = response.status == _OK or answer.state == _DRAINING
+    return answer if is_usable else None
+
+
 def _batches(names: list[str]) -> list[list[str]]:
     return [names[i : i + _BATCH_SIZE] for i in range(0, len(names), _BATCH_SIZE)]
