--- a/src/savorypond/controllers/pools.py
+++ b/src/savorypond/controllers/pools.py
@@ -8,11 +8,10 @@
 from savorypond.balancing.pool import PoolLimits
 from savorypond.clock import Clock
 from savorypond.controllers.connections import ServerConnections
-from savorypond.http.response_memory import ResponseMemory
+from savorypond.http.response_memory import DEFAULT_RESPONSE_BYTES, ResponseMemory
 from savorypond.model import BackendServer, Counters, Service
 
 _REAP_INTERVAL = 5.0  # seconds
-DEFAULT_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 class ConnectionShare(Protocol):
--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -193,10 +193,10 @@
                     max_body_bytes=request.max_response_bytes,
                     on_bytes=reservation.grow,
                 )
-                mistaken = self._classifier.check_identity(
+                mismatch = self._classifier.check_identity(
                     response, request_id=request.request_id, reused=lease.reused
                 )
-                if mistaken is not None:
+                if mismatch is not None:
                     await connection.close(abort=True)
         except BackendServerError as error:
             reservation.release()
@@ -205,10 +205,10 @@
         except BaseException:
             reservation.release()
             raise
-        if mistaken is not None:
+        if mismatch is not None:
             reservation.release()
             return AttemptResult(
-                outcome=mistaken.outcome, server=server, problem=mistaken.problem
+                outcome=mismatch.outcome, server=server, problem=mismatch.problem
             )
         classification = self._classifier.classify(response, is_part=request.is_part)
         return AttemptResult(
--- a/src/savorypond/http/response_memory.py
+++ b/src/savorypond/http/response_memory.py
@@ -9,6 +9,7 @@
 from savorypond.logs import log_event
 from savorypond.model import Counters
 
+DEFAULT_RESPONSE_BYTES = 64 * 1024 * 1024  # limit where none is configured
 SMALL_RESPONSE_BYTES = 64 * 1024
 LARGE_RESPONSE_SHARE = 0.75  # of the memory, for responses that are not small
 
--- a/src/savorypond/settings.py
+++ b/src/savorypond/settings.py
@@ -8,6 +8,7 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
 from savorypond.exceptions import SettingsError
+from savorypond.http.response_memory import DEFAULT_RESPONSE_BYTES
 from savorypond.logs import LogFormat as LogFormat
 from savorypond.model import Address
 from savorypond.services.loader import read_text
@@ -72,7 +73,7 @@
     instance_list: Address
     placement: PlacementMode = PlacementMode.OWNER
     requests: RequestLimits = RequestLimits()
-    response_bytes: int = 64 * 1024 * 1024
+    response_bytes: int = DEFAULT_RESPONSE_BYTES
     watchers_per_data_centre: int = 2
     log_format: LogFormat = LogFormat.JSON
     deadline_margin: float = 0.003
@@ -112,7 +113,9 @@
     instance_list: RemoteAddress
     placement: Literal["direct", "static", "owner"] = "owner"
     requests: _RequestSection = _RequestSection()
-    response_bytes: Annotated[Size, Field(ge=1 << 20, le=1 << 40)] = 64 * 1024 * 1024
+    response_bytes: Annotated[Size, Field(ge=1 << 20, le=1 << 40)] = (
+        DEFAULT_RESPONSE_BYTES
+    )
     watchers_per_data_centre: Annotated[int, Field(ge=1, le=16)] = 2
     log_format: Literal["json", "text"] = "json"
     deadline_margin: Annotated[Duration, Field(le=1.0)] = 0.003
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -305,27 +305,35 @@
         self.assertFalse(run(main))
 
 
+def response_memory():
+    return ResponseMemory(limit=MEMORY_BYTES, counters=Counters())
+
+
+def server_connections(address, memory):
+    return ServerConnections(
+        name="s",
+        address=address,
+        source_host="",
+        limits=PoolLimits(cap=2),
+        clock=SystemClock(),
+        rng=Random(1),
+        counters=Counters(),
+        memory=memory,
+    )
+
+
 class ResponseMemoryTests(TestCase):
     def test_an_answer_without_end_ends_at_the_limit_of_the_instance(self):
         """The entry had a limit for each answer only, of 16 MiB."""
         endless = [b"HTTP/1.1 200 OK\r\n\r\n", *[b"x" * 65536] * 64]
 
         async def main():
-            memory = ResponseMemory(limit=MEMORY_BYTES, counters=Counters())
+            memory = response_memory()
             async with (
                 timeout_after(TEST_TIMEOUT),
                 fake_server(endless, [OK]) as address,
             ):
-                connections = ServerConnections(
-                    name="s",
-                    address=address,
-                    source_host="",
-                    limits=PoolLimits(cap=2),
-                    clock=SystemClock(),
-                    rng=Random(1),
-                    counters=Counters(),
-                    memory=memory,
-                )
+                connections = server_connections(address, memory)
                 with self.assertRaises(BackendServerError) as caught:
                     async with await connections.lease(seconds=1) as lease:
                         await lease.request(GET, seconds=TEST_TIMEOUT)
@@ -346,16 +354,7 @@
                 timeout_after(TEST_TIMEOUT),
                 fake_server(late_response, [OK], pause=0.1) as address,
             ):
-                connections = ServerConnections(
-                    name="s",
-                    address=address,
-                    source_host="",
-                    limits=PoolLimits(cap=2),
-                    clock=SystemClock(),
-                    rng=Random(1),
-                    counters=Counters(),
-                    memory=ResponseMemory(limit=MEMORY_BYTES, counters=Counters()),
-                )
+                connections = server_connections(address, response_memory())
                 with self.assertRaises(BackendServerError):
                     async with await connections.lease(seconds=1) as lease:
                         await lease.request(GET, seconds=0.05)
