Test that any status can be sent with the body that came with it

Tried: eleven statuses, with a length and in chunks, with and without the body. None found: httptools ends a 204 and a 304 with its head, and the rest of what came counts as trailing data.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -234,6 +234,9 @@
         run(main)
 
 
+CLOSING_GET = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+
 class OddResponseTests(TestCase):
     """Headers of other servers are passed on, whatever bytes they hold."""
 
@@ -245,9 +248,7 @@
         async def main():
             running = RunningServer(handler)
             async with timeout_after(TEST_TIMEOUT), running.server:
-                return await running.exchange(
-                    b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
-                )
+                return await running.exchange(CLOSING_GET)
 
         return run(main)
 
@@ -270,6 +271,36 @@
             return
         response_head(proxied_response(parser.response()), close=False)
 
+    def test_any_status_can_be_sent_with_whatever_body_came_with_it(self):
+        """A 204 or 304 ends with its head, whatever length it states."""
+        for status in (200, 203, 204, 205, 206, 301, 304, 404, 500, 599, 999):
+            for framing in (b"Content-Length: 2", b"Transfer-Encoding: chunked"):
+                body = b"ok" if b"Length" in framing else b"2\r\nok\r\n0\r\n\r\n"
+                for sent in (b"", body):
+                    with self.subTest((status, framing, sent)):
+                        self.check_status(status, framing, sent)
+
+    def check_status(self, status, framing, body):
+        parser = ResponseParser(method="GET")
+        parser.feed(b"HTTP/1.1 %d X\r\n%b\r\n\r\n%b" % (status, framing, body))
+        if status in (204, 304):
+            self.assertTrue(parser.complete)
+        if not parser.complete:
+            return
+        response = proxied_response(parser.response())
+
+        async def handler(request):
+            return response
+
+        async def main():
+            running = RunningServer(handler)
+            async with timeout_after(TEST_TIMEOUT), running.server:
+                return await running.exchange(CLOSING_GET)
+
+        data = run(main)
+        self.assertTrue(data.startswith(b"HTTP/1.1 %d " % status), data)
+        self.assertTrue(data.endswith(b"\r\n\r\n" + response.body), data)
+
     def test_a_response_that_cannot_be_sent_is_answered_with_an_error(self):
         for value in ("line\r\nbreak", "\u0160ibenik", "nul\x00"):
             with self.subTest(value):
