Believe a backend server's refusal of a call only for that call

Cause: a refusal of a call had no id, and its connection had mostly carried a call before. Ruled out: that the probe of a connection catches it; the copy comes after the call was written.

Change: a refusal carries the call's id; without it, it counts only on a new connection. Otherwise the outcome is unknown, and the call is not sent again. Servers that do not repeat the id should: their refusals on used connections end calls as unknown.

--- a/src/savorypond/calls/connection.py
+++ b/src/savorypond/calls/connection.py
@@ -25,7 +25,7 @@
 from savorypond.http.messages import Header, HttpRequest, HttpResponse
 from savorypond.model import Pin, Service
 from savorypond.protocols import Purpose
-from savorypond.queries.partials import is_shed
+from savorypond.queries.partials import is_shed_of
 from savorypond.queries.shard_calls import ConnectionSource
 
 CALLS_PATH = "/v1/calls"
@@ -139,7 +139,7 @@
         ok = response.status == 200
         stats.finished(attempt=self, now=self._clock.now(), ok=ok)
         self._servers.record_response(server=self._server, response=response)
-        return self._read(response, seconds)
+        return self._read(response, seconds, reused=self._lease.was_reused)
 
     async def release(self, outcome: ConnectionOutcome) -> None:
         """Release the connection and the slot."""
@@ -153,8 +153,11 @@
         if self._lease is not None or self._slot is not None:
             await self.release(ConnectionOutcome.CLOSED)
 
-    def _read(self, response: HttpResponse, seconds: float) -> Event:
-        if response.status == 503 and is_shed(response.body):
+    def _read(self, response: HttpResponse, seconds: float, *, reused: bool) -> Event:
+        request_id = self._request.request_id
+        if response.status == 503 and is_shed_of(
+            response.body, request_id=request_id, reused=reused
+        ):
             return ReportedNotRun()
         if response.status != 200:
             self._servers.record_failure(server=self._server)
@@ -163,7 +166,7 @@
             answer = _decoder.decode(response.body)
         except DecodeError:
             return ConnectionLost()
-        if answer.request_id != self._request.request_id:
+        if answer.request_id != request_id:
             return ConnectionLost()
         self._servers.record_success(server=self._server, seconds=seconds)
         return Result(result=bytes(answer.result))
--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -248,6 +248,11 @@
         """Whether any byte of the request may have been sent."""
         return self._used and self._connection.sent
 
+    @property
+    def was_reused(self) -> bool:
+        """Whether the last request was not the first one on the connection."""
+        return self._connection.was_reused
+
     async def __aenter__(self) -> Self:
         return self
 
--- a/src/savorypond/http/client.py
+++ b/src/savorypond/http/client.py
@@ -33,6 +33,7 @@
         self._source_host = source_host
         self._sock: Any = None
         self._sent = False
+        self._request_count = 0
         self._reusable = False
         self._keep_alive_timeout: float | None = None
         self._host = f"{address.host}:{address.port}"
@@ -47,6 +48,11 @@
         """Whether a byte of the last request may have left this process."""
         return self._sent
 
+    @property
+    def was_reused(self) -> bool:
+        """Whether the last request was not the first one on the connection."""
+        return self._request_count > 1
+
     @property
     def reusable(self) -> bool:
         """Whether the connection may carry another request."""
@@ -129,6 +135,7 @@
         """
         self._sent = False
         self._reusable = False
+        self._request_count += 1
         data = _encode(request, self._host)
         parser = ResponseParser(method=request.method, max_body_bytes=max_body_bytes)
         try:
--- a/src/savorypond/queries/partials.py
+++ b/src/savorypond/queries/partials.py
@@ -58,10 +58,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ShedAnswer:
-    """The body of a 503 response to a request that did not run."""
+    """The body of a 503 response to a request that did not run.
+
+    :param request_id: the id of that request, or None from a server that does not
+        repeat it.
+    """
 
     execution: Literal["not-run"]
     reason: str = ""
+    request_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -132,6 +137,20 @@
     return _decode_shed(body) is not None
 
 
+def is_shed_of(body: bytes, *, request_id: str, reused: bool) -> bool:
+    """Tell whether the body of a 503 response says that ``request_id`` did not run.
+
+    :param reused: whether the connection has carried a request before. There, a body
+        without an id may be a late second copy of an earlier one.
+    """
+    shed = _decode_shed(body)
+    if shed is None:
+        return False
+    if shed.request_id is None:
+        return not reused
+    return shed.request_id == request_id
+
+
 def is_draining(body: bytes) -> bool:
     """Tell whether the body of a 503 response says that the server is draining."""
     shed = _decode_shed(body)
--- a/src/savorypond/standins/backend_server.py
+++ b/src/savorypond/standins/backend_server.py
@@ -274,14 +274,14 @@
         refusal = self._refusal()
         if refusal:
             self._counts["sheds"] += 1
-            return _not_run(refusal)
+            return _not_run(refusal, request_id)
         self._waiting += 1
         try:
             async with timeout_after(max(0.0, time_left_ms) / 1000.0):
                 await self._slots.acquire()
         except TaskTimeout:
             self._counts["timed_out_waiting"] += 1
-            return _not_run("timed-out")
+            return _not_run("timed-out", request_id)
         finally:
             self._waiting -= 1
         try:
@@ -393,8 +393,11 @@
     return 0.0
 
 
-def _not_run(reason: str) -> HttpResponse:
-    return json_response({"reason": reason, "execution": "not-run"}, status=503)
+def _not_run(reason: str, request_id: str) -> HttpResponse:
+    return json_response(
+        {"reason": reason, "execution": "not-run", "request_id": request_id},
+        status=503,
+    )
 
 
 def _decode(request: HttpRequest, kind: type[_Body]) -> _Body:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -136,6 +136,20 @@
         self.assertIsNone(response.header("a"))
         self.assertTrue(reusable)
 
+    def test_a_second_request_reuses_the_connection(self):
+        async def main():
+            async with (
+                timeout_after(TEST_TIMEOUT),
+                fake_server([OK], [OK]) as address,
+                HttpConnection(address=address) as connection,
+            ):
+                await connection.request(GET)
+                first = connection.was_reused
+                await connection.request(GET)
+                return first, connection.was_reused
+
+        self.assertEqual(run(main), (False, True))
+
     def test_input_on_idle_connection_makes_it_stale(self):
         async def main():
             async with (
--- a/tests/test_partials.py
+++ b/tests/test_partials.py
@@ -14,6 +14,7 @@
     decode_answer,
     decode_not_held,
     is_shed,
+    is_shed_of,
 )
 
 PIN = Pin(snapshot=7, layout=1)
@@ -132,3 +133,23 @@
         self.assertTrue(is_shed(b'{"execution": "not-run"}'))
         for body in (b"", b"{}", b'{"execution": "unknown"}', b"oops"):
             self.assertFalse(is_shed(body))
+
+    def test_a_refusal_counts_only_for_its_own_request(self):
+        """A late copy on a connection in use made a call run twice."""
+        own = b'{"execution": "not-run", "request_id": "c1"}'
+        other = b'{"execution": "not-run", "request_id": "c0"}'
+        unnamed = b'{"execution": "not-run"}'
+        cases = (
+            (own, True, True),
+            (own, False, True),
+            (other, True, False),
+            (other, False, False),
+            (unnamed, True, False),
+            (unnamed, False, True),
+            (b'{"execution": "unknown", "request_id": "c1"}', False, False),
+            (b"oops", False, False),
+        )
+        for body, reused, expected in cases:
+            with self.subTest(body=body, reused=reused):
+                is_shed = is_shed_of(body, request_id="c1", reused=reused)
+                self.assertEqual(is_shed, expected)
