Log and count what shows that a backend server answers twice

Callers got answers that were not their own, or not whole, and nothing told why: an answer that is passed on leaves no line about its bytes, and the problem of an attempt is logged only if its request fails.

The line foreign-bytes and the counter gateway_foreign_bytes tell the hypotheses apart: bytes behind an answer, an answer with another id or none on a reused connection, the head of an answer inside a body, and a status line inside a head. The line says whether the answer states where it ends. What is passed on is unchanged.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -193,6 +193,7 @@
                     max_body_bytes=request.max_response_bytes,
                     on_bytes=reservation.grow,
                 )
+                self._observe_foreign_bytes(response, request, lease.reused, server)
                 mismatch = self._classifier.check_identity(
                     response, request_id=request.request_id, reused=lease.reused
                 )
@@ -236,6 +237,29 @@
             body=request.body,
         )
 
+    def _observe_foreign_bytes(
+        self,
+        response: HttpResponse,
+        request: ForwardedRequest,
+        reused: bool,
+        server: RegisteredServer,
+    ) -> None:
+        kind = self._classifier.find_foreign_bytes(
+            response, request_id=request.request_id, reused=reused
+        )
+        if kind is None:
+            return
+        self._counters.add("gateway_foreign_bytes", kind)
+        log_event(
+            "foreign-bytes",
+            request=request.request_id,
+            server=server.name,
+            kind=kind,
+            status=response.status,
+            framed=response.framed,
+            reused=reused,
+        )
+
     def _observe_rate_limit(self, result: AttemptResult, sent_at: float) -> None:
         response, server = result.response, result.server
         if response is None or result.outcome is AttemptOutcome.MISDIRECTED:
--- a/src/savorypond/gateway/response_classifier.py
+++ b/src/savorypond/gateway/response_classifier.py
@@ -10,6 +10,11 @@
 from enum import StrEnum
 
 from savorypond.gateway.headers import HeaderNames
+from savorypond.http.embedded_heads import (
+    embedded_heads,
+    ends_in_version,
+    has_two_status_lines,
+)
 from savorypond.http.messages import HttpResponse
 
 _PARTIAL_CONTENT = 206
@@ -38,6 +43,16 @@
     FOREIGN = "foreign"  # answer without an intact signature
 
 
+class ForeignBytes(StrEnum):
+    """What shows that a server has sent more than one answer to a request."""
+
+    OTHER_REQUEST = "other-request"  # the answer has another request's id
+    NO_REQUEST = "no-request"  # the answer has no id on a reused connection
+    BEHIND_ANSWER = "behind-answer"  # bytes follow the answer
+    IN_BODY = "in-body"  # the body holds the head of another answer
+    IN_HEAD = "in-head"  # the head holds the status line of another answer
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Classification:
     """What a response says.
@@ -81,6 +96,42 @@
             return Classification(outcome=AttemptOutcome.BROKEN, problem=problem)
         return Classification(outcome=AttemptOutcome.UNIDENTIFIED, problem=problem)
 
+    def find_foreign_bytes(
+        self, response: HttpResponse, *, request_id: str, reused: bool
+    ) -> ForeignBytes | None:
+        """Return which sign of a second answer there is, or None.
+
+        :param reused: whether the connection has carried a request before.
+        """
+        if has_two_status_lines(response):
+            return ForeignBytes.IN_HEAD
+        received_id = response.header(self._names.request_id)
+        if received_id is None and reused:
+            return ForeignBytes.NO_REQUEST
+        if received_id not in (None, request_id):
+            return ForeignBytes.OTHER_REQUEST
+        if self._holds_another_answer(response):
+            return ForeignBytes.IN_BODY
+        return ForeignBytes.BEHIND_ANSWER if response.trailing else None
+
+    def _holds_another_answer(self, response: HttpResponse) -> bool:
+        """Return whether the body holds the head of an answer, or a part of it.
+
+        A body with a length may quote a whole head for its own purposes, but not one of
+        a backend server. Without a length, whatever follows the body is in it.
+        """
+        own_names = {
+            self._names.request_id,
+            self._names.signature,
+            self._names.not_run,
+        }
+        if response.trailing and ends_in_version(response.body):
+            return True
+        return any(
+            not head.complete or not response.framed or head.names & own_names
+            for head in embedded_heads(response.body)
+        )
+
     def classify(self, response: HttpResponse, *, is_part: bool) -> Classification:
         """Return what ``response`` says about its request.
 
--- a/src/savorypond/http/messages.py
+++ b/src/savorypond/http/messages.py
@@ -78,12 +78,19 @@
     """One response with its complete body.
 
     :param close: whether the connection is closed after this response.
+    :param reason: reason phrase of a received response.
+    :param framed: whether a received response states where it ends; otherwise it ends
+        with its connection.
+    :param trailing: whether further bytes arrived with the end of a received response.
     """
 
     status: int
     headers: tuple[Header, ...] = ()
     body: bytes = b""
     close: bool = False
+    reason: str = ""
+    framed: bool = True
+    trailing: bool = False
 
     def header(self, name: str) -> str | None:
         """Return the first value of the header ``name`` (lower case), or None."""
--- a/src/savorypond/http/response_parser.py
+++ b/src/savorypond/http/response_parser.py
@@ -39,6 +39,7 @@
         self._method = method
         self._max_body_bytes = max_body_bytes
         self._parser = HttpResponseParser(self)
+        self._reason = bytearray()
         self._headers: list[Header] = []
         self._header_count = 0
         self._body = bytearray()
@@ -47,6 +48,7 @@
         self._framing_bytes = 0
         self._has_head = False
         self._complete = False
+        self._ended_by_close = False
         self._has_trailing_data = False
 
     @property
@@ -112,6 +114,7 @@
         """
         if not self._complete and self._is_delimited_by_close():
             self._complete = True
+            self._ended_by_close = True
         if not self._complete:
             raise ResponseError(
                 problem="connection closed before the response was complete"
@@ -124,6 +127,9 @@
             headers=tuple(self._headers),
             body=bytes(self._body),
             close=self._closes_connection(),
+            reason=self._reason.decode("latin-1"),
+            framed=not self._ended_by_close,
+            trailing=self._has_trailing_data,
         )
 
     def on_message_begin(self) -> None:
@@ -131,6 +137,11 @@
         if self._complete:
             self._has_trailing_data = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Store the reason phrase."""
+        if not self._has_head:
+            self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header; discard a field of the trailer.
 
@@ -175,6 +186,7 @@
             raise ResponseError(problem="unexpected status 101 (Switching Protocols)")
         if self._status < _MIN_FINAL_STATUS:
             self._headers.clear()
+            self._reason.clear()
         else:
             self._complete = True
 
--- a/tests/stuttering_servers.py
+++ b/tests/stuttering_servers.py
@@ -130,7 +130,7 @@
         pending = b""  # to be sent before the next answer
         was_used = False
         while (request_id := await _read_request_id(sock)) is not None:
-            follows_fragment = b"" != pending and not pending.endswith(b"\n")
+            follows_fragment = pending != b"" and not pending.endswith(b"\n")
             status = 500 if follows_fragment else 200
             stutter = self._next_stutter(was_used) if not pending else None
             end = stutter.end if stutter is not None else "length"
--- a/tests/test_gateway_response_classifier.py
+++ b/tests/test_gateway_response_classifier.py
@@ -4,6 +4,7 @@
 
 from savorypond.gateway.response_classifier import (
     AttemptOutcome,
+    ForeignBytes,
     ResponseClassifier,
     signature_problem,
 )
@@ -28,6 +29,43 @@
     )
 
 
+class ForeignBytesTests(TestCase):
+    def find(self, *, reused=True, request_id="r1", **changes):
+        headers = () if request_id is None else ((HEADERS.request_id, request_id),)
+        fields = {
+            "status": 200,
+            "headers": tuple(Header(name=n, value=v) for n, v in headers),
+            **changes,
+        }
+        return ResponseClassifier(names=HEADERS).find_foreign_bytes(
+            HttpResponse(**fields), request_id="r1", reused=reused
+        )
+
+    def test_an_answer_alone_has_none(self):
+        self.assertIsNone(self.find(body=RECORD))
+        self.assertIsNone(self.find(body=RECORD, framed=False))
+        self.assertIsNone(self.find(request_id=None, reused=False))
+
+    def test_signs_of_a_second_answer_are_told_apart(self):
+        copy = f"HTTP/1.1 200 OK\r\n{HEADERS.signature}: i1.r1\r\n\r\n".encode()
+        other = b"HTTP/1.1 200 OK\r\nx-other: 1\r\n\r\n"
+        cases = (
+            (ForeignBytes.OTHER_REQUEST, {"request_id": "r2"}),
+            (ForeignBytes.NO_REQUEST, {"request_id": None}),
+            (ForeignBytes.BEHIND_ANSWER, {"trailing": True}),
+            (ForeignBytes.IN_HEAD, {"reason": "OHTTP/1.1 500 Error"}),
+            (ForeignBytes.IN_BODY, {"body": RECORD + copy}),
+            (ForeignBytes.IN_BODY, {"body": RECORD + copy[:30]}),
+            (ForeignBytes.IN_BODY, {"body": RECORD + copy[:2], "trailing": True}),
+            (ForeignBytes.IN_BODY, {"body": RECORD + other, "framed": False}),
+            (None, {"body": RECORD + copy[:2]}),
+            (None, {"body": RECORD + other}),
+        )
+        for kind, changes in cases:
+            with self.subTest(kind, **changes):
+                self.assertEqual(self.find(**changes), kind)
+
+
 class ResponseClassifierTests(TestCase):
     def setUp(self):
         self.classifier = ResponseClassifier(names=HEADERS)
