Use no answer whose head holds another's status line

Callers got an answer with another's status: a success whose server had answered 500, or the reverse, with the right id, signature and body. Failures of shards were merged as parts.

Cause: a second answer broke off in its status line or in a header, and the next answer followed on the connection. The parser took the next status line for the rest of the reason phrase or of the header, so that the status of the fragment came with the headers of the answer behind it, whose id was right.

An answer whose reason phrase or header holds a status line now fails its attempt.

Ruled out: fragments that end in a name of a header or behind a line break, which the parser refuses; those that hold the id or the signature of their answer, since the id is another one and two signatures are no signature; and fragments behind the head, whose answer has another id.

--- a/src/savorypond/gateway/response_classifier.py
+++ b/src/savorypond/gateway/response_classifier.py
@@ -102,6 +102,8 @@
         match foreign:
             case ForeignBytes.OTHER_REQUEST:
                 problem = "answer to another request"
+            case ForeignBytes.IN_HEAD:
+                problem = "a head with two status lines"
             case ForeignBytes.IN_BODY:
                 size = len(response.body)
                 problem = f"{size} bytes of body that hold another answer"
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -30,3 +30,24 @@
                 or (stutter.end == "close" and stutter.follower not in FORMLESS)
             ]
         )
+
+    def test_a_fragment_does_not_lend_its_status_to_the_next_answer(self):
+        """A part of a status line or header swallowed the next status line."""
+        self.check(
+            [
+                stutter
+                for stutter in all_stutters()
+                if "fragment" in stutter.follower and stutter.end != "close"
+            ]
+        )
+
+    def test_a_whole_second_answer_does_not_reach_another_caller(self):
+        self.check(
+            [
+                stutter
+                for stutter in all_stutters()
+                if "fragment" not in stutter.follower
+                and stutter.end != "close"
+                and stutter.follower != "copy-after-break"
+            ]
+        )
