Doubt answers without a length of servers that answer twice

Callers got an answer without a length together with bytes behind it that have no form: a fragment of records, or up to four bytes of a status line. Nothing in such an answer tells where it ends.

Bytes on an idle connection are counted as while-idle; before, they could not be told from a close.

Ruled out: discarding every answer without a length, which would leave servers that always answer so without a caller; and comparing with the usual framing of the route, which would lose every odd but sound answer of a route.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -10,6 +10,7 @@
 from savorypond.clock import Clock
 from savorypond.exceptions import BackendServerError, PoolExhausted
 from savorypond.gateway.connection_pool import ConnectionPools
+from savorypond.gateway.foreign_bytes import ForeignBytesHistory
 from savorypond.gateway.headers import CONNECTION_HEADERS, HeaderNames
 from savorypond.gateway.response_classifier import (
     AttemptOutcome,
@@ -111,6 +112,7 @@
     ) -> None:
         self._names = names
         self._classifier = ResponseClassifier(names=names)
+        self._foreign_bytes = ForeignBytesHistory()
         self._memory = memory
         self._pools = pools
         self._loads = loads
@@ -174,7 +176,9 @@
         is_wanted: Callable[[], bool],
     ) -> AttemptResult:
         try:
-            lease = await self._pools.lease(server, fresh=not request.repeatable)
+            lease = await self._pools.lease(
+                server, fresh=not request.repeatable, on_unread=self._record_unread
+            )
         except PoolExhausted as error:
             return AttemptResult(
                 outcome=AttemptOutcome.NO_CONNECTION, server=server, problem=str(error)
@@ -204,7 +208,11 @@
                     self._record_foreign_bytes(
                         foreign, response, request, server, reused=lease.reused
                     )
-                mismatch = self._classifier.mismatch(response, foreign)
+                mismatch = self._classifier.mismatch(
+                    response,
+                    foreign,
+                    doubted=self._foreign_bytes.doubts(server, self._clock.now()),
+                )
                 if mismatch is not None:
                     await connection.close(abort=True)
         except BackendServerError as error:
@@ -245,6 +253,11 @@
             body=request.body,
         )
 
+    def _record_unread(self, server: RegisteredServer) -> None:
+        self._counters.add("gateway_foreign_bytes", ForeignBytes.WHILE_IDLE)
+        self._foreign_bytes.record(server, self._clock.now())
+        log_event("foreign-bytes", server=server.name, kind=ForeignBytes.WHILE_IDLE)
+
     def _record_foreign_bytes(
         self,
         kind: ForeignBytes,
@@ -255,6 +268,7 @@
         reused: bool,
     ) -> None:
         self._counters.add("gateway_foreign_bytes", kind)
+        self._foreign_bytes.record(server, self._clock.now())
         log_event(
             "foreign-bytes",
             request=request.request_id,
--- a/src/savorypond/gateway/connection_pool.py
+++ b/src/savorypond/gateway/connection_pool.py
@@ -76,16 +76,18 @@
         *,
         fresh: bool,
         connect_timeout: float = CONNECT_TIMEOUT,
+        on_unread: Callable[[RegisteredServer], None] = lambda server: None,
     ) -> "Lease":
         """Return a lease of a connection to ``server``.
 
         :param fresh: whether to reuse only recently used connections.
         :param connect_timeout: seconds that opening a connection may take.
+        :param on_unread: called if bytes have arrived on an idle connection.
         :raises PoolExhausted: no further connection may be opened.
         :raises BackendServerError: the server cannot be reached.
         """
         pool = self._pool(server)
-        connection = await self._take_idle(pool, fresh=fresh)
+        connection = await self._take_idle(pool, fresh=fresh, on_unread=on_unread)
         if connection is not None:
             self._counters.add("gateway_connections", "reused")
             return Lease(pools=self, pool=pool, connection=connection, reused=True)
@@ -168,7 +170,11 @@
         return pool
 
     async def _take_idle(
-        self, pool: _ServerPool, *, fresh: bool
+        self,
+        pool: _ServerPool,
+        *,
+        fresh: bool,
+        on_unread: Callable[[RegisteredServer], None],
     ) -> HttpConnection | None:
         now = self._clock.now()
         while pool.idle:
@@ -177,6 +183,8 @@
                 fresh and now - idle.idle_since > FRESH_MAX_IDLE
             )
             if too_old or idle.connection.is_stale():
+                if idle.connection.has_unread_bytes():
+                    on_unread(pool.server)
                 await self._close(pool, idle.connection)
                 self._counters.add("gateway_connections", "stale")
                 continue
--- a/src/savorypond/gateway/response_classifier.py
+++ b/src/savorypond/gateway/response_classifier.py
@@ -51,6 +51,7 @@
     BEHIND_ANSWER = "behind-answer"  # bytes follow the answer
     IN_BODY = "in-body"  # the body holds the head of another answer
     IN_HEAD = "in-head"  # the head holds the status line of another answer
+    WHILE_IDLE = "while-idle"  # bytes on a connection without a request
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -90,7 +91,11 @@
         return ForeignBytes.BEHIND_ANSWER if response.trailing else None
 
     def mismatch(
-        self, response: HttpResponse, foreign: ForeignBytes | None
+        self,
+        response: HttpResponse,
+        foreign: ForeignBytes | None,
+        *,
+        doubted: bool = False,
     ) -> Classification | None:
         """Return why ``response`` may not be the whole answer to its request, or None.
 
@@ -98,6 +103,8 @@
         answer to this request may follow.
 
         :param foreign: the sign of a second answer in ``response``, if there is one.
+        :param doubted: whether the server has lately shown such signs, so that further
+            bytes may have joined an answer that does not state where it ends.
         """
         match foreign:
             case ForeignBytes.OTHER_REQUEST:
@@ -109,6 +116,8 @@
                 problem = f"{size} bytes of body that hold another answer"
             case ForeignBytes.NO_REQUEST:
                 return self._unidentified(response)
+            case _ if doubted and not response.framed:
+                problem = "answer without a length from a server that answers twice"
             case _:
                 return None
         return Classification(outcome=AttemptOutcome.BROKEN, problem=problem)
--- a/src/savorypond/http/client.py
+++ b/src/savorypond/http/client.py
@@ -3,7 +3,14 @@
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from select import POLLIN, poll
-from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_NODELAY
+from socket import (
+    IPPROTO_TCP,
+    MSG_DONTWAIT,
+    MSG_PEEK,
+    SO_LINGER,
+    SOL_SOCKET,
+    TCP_NODELAY,
+)
 from struct import pack
 from types import TracebackType
 from typing import Any, Self
@@ -112,6 +119,16 @@
         poller.register(self._sock.fileno(), POLLIN)
         return bool(poller.poll(0))
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived on an idle connection."""
+        if self._sock is None:
+            return False
+        try:
+            with self._sock.blocking() as sock:
+                return bool(sock.recv(1, MSG_PEEK | MSG_DONTWAIT))
+        except OSError:
+            return False  # no bytes, or a connection that was reset
+
     async def request(
         self,
         request: HttpRequest,
