Let the soak's proxies copy, cut and delay stray responses

The soak's servers and proxies could not show that answers took in bytes of a second one: the only stray response had a length and no id, and came in the same segment.

A stray response is now also a copy or a fragment of one, at once or up to 0.1 s late, or a copy behind an answer that has broken off short of its length.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -14,6 +14,8 @@
 _CHUNK = 65536  # bytes
 _RESET = pack("ii", 1, 0)  # SO_LINGER: on, 0 s
 _STRAY_RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray"
+_MAX_GAP = 100  # bytes by which a response breaks off before its copy
+_MAX_LATENESS = 0.1  # seconds until a stray response follows
 
 
 @dataclass(slots=True, kw_only=True)
@@ -27,7 +29,8 @@
     :param truncate_share: share of the chunks to the client after whose first half
         the connection is closed.
     :param stray_share: share of the chunks to the client that are followed by a stray
-        response.
+        response: one without an id, a copy, or a fragment of a copy, at once or late. A
+        copy may also follow a chunk that has broken off.
     """
 
     delay: float = 0.0
@@ -114,5 +117,19 @@
                     await sink.sendall(data[: len(data) // 2])
                     return
                 if not to_server and self._random.random() < faults.stray_share:
-                    data += _STRAY_RESPONSE
+                    await self._send_with_stray(sink, data)
+                    continue
                 await sink.sendall(data)
+
+    async def _send_with_stray(self, sink, data):
+        random = self._random
+        fragment = data[: random.randint(1, len(data))]
+        stray = random.choice((_STRAY_RESPONSE, data, fragment))
+        if stray is data and random.random() < 0.5:
+            data = data[: -random.randint(1, _MAX_GAP)]
+        if random.random() < 0.5:
+            await sink.sendall(data + stray)
+            return
+        await sink.sendall(data)
+        await sleep(random.uniform(0.0, _MAX_LATENESS))
+        await sink.sendall(stray)
