Use no answer whose length is unusually missing

Callers got an answer without a length together with a fragment of records behind it, or up to four bytes of a status line, from servers that had shown no other foreign bytes.

Such an answer lasts until its connection ends; nothing in it tells where it should. But servers that state the length of nearly all their answers are in trouble when they leave it out. The share of answers without a length is now kept for each service and route: below a quarter, such an answer fails its attempt. Services that usually answer so are believed, as is the first answer of a service on a route.

Ruled out: a history of each server.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -9,6 +9,7 @@
 
 from savorypond.clock import Clock
 from savorypond.exceptions import BackendServerError, PoolExhausted
+from savorypond.gateway.answer_framing import AnswerFraming
 from savorypond.gateway.connection_pool import ConnectionPools
 from savorypond.gateway.foreign_bytes import ForeignBytesHistory
 from savorypond.gateway.headers import CONNECTION_HEADERS, HeaderNames
@@ -70,6 +71,7 @@
 
     :param headers: headers that are the same for each attempt.
     :param caller_deadline: monotonic seconds until which the caller waits.
+    :param route: name of the route, or "".
     :param is_part: whether a server's response is merged with those of other shards.
     :param max_response_bytes: maximum size of the body of a server's response.
     """
@@ -81,6 +83,7 @@
     request_id: str
     caller_deadline: float
     repeatable: bool
+    route: str = ""
     is_part: bool = False
     max_response_bytes: int = MAX_BODY_BYTES
 
@@ -113,6 +116,7 @@
         self._names = names
         self._classifier = ResponseClassifier(names=names)
         self._foreign_bytes = ForeignBytesHistory()
+        self._framing = AnswerFraming()
         self._memory = memory
         self._pools = pools
         self._loads = loads
@@ -211,7 +215,7 @@
                 mismatch = self._classifier.mismatch(
                     response,
                     foreign,
-                    doubted=self._foreign_bytes.doubts(server, self._clock.now()),
+                    doubted=self._is_doubted(request, response, server),
                 )
                 if mismatch is not None:
                     await connection.close(abort=True)
@@ -253,6 +257,18 @@
             body=request.body,
         )
 
+    def _is_doubted(
+        self,
+        request: ForwardedRequest,
+        response: HttpResponse,
+        server: RegisteredServer,
+    ) -> bool:
+        """Return whether ``response`` must state where it ends."""
+        is_odd = self._framing.is_odd(
+            response, service=server.service, route=request.route
+        )
+        return is_odd or self._foreign_bytes.doubts(server, self._clock.now())
+
     def _record_unread(self, server: RegisteredServer) -> None:
         self._counters.add("gateway_foreign_bytes", ForeignBytes.WHILE_IDLE)
         self._foreign_bytes.record(server, self._clock.now())
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -130,6 +130,7 @@
                     received + group_request.left
                 ),
                 repeatable=group_request.route.idempotent,
+                route=group_request.route.name,
                 is_part=True,
                 max_response_bytes=group_request.route.max_response_bytes,
             ),
@@ -300,6 +301,7 @@
             request_id=request_id,
             caller_deadline=caller_deadline,
             repeatable=route.idempotent,
+            route=route.name,
             is_part=bool(route.shards),
             max_response_bytes=route.max_response_bytes,
         )
--- a/src/savorypond/gateway/response_classifier.py
+++ b/src/savorypond/gateway/response_classifier.py
@@ -103,8 +103,8 @@
         answer to this request may follow.
 
         :param foreign: the sign of a second answer in ``response``, if there is one.
-        :param doubted: whether the server has lately shown such signs, so that further
-            bytes may have joined an answer that does not state where it ends.
+        :param doubted: whether the server has lately shown such signs or usually states
+            where its answers end. Further bytes may have joined one that does not.
         """
         match foreign:
             case ForeignBytes.OTHER_REQUEST:
@@ -117,7 +117,7 @@
             case ForeignBytes.NO_REQUEST:
                 return self._unidentified(response)
             case _ if doubted and not response.framed:
-                problem = "answer without a length from a server that answers twice"
+                problem = "answer that unexpectedly has no length"
             case _:
                 return None
         return Classification(outcome=AttemptOutcome.BROKEN, problem=problem)
--- a/tests/second_answers.py
+++ b/tests/second_answers.py
@@ -24,6 +24,7 @@
 from tests.soak.checker import Bounds
 from tests.soak.instances import SoakInstance
 from tests.stuttering_servers import (
+    SPACING,
     StutteringServer,
     all_stutters,
     answer_problem,
@@ -178,12 +179,21 @@
         return False
 
 
-def play_all(stutters, *, seed, seconds=TIME, folder=None):
-    """Play each combination; yield it, how often it was played and the problems."""
+def play_all(
+    stutters, *, seed, seconds=TIME, folder=None, spacing=SPACING, calm_seconds=0.0
+):
+    """Play each combination; return it, how often it was played and the problems.
+
+    :param spacing: answers of a server for each that it repeats.
+    :param calm_seconds: seconds before, in which no server stutters.
+    """
     results = []
 
     async def play():
         async with Site(seed=seed, folder=folder or mkdtemp()) as site:
+            for server in site.servers:
+                server.spacing = spacing
+            await site.play(None, seconds=calm_seconds)
             for stutter in stutters:
                 results.append((stutter, *await site.play(stutter, seconds=seconds)))
         return site.statuses
--- a/tests/stuttering_servers.py
+++ b/tests/stuttering_servers.py
@@ -93,6 +93,7 @@
         self.name = name
         self.service = service
         self.stutter = None
+        self.spacing = SPACING
         self.played = 0
         self._data_centre = data_centre
         self._random = random
@@ -163,7 +164,7 @@
         stutter = self.stutter
         if stutter is None or stutter.kept != was_used:
             return None
-        if self._since_stutter <= SPACING:
+        if self._since_stutter <= self.spacing:
             return None
         self._since_stutter = 0
         return stutter
