Take no answer for whole whose connection was reset

Callers of requests with large bodies got the beginning of an answer as a whole success: a server answered early, without a length, and its connection was reset behind a part of the answer.

Cause: the kernel reports a reset once, and then the end of the stream as after an orderly close. If the reset came together with the first bytes of the answer, the sending of the request, which was still going on, took the report, and the receiver saw an orderly end, which completes an answer without a length.

A reset that ended the sending is now kept, and the end of the stream behind it is one too.

Ruled out: answers with a length or in chunks, for which any early end is an error; resets that come later than the first bytes, since only receiving is left to report them; small requests, which are sent before anything is received.

--- a/src/savorypond/http/client.py
+++ b/src/savorypond/http/client.py
@@ -35,6 +35,7 @@
         self._sent = False
         self._request_count = 0
         self._reusable = False
+        self._reset: OSError | None = None
         self._keep_alive_timeout: float | None = None
         self._host = f"{address.host}:{address.port}"
 
@@ -135,6 +136,7 @@
         """
         self._sent = False
         self._reusable = False
+        self._reset = None
         self._request_count += 1
         data = _encode(request, self._host)
         parser = ResponseParser(method=request.method, max_body_bytes=max_body_bytes)
@@ -170,6 +172,8 @@
             pass
         if group.completed.result is not None:
             raise group.completed.result
+        if sender.exception is None and isinstance(sender.result, ConnectionResetError):
+            self._reset = sender.result
         # Both tasks may finish at once: there may be a response in either case.
         for chunk in received:
             _feed(parser, chunk)
@@ -192,12 +196,15 @@
     async def _receive_bytes(self, max_silence: float | None) -> bytes:
         if max_silence is None:
             data: bytes = await self._sock.recv(_RECEIVE_BYTES)
-            return data
-        try:
-            async with timeout_after(max_silence):
-                data = await self._sock.recv(_RECEIVE_BYTES)
-        except TaskTimeout as error:
-            raise ResponseError(problem=f"no bytes for {max_silence} s") from error
+        else:
+            try:
+                async with timeout_after(max_silence):
+                    data = await self._sock.recv(_RECEIVE_BYTES)
+            except TaskTimeout as error:
+                raise ResponseError(problem=f"no bytes for {max_silence} s") from error
+        if not data and self._reset is not None:
+            # The kernel reports a reset once; afterwards it looks like an orderly end.
+            raise self._reset
         return data
 
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -2,6 +2,8 @@
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from random import Random
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 from unittest import TestCase
 
 from curio import (
@@ -27,6 +29,7 @@
 TEST_TIMEOUT = 30  # seconds
 GET = HttpRequest(method="GET", path="/")
 MEMORY_BYTES = 1024 * 1024
+RESETS = 30  # most of them arrive together with the answer
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -242,6 +245,36 @@
             run(main)
         self.assertTrue(raised.exception.sent)
 
+    def test_an_answer_without_a_length_that_is_reset_is_not_complete(self):
+        """Sending a large request reported the reset, receiving an orderly end."""
+
+        async def serve(listener):
+            while True:
+                sock, _ = await listener.accept()
+                async with sock:
+                    await sock.recv(100)
+                    await sleep(0.003)
+                    await sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nthe beginning")
+                    sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+
+        async def main():
+            listener = tcp_server_socket("127.0.0.1", 0)
+            task = await spawn(serve, listener, daemon=True)
+            host, port = listener.getsockname()
+            address = Address(host=host, port=port)
+            large = HttpRequest(method="POST", path="/", body=bytes(8_000_000))
+            for _ in range(RESETS):
+                async with (
+                    timeout_after(TEST_TIMEOUT),
+                    HttpConnection(address=address) as connection,
+                ):
+                    with self.assertRaises(BackendServerError):
+                        await connection.request(large)
+            await task.cancel()
+            await listener.close()
+
+        run(main)
+
     def test_invalid_characters_in_request_are_rejected_before_sending(self):
         async def main():
             async with (
