Search long lines once, and let bodies quote a status

An instance would have stood still for minutes over a body of 260 kB: a long line with many status lines and a lone carriage return. Callers would have got no body whose last line quotes a status, as JSON in one line does: each server's answer counted as broken, to 502.

Cause: the rest of the line was searched again for each version in it, and anything up to the end of the body was taken for a reason phrase that is cut off.

A reason phrase in a body has at most 100 bytes now, and one that is cut off only letters, spaces, hyphens, apostrophes and parentheses. A body that ends with such a phrase, or within a version or a header behind a status line, is still discarded.

The two tests fail without the change.

--- a/src/savorypond/http/embedded_heads.py
+++ b/src/savorypond/http/embedded_heads.py
@@ -11,12 +11,15 @@
 from savorypond.http.messages import HttpResponse
 
 _VERSION = b"HTTP/"
-_STATUS_LINE = compile_pattern(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n")
+# Without a limit, a long line with many versions would be searched once for each.
+_STATUS_LINE = compile_pattern(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]{0,100})?\r?\n")
 _HEADER_LINE = compile_pattern(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[^\r\n]*\r?\n")
 _EMPTY_LINE = compile_pattern(rb"\r?\n")
-# What is left of a status line or header that is cut off by the end of the body.
+# What is left of a status line or header that is cut off by the end of the body. Its
+# reason phrase is one of words, unlike the rest of a line that quotes a status.
 _CUT_STATUS_LINE = compile_pattern(
-    rb"HTTP/(?:1(?:\.(?:[01](?: (?:[1-5](?:[0-9](?:[0-9](?: [^\r\n]*)?)?)?)?)?)?)?)?\r?"
+    rb"HTTP/(?:1(?:\.(?:[01](?: (?:[1-5](?:[0-9](?:[0-9]"
+    rb"(?: [A-Za-z'() -]{0,100})?)?)?)?)?)?)?)?\r?"
 )
 _CUT_HEADER_LINE = compile_pattern(
     rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+(?::[^\r\n]*)?)?\r?"
--- a/tests/test_embedded_heads.py
+++ b/tests/test_embedded_heads.py
@@ -23,7 +23,11 @@
     b"GET / HTTP/1.1\r\nhost: a\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nthis is no header\r\n\r\n",
     b"HTTP/1.1 999 OK\r\n\r\n",
+    b'{"upstream": "HTTP/1.1 502 Bad Gateway", "tries": 3}',
+    b"<p>HTTP/1.1 200 OK is the usual status line.</p>",
+    b'"GET /x HTTP/1.1" 200 12ms',
 )
+QUOTE = b'{"a":"HTTP/1.1 200 OK"},'
 MAX_SEARCH_TIME = 5.0  # seconds for 8 MB of any form, on a busy computer
 
 
@@ -66,6 +70,15 @@
                     pass
                 self.assertLess(perf_counter() - started, MAX_SEARCH_TIME)
 
+    def test_a_long_line_with_many_status_lines_is_searched_once(self):
+        """Its search took minutes for 260 kB."""
+        for end in (b"", b"\r."):
+            with self.subTest(end):
+                body = QUOTE * (200_000 // len(QUOTE)) + end
+                started = perf_counter()
+                self.assertEqual(list(embedded_heads(body)), [])
+                self.assertLess(perf_counter() - started, MAX_SEARCH_TIME)
+
     def test_a_status_line_is_found_in_a_head(self):
         for reason, value, expected in (
             ("OK", "1", False),
