Find a head in chunks, and one with bytes behind the answer

Callers could get a success whose body held the head and the records of a second answer, with the right id and signature.

Cause: an answer in chunks broke off short of a chunk by the size of the copy's head. The empty line of that head ended the chunk, and the copy's chunks followed it, so that the head in the body had no empty line and was not taken for one. Besides, an answer with a length could be filled up with a failure whose head names no header of a backend server, and end in the body of that failure, with bytes behind it.

A head now ends where no header follows, and no head may be in a body with bytes behind the answer.

Ruled out: other gaps in chunks, of which every one up to the whole body was tried with a copy. Not covered: a failure without an id, signature or statement, if the answer ends just where that failure does, or where a chunk of it does, since a body may quote such a head.

The combinations of tests.second_answers cannot show it: their chunks are shorter than a head. The tests fail without the change.

--- a/src/savorypond/gateway/response_classifier.py
+++ b/src/savorypond/gateway/response_classifier.py
@@ -125,7 +125,8 @@
         """Return whether the body holds the head of an answer, or a part of it.
 
         A body with a length may quote a whole head for its own purposes, but not one of
-        a backend server. Without a length, whatever follows the body is in it.
+        a backend server. Without a length, whatever follows the body is in it, and with
+        bytes behind the answer, they may begin in the body.
         """
         own_names = {
             self._names.request_id,
@@ -135,7 +136,10 @@
         if response.trailing and ends_in_version(response.body):
             return True
         return any(
-            not head.complete or not response.framed or head.names & own_names
+            not head.complete
+            or not response.framed
+            or response.trailing
+            or head.names & own_names
             for head in embedded_heads(response.body)
         )
 
--- a/src/savorypond/http/embedded_heads.py
+++ b/src/savorypond/http/embedded_heads.py
@@ -32,7 +32,8 @@
     """The head of a response inside a body.
 
     :param names: names of its headers, in lower case.
-    :param complete: whether it ends inside the body.
+    :param complete: whether it ends inside the body, with an empty line or with bytes
+        that are no header. In chunks, the empty line may have become framing.
     """
 
     names: frozenset[str]
@@ -72,7 +73,7 @@
     while (line := _HEADER_LINE.match(body, end)) is not None:
         names.add(line[1].decode("ascii").lower())
         end = line.end()
-    complete = _EMPTY_LINE.match(body, end) is not None
-    if not complete and _CUT_HEADER_LINE.fullmatch(body, end) is None:
+    is_cut = _CUT_HEADER_LINE.fullmatch(body, end) is not None
+    if not names and not is_cut and _EMPTY_LINE.match(body, end) is None:
         return None, end
-    return EmbeddedHead(names=frozenset(names), complete=complete), end
+    return EmbeddedHead(names=frozenset(names), complete=not is_cut), end
--- a/tests/test_embedded_heads.py
+++ b/tests/test_embedded_heads.py
@@ -51,6 +51,12 @@
             self.assertTrue(ends_in_version(b"a" + HEAD[:size]))
         self.assertFalse(ends_in_version(b"HTTP/1.1 is a version."))
 
+    def test_a_head_without_an_empty_line_ends_where_no_header_follows(self):
+        """In chunks, the empty line may have become a part of the framing."""
+        (head,) = embedded_heads(HEAD[:-2] + b"\x80 records")
+        names = frozenset({"x-id", "content-length"})
+        self.assertEqual(head, EmbeddedHead(names=names, complete=True))
+
     def test_other_text_holds_no_head(self):
         for text in TEXTS:
             with self.subTest(text):
--- a/tests/test_gateway_response_classifier.py
+++ b/tests/test_gateway_response_classifier.py
@@ -2,6 +2,7 @@
 
 from unittest import TestCase
 
+from savorypond.exceptions import ResponseError
 from savorypond.gateway.response_classifier import (
     AttemptOutcome,
     ForeignBytes,
@@ -9,6 +10,7 @@
     signature_problem,
 )
 from savorypond.http.messages import Header, HttpResponse
+from savorypond.http.response_parser import ResponseParser
 from savorypond.platform.names import HEADERS
 from tests.gateway_loopback import FakeServer, RemoteServer, route
 from tests.test_gateway_daemon import with_gateway
@@ -17,6 +19,9 @@
 QUERY = route("q", "/q/", gather=["s1", "s2"], top_k=2, min_version=0.5)
 READ = route("r", "/r/", backend="s2")
 RECORD = b"a" * 16
+LONG_BODY = bytes(range(128, 208)) * 10
+CHUNK = b"190\r\n" + LONG_BODY[:400] + b"\r\n"
+OWN_FIELDS = ((HEADERS.request_id, "r1"), (HEADERS.signature, "i1.r1"))
 FAILURE_TEXT = b"no such segment, its replica is newer"
 
 
@@ -58,6 +63,7 @@
             (ForeignBytes.IN_BODY, {"body": RECORD + copy[:30]}),
             (ForeignBytes.IN_BODY, {"body": RECORD + copy[:2], "trailing": True}),
             (ForeignBytes.IN_BODY, {"body": RECORD + other, "framed": False}),
+            (ForeignBytes.IN_BODY, {"body": RECORD + other, "trailing": True}),
             (None, {"body": RECORD + copy[:2]}),
             (None, {"body": RECORD + other}),
         )
@@ -65,6 +71,35 @@
             with self.subTest(kind, **changes):
                 self.assertEqual(self.find(**changes), kind)
 
+    def test_a_copy_does_not_fill_up_an_answer_that_broke_off(self):
+        """In chunks, the empty line of the copy's head could end the chunk."""
+        for framing, body in (
+            (f"content-length: {len(LONG_BODY)}", LONG_BODY),
+            ("transfer-encoding: chunked", 2 * CHUNK + b"0\r\n\r\n"),
+        ):
+            head = "\r\n".join(
+                ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in OWN_FIELDS), framing]
+            )
+            answer = f"{head}\r\n\r\n".encode() + body
+            for missing in range(1, len(body)):
+                with self.subTest(framing, missing=missing):
+                    self.check_filled(answer[:-missing] + answer)
+
+    def check_filled(self, data):
+        parser = ResponseParser(method="GET")
+        try:
+            parser.feed(data)
+            parser.feed_eof()
+        except ResponseError:
+            return
+        received = parser.response()
+        if received.body == LONG_BODY:
+            return  # only the end of the framing was missing
+        kind = ResponseClassifier(names=HEADERS).find_foreign_bytes(
+            received, request_id="r1", reused=True
+        )
+        self.assertIs(kind, ForeignBytes.IN_BODY)
+
 
 class ResponseClassifierTests(TestCase):
     def setUp(self):
