Give each play of second answers its own addresses

Cause: two processes whose ids differ by ten took an address in common, so that the gateways of two plays at once could not listen.

--- a/tests/second_answers.py
+++ b/tests/second_answers.py
@@ -90,7 +90,8 @@
             store.put(f"servers/{server.name}", server.entry())
         store.put("op/config", configuration(*ROUTES))
         high, low = divmod(getpid(), 230)
-        ips = [f"127.{10 + low % 10}.{1 + high % 250}.{low // 10 + n}" for n in (1, 2)]
+        last = low // 10 * 2 + 1
+        ips = [f"127.{10 + low % 10}.{1 + high % 250}.{last + n}" for n in (0, 1)]
         for data_centre, ip in zip("ab", ips, strict=True):
             instance = SoakInstance(
                 name=f"gateway-{data_centre}",
