--- a/src/savorypond/http/embedded_heads.py
+++ b/src/savorypond/http/embedded_heads.py
@@ -11,12 +11,15 @@
 from savorypond.http.messages import HttpResponse
 
 _VERSION = b"HTTP/"
-_STATUS_LINE = compile_pattern(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n")
+# Without a limit, a long line with many versions would be searched once for each.
+_STATUS_LINE = compile_pattern(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]{0,100})?\r?\n")
 _HEADER_LINE = compile_pattern(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[^\r\n]*\r?\n")
 _EMPTY_LINE = compile_pattern(rb"\r?\n")
-# What is left of a status line or header that is cut off by the end of the body.
+# What is left of a status line or header that is cut off by the end of the body. Its
+# reason phrase is one of words, unlike the rest of a line that quotes a status.
 _CUT_STATUS_LINE = compile_pattern(
-    rb"HTTP/(?:1(?:\.(?:[01](?: (?:[1-5](?:[0-9](?:[0-9](?: [^\r\n]*)?)?)?)?)?)?)?)?\r?"
+    rb"HTTP/(?:1(?:\.(?:[01](?: (?:[1-5](?:[0-9](?:[0-9]"
+    rb"(?: [A-Za-z'() -]{0,100})?)?)?)?)?)?)?)?\r?"
 )
 _CUT_HEADER_LINE = compile_pattern(
     rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+(?::[^\r\n]*)?)?\r?"
@@ -29,7 +32,8 @@
     """The head of a response inside a body.
 
     :param names: names of its headers, in lower case.
-    :param complete: whether it ends inside the body.
+    :param complete: whether it ends inside the body, with an empty line or with bytes
+        that are no header. In chunks, the empty line may have become framing.
     """
 
     names: frozenset[str]
@@ -69,7 +73,7 @@
     while (line := _HEADER_LINE.match(body, end)) is not None:
         names.add(line[1].decode("ascii").lower())
         end = line.end()
-    complete = _EMPTY_LINE.match(body, end) is not None
-    if not complete and _CUT_HEADER_LINE.fullmatch(body, end) is None:
+    is_cut = _CUT_HEADER_LINE.fullmatch(body, end) is not None
+    if not names and not is_cut and _EMPTY_LINE.match(body, end) is None:
         return None, end
-    return EmbeddedHead(names=frozenset(names), complete=complete), end
+    return EmbeddedHead(names=frozenset(names), complete=not is_cut), end
