Give a refusal the body that its own request may have

What callers saw: after a HEAD request on a kept connection, the next request, if it was refused (too long a body, not HTTP, or too slow), got no answer: the connection was closed. A HEAD request that was refused itself got none either.

Cause: whether a body is left out was noted only when a request had been read whole, so a refusal went by the request before it. h11 then counts a body that does not fit the declared length and raises an error, which closes the connection. Ruled out: wrong bytes on the wire; nothing of such a response was sent.

Change: it is noted with the head of each request, and forgotten before the next one.

Evidence: both RefusedHeadTests fail before, in four cases, and pass now; so does the rest of tests.test_http_server.

--- a/src/savorypond/http/channel.py
+++ b/src/savorypond/http/channel.py
@@ -160,6 +160,7 @@
     async def _receive_request(self, limits: HttpLimits) -> HttpRequest | None:
         head: Request | None = None
         body = bytearray()
+        self._omit_body = False
         while True:
             event = self._http.next_event()
             if event is NEED_DATA:
@@ -167,6 +168,7 @@
                 self._http.receive_data(await self._sock.recv(_RECEIVE_BYTES))
             elif isinstance(event, Request):
                 head = event
+                self._omit_body = head.method == b"HEAD"
                 _check_version(event)
                 _check_head_size(event, limits.header_bytes)
                 _check_framing(event)
@@ -185,7 +187,6 @@
             HttpHeader(name=name.decode("ascii"), value=value.decode("latin-1"))
             for name, value in head.headers
         )
-        self._omit_body = head.method == b"HEAD"
         times = tcp_times(self._sock)
         network_delay, self._network_delay = self._network_delay, times.round_trip
         return HttpRequest(
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -181,6 +181,35 @@
             await connection.close()
 
 
+class RefusedHeadTests(TestCase):
+    """Whether a refusal has a body was decided by the request before it."""
+
+    HEAD = b"HEAD /a HTTP/1.1\r\nHost: h\r\n"
+
+    @with_server
+    async def test_a_refusal_after_a_head_request_is_sent(self, running):
+        refused = (
+            (b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", b" 413 "),
+            (b"nonsense\r\n\r\n", b" 400 "),
+            (b"GET /b HTTP/1.1\r\nHost: h", b" 408 "),
+        )
+        for data, status in refused:
+            with self.subTest(status):
+                _, _, answer = (
+                    await running.exchange(self.HEAD + b"\r\n", data, pause=0.02)
+                ).partition(b"\r\n\r\n")
+                self.assertTrue(answer.startswith(b"HTTP/1.1" + status))
+                head, _, body = answer.partition(b"\r\n\r\n")
+                self.assertIn(b"content-length: %d" % len(body), head)
+                self.assertGreater(len(body), 0)
+
+    @with_server
+    async def test_a_refused_head_request_gets_a_head_only(self, running):
+        answer = await running.exchange(self.HEAD + b"Content-Length: 101\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413 "))
+        self.assertTrue(answer.endswith(b"\r\n\r\n"))
+
+
 class GoodRequestTests(TestCase):
     @with_server
     async def test_pipelined_requests_are_answered_in_order(self, running):
