Close the ticket of a call that a server refused, also when its caller leaves

What could happen: a call that must not run twice ran at two servers. A server refuses the call as not run, and repeats that refusal late; meanwhile the caller leaves while a second server is sought, and sends the call again with the same ticket, on the same connection. The copy then counts as the refusal of this attempt: the call goes to another server while the first one runs it.

Cause: the id of a refusal tells calls apart, but not two attempts at one ticket, whose id is the same by design (servers may record it). Ruled out: the same within one request, where a server that has refused is never asked again, and after any other refusal, which closes the ticket already.

Change: where a server has refused the call, the ticket is closed as well when the caller leaves or the call is cancelled. Sent again, it gets ticket-void, which is true (not run).

Evidence: test_a_late_copy_of_a_refusal_meets_no_further_attempt_at_its_ticket fails before in three cases (the ticket could be claimed) and passes now, as do the tests of the ledger, the state machine and test_at_most_once.

--- a/src/savorypond/calls/state_machine.py
+++ b/src/savorypond/calls/state_machine.py
@@ -81,6 +81,7 @@
         self._server = ""
         self._tried: frozenset[str] = frozenset()
         self._last_refusal = _no_server_refusal(None)
+        self._refused_by_server = False
 
     @property
     def done(self) -> bool:
@@ -136,12 +137,13 @@
         """End a call whose task is cancelled; no effect if it has already ended.
 
         A ticket that was not used can be claimed again; one that was sent stays
-        unresolved. The task must then close any connection that it acquired.
+        unresolved, and one that a server refused is closed. The task must then close
+        any connection that it acquired.
         """
         if self._state is _State.WRITTEN:
             self._ledger.record_loss(self._ticket)
         elif self._state is not _State.DONE:
-            self._ledger.release_claim(self._ticket)
+            self._release_claim()
         self._state = _State.DONE
 
     def _acquire(self, now: float) -> tuple[Action, ...]:
@@ -201,6 +203,7 @@
         self, event: ReportedNotRun, now: float
     ) -> tuple[Action, ...]:
         self._ledger.record_not_run(self._ticket)
+        self._refused_by_server = True
         self._tried |= {self._server}
         self._last_refusal = _shed_refusal(self._server, event.retry_after)
         answered = ReleaseConnection(outcome=ConnectionOutcome.ANSWERED)
@@ -218,7 +221,7 @@
 
     def _on_caller_gone(self) -> tuple[Action, ...]:
         aborted = self._abort_probe()
-        self._ledger.release_claim(self._ticket)
+        self._release_claim()
         self._state = _State.DONE
         return (*aborted, Finish(outcome=_CALLER_GONE))
 
@@ -227,6 +230,17 @@
             return (ReleaseConnection(outcome=ConnectionOutcome.TIMED_OUT),)
         return ()
 
+    def _release_claim(self) -> None:
+        """Leave the ticket open, unless a backend server has refused the call.
+
+        Every attempt at a ticket has the same id, so a late copy of that refusal would
+        be taken for the answer to the next attempt.
+        """
+        if self._refused_by_server:
+            self._ledger.refuse(self._ticket, self._last_refusal)
+        else:
+            self._ledger.release_claim(self._ticket)
+
     def _refuse(self, refusal: Refusal) -> tuple[Action, ...]:
         self._state = _State.DONE
         return (Finish(outcome=self._ledger.refuse(self._ticket, refusal)),)
--- a/tests/test_calls_state_machine.py
+++ b/tests/test_calls_state_machine.py
@@ -45,6 +45,7 @@
 NO_SERVER = (RefusalReason.NO_BACKEND_SERVER, NOT_RUN)
 NO_CALLER = (RefusalReason.CALLER_GONE, NOT_RUN)
 TIMEOUT = (RefusalReason.TIMED_OUT, UNKNOWN)
+VOID = RefusalReason.TICKET_VOID
 LOST = (RefusalReason.CONNECTION_LOST, UNKNOWN)
 
 
@@ -240,6 +241,23 @@
                 claim = harness.ledger.claim(harness.ticket, now=0.4)
                 self.assertEqual(getattr(claim, "reason", type(claim)), expected)
 
+    def test_a_late_copy_of_a_refusal_meets_no_further_attempt_at_its_ticket(self):
+        """The same id came again; the copy sent a call that ran to another server."""
+        refused = [(0.1, VERIFIED), (0.2, SHED)]
+        for name, script in (
+            ("caller gone", [*refused, (0.3, CALLER_LEFT)]),
+            ("caller gone while probing", [*refused, (0.3, UNVERIFIED)]),
+            ("cancelled", refused),
+        ):
+            with self.subTest(name):
+                harness = Harness().play(script)
+                if name != "cancelled":
+                    harness.run.handle(CALLER_LEFT, now=0.4)
+                harness.run.abandon()
+                claim = harness.ledger.claim(harness.ticket, now=0.5)
+                self.assertEqual(getattr(claim, "reason", type(claim)), VOID)
+                self.assertIs(claim.execution, NOT_RUN)
+
     def test_failed_servers_are_passed_to_the_next_acquire(self):
         script = [(0.1, CONNECT_FAILED), (0.2, OTHER_SERVER), (0.3, SHED)]
         harness = Harness().play(script)
