Use no connection of the entry on which a server has sent unasked bytes

What could happen: at the project's own entry, a server that answers twice makes its second answer that of the next request on the connection, or of the probe that a call sends first; from then on every request there gets the answer to the one before. Ids keep such answers from callers, but each of these queries is asked again elsewhere, and a call ends as unknown although it ran.

Cause: the entry's pool never looked whether an idle connection has input, as the gateway's does. Ruled out: the bytes that come in one segment with the answer, since the connection is closed then; a timed-out request, since its connection is reset.

Change: a connection with input, or closed by its server, is closed before a request or a probe uses it, and counted.

Evidence: test_a_second_response_while_idle_never_reaches_next_request fails before, with and without a probe, and passes now, as do the tests of daemons and endless responses.

The fake server of these tests ends without a traceback when its client resets.

--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -99,8 +99,8 @@
         :raises BackendServerError: none is available; nothing was sent.
         """
         decision = self._pool.acquire(self._clock.now(), verified=verified)
-        if isinstance(decision, Use):  # the common case needs no timer
-            return self._make_lease(decision.connection)
+        if isinstance(decision, Use) and not self._is_stale(decision.connection):
+            return self._make_lease(decision.connection)  # needs no timer
         try:
             async with timeout_after(seconds):
                 return await self._acquire(decision, verified)
@@ -112,10 +112,11 @@
     async def _acquire(self, decision: Decision, verified: bool) -> "ConnectionLease":
         while True:
             if isinstance(decision, Use):
-                return self._make_lease(decision.connection)
-            if isinstance(decision, Open):
+                if not await self._close_if_stale(decision.connection):
+                    return self._make_lease(decision.connection)
+            elif isinstance(decision, Open):
                 return await self._open_one(decision.connection)
-            if isinstance(decision, ProbeFirst):
+            elif isinstance(decision, ProbeFirst):
                 if await self._probe(decision.connection):
                     return self._make_lease(decision.connection)
             elif isinstance(decision, Refuse):
@@ -174,6 +175,20 @@
         self._counters.add("connections_opened", "new")
         return self._make_lease(number)
 
+    def _is_stale(self, number: int) -> bool:
+        return self._connections[number].is_stale()
+
+    async def _close_if_stale(self, number: int) -> bool:
+        """Close a connection whose input would be taken for the next response."""
+        if not self._is_stale(number):
+            return False
+        self._counters.add("connections_closed", "stale")
+        now = self._clock.now()
+        await self._close_all(
+            self._pool.released(number, now, ConnectionOutcome.CLOSED)
+        )
+        return True
+
     def _make_lease(self, number: int) -> "ConnectionLease":
         return ConnectionLease(
             server_connections=self,
@@ -198,6 +213,8 @@
         return self._pool.is_verified(number, self._clock.now())
 
     async def _probe(self, number: int) -> bool:
+        if await self._close_if_stale(number):
+            return False
         if not await self.probe(self._connections[number]):
             closing = self._pool.released(
                 number, self._clock.now(), ConnectionOutcome.TIMED_OUT
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -37,16 +37,19 @@
 
     async def serve(sock):
         async with sock:
-            for packets in responses:
-                if not await sock.recv(65536):
-                    return
-                for packet in packets:
-                    # A client resets the connection of a request that timed out.
-                    with suppress(ConnectionError):
-                        await sock.sendall(packet)
-                    await sleep(pause)
-            while packets is not None and await sock.recv(65536):
-                pass
+            # A client resets a connection with a response that it does not read.
+            with suppress(ConnectionError):
+                await answer(sock)
+
+    async def answer(sock):
+        for packets in responses:
+            if not await sock.recv(65536):
+                return
+            for packet in packets:
+                await sock.sendall(packet)
+                await sleep(pause)
+        while packets is not None and await sock.recv(65536):
+            pass
 
     async def accept():
         while True:
@@ -323,12 +326,12 @@
     return ResponseMemory(limit=MEMORY_BYTES, counters=Counters())
 
 
-def server_connections(address, memory):
+def server_connections(address, memory, **limits):
     return ServerConnections(
         name="s",
         address=address,
         source_host="",
-        limits=PoolLimits(cap=2),
+        limits=PoolLimits(cap=2, **limits),
         clock=SystemClock(),
         rng=Random(1),
         counters=Counters(),
@@ -360,6 +363,33 @@
 
 
 class LateResponseTests(TestCase):
+    def test_a_second_response_while_idle_never_reaches_next_request(self):
+        """A request, and the probe before a call, took it for their own response."""
+        two_copies = [OK, OK.replace(b"ok", b"no")]
+        next_response = [OK.replace(b"ok", b"of")]
+
+        async def main(verified):
+            async with (
+                timeout_after(TEST_TIMEOUT),
+                fake_server(two_copies, next_response, pause=0.05) as address,
+            ):
+                connections = server_connections(
+                    address, response_memory(), verified_for=0.0
+                )
+                bodies = []
+                for _ in range(2):
+                    lease = await connections.lease(seconds=1, verified=verified)
+                    async with lease:
+                        response = await lease.request(GET, seconds=TEST_TIMEOUT)
+                    bodies.append(response.body)
+                    await sleep(0.2)
+                await connections.close()
+                return bodies
+
+        for verified in (False, True):
+            with self.subTest(verified=verified):
+                self.assertEqual(run(main, verified), [b"ok", b"ok"])
+
     def test_late_response_never_reaches_next_request(self):
         late_response = [b"", OK.replace(b"ok", b"no")]
 
