Close a connection of the entry that brought the answer to another request

What could happen: at the project's own entry, a second answer that arrives just before the next request's own is refused by its id, but the connection was kept. Under load it is used again at once, so that each query gets the answer to the one before, without end; all are asked again elsewhere, and the server is taken for a bad one.

Cause: a connection was kept after every response that was whole. Ruled out: calls, which close the connection after anything that is not their own answer or refusal; a cancelled attempt, whose answer is not read, since the next request notices.

Change: a lease can be discarded. A query does so after an answer with another id or one that it cannot read, a health poll after a body that is no health answer.

Evidence: test_an_answer_to_another_query_ends_its_connection failed before (q0, q0, q1, q2; now q0, q0, q2, q3), and so did its namesake for health polls (connection still open).

--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -2,6 +2,7 @@
 
 from contextlib import suppress
 from random import Random
+from types import TracebackType
 from typing import Self
 
 from curio import Event, TaskTimeout, spawn
@@ -259,6 +260,7 @@
         self._connection = connection
         self._used = False
         self._timed_out = False
+        self._discarded = False
 
     @property
     def sent(self) -> bool:
@@ -273,9 +275,24 @@
     async def __aenter__(self) -> Self:
         return self
 
-    async def __aexit__(self, *reason: object) -> None:
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if kind is not None:
+            self.discard()
         await self.release(self._outcome())
 
+    def discard(self) -> None:
+        """Close the connection once it is released.
+
+        Necessary after a response to another request, because the response to this one
+        may follow.
+        """
+        self._discarded = True
+
     @property
     def verified(self) -> bool:
         """Whether the connection answered a short time ago."""
@@ -296,11 +313,8 @@
             return ConnectionOutcome.UNUSED
         if self._timed_out:
             return ConnectionOutcome.TIMED_OUT
-        return (
-            ConnectionOutcome.ANSWERED
-            if self._connection.reusable
-            else ConnectionOutcome.CLOSED
-        )
+        is_kept = self._connection.reusable and not self._discarded
+        return ConnectionOutcome.ANSWERED if is_kept else ConnectionOutcome.CLOSED
 
     async def request(self, request: HttpRequest, *, seconds: float) -> HttpResponse:
         """Send ``request`` and return its response.
--- a/src/savorypond/controllers/health.py
+++ b/src/savorypond/controllers/health.py
@@ -134,7 +134,7 @@
         try:
             async with await connections.lease(seconds=_POLL_TIMEOUT) as lease:
                 response = await lease.request(_REQUEST, seconds=_POLL_TIMEOUT)
-            answer = read_health_answer(response)
+                answer = read_health_answer(response)
         except BackendServerError:
             self._counters.add("health_failures", "connection")
             return
--- a/src/savorypond/queries/shard_calls.py
+++ b/src/savorypond/queries/shard_calls.py
@@ -193,6 +193,10 @@
             wait = deadline - started
             async with await connections.lease(seconds=wait) as lease:
                 response = await self._exchange(call, query, deadline, events, lease)
+                if call.cancelled is None:
+                    result = _read_response(response, attempt.server.name)
+                    if not _is_result_of(result, query.request_id):
+                        lease.discard()
         except BackendServerError as error:
             stats.finished(attempt=call, now=self._clock.now(), ok=False)
             if call.cancelled is None:
@@ -208,7 +212,7 @@
         slot.set_outcome(_slot_outcome(call, response))
         self._servers.record_response(server=attempt.server.name, response=response)
         if call.cancelled is None:
-            await self._report(attempt, response, seconds, events)
+            await self._report(attempt, result, seconds, events)
         elif call.cancelled is CancelReason.LOST_RACE:
             self._servers.record_cancelled(server=attempt.server.name, seconds=seconds)
 
@@ -229,33 +233,25 @@
     async def _report(
         self,
         attempt: Attempt,
-        response: HttpResponse,
+        result: ServerAnswer | AttemptFailure,
         seconds: float,
         events: AttemptEvents,
     ) -> None:
         server = attempt.server.name
-        if response.status == 200:
-            try:
-                answer = decode_answer(response.body, server=server)
-            except WireError:
-                self._servers.record_failure(server=server)
-                failure = AttemptFailure(kind=FailureKind.INVALID_ANSWER)
-                await events.failed(attempt, failure)
-                return
-            self._record_answer(attempt, answer, seconds)
-            await events.answered(attempt, answer)
+        if isinstance(result, ServerAnswer):
+            self._record_answer(attempt, result, seconds)
+            await events.answered(attempt, result)
             return
-        failure = refusal_failure(response, server)
-        if failure.kind is FailureKind.SNAPSHOT_NOT_HELD:
+        if result.kind is FailureKind.SNAPSHOT_NOT_HELD:
             self._servers.record_refusal(
                 service=attempt.service,
                 server=server,
                 pin=attempt.pin,
-                held=failure.held,
+                held=result.held,
             )
-        elif failure.kind is not FailureKind.SHED:
+        elif result.kind is not FailureKind.SHED:
             self._servers.record_failure(server=server)
-        await events.failed(attempt, failure)
+        await events.failed(attempt, result)
 
     def _record_answer(
         self, attempt: Attempt, answer: ServerAnswer, seconds: float
@@ -304,6 +300,24 @@
     return AttemptFailure(kind=kind, not_run=not error.sent)
 
 
+def _read_response(
+    response: HttpResponse, server: str
+) -> ServerAnswer | AttemptFailure:
+    if response.status != 200:
+        return refusal_failure(response, server)
+    try:
+        return decode_answer(response.body, server=server)
+    except WireError:
+        return AttemptFailure(kind=FailureKind.INVALID_ANSWER)
+
+
+def _is_result_of(result: ServerAnswer | AttemptFailure, request_id: str) -> bool:
+    """Return whether ``result`` may be that of ``request_id``."""
+    if isinstance(result, ServerAnswer):
+        return result.request_id == request_id
+    return result.kind is not FailureKind.INVALID_ANSWER
+
+
 def refusal_failure(response: HttpResponse, server: str) -> AttemptFailure:
     """Return how an attempt failed that ``server`` answered with an error status."""
     if response.status == 503 and is_shed(response.body):
