Believe no refusal of a query that names another request

What could happen: at the project's own entry, a server that refuses a query repeats that refusal late, in place of its answer to the next one. The connection was kept, so that the answer itself came to the query after it.

Cause: only the refusals of calls were compared by id. Ruled out: harm to what callers get; queries may run twice, and answers have ids.

Change: a refusal with the id of another request is an invalid answer, which also closes the connection. One without an id is believed as before; its true answer then closes the connection. The stand-in puts the id into 409 as well.

Evidence: test_a_late_refusal_of_another_query_is_not_believed fails before with 409 and 503 and passes now, as do test_partials and test_standins.

--- a/src/savorypond/queries/partials.py
+++ b/src/savorypond/queries/partials.py
@@ -69,6 +69,17 @@
     request_id: str | None = None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RefusedRequest:
+    """What a refusal says of the request that it answers.
+
+    :param request_id: the id of that request, or None from a server that does not
+        repeat it.
+    """
+
+    request_id: str | None = None
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Drop:
     """A part of an answer that was dropped.
@@ -93,6 +104,7 @@
 _ANSWER = Decoder(ServerAnswer)
 _NOT_HELD = Decoder(NotHeldAnswer)
 _SHED = Decoder(ShedAnswer)
+_REFUSED = Decoder(RefusedRequest)
 
 
 def decode_answer(body: bytes, *, server: str) -> ServerAnswer:
@@ -151,6 +163,15 @@
     return shed.request_id == request_id
 
 
+def names_other_request(body: bytes, *, request_id: str) -> bool:
+    """Tell whether the body of a refusal names another request than ``request_id``."""
+    try:
+        refused = _REFUSED.decode(body)
+    except (DecodeError, RecursionError):
+        return False
+    return refused.request_id not in (None, request_id)
+
+
 def is_draining(body: bytes) -> bool:
     """Tell whether the body of a 503 response says that the server is draining."""
     shed = _decode_shed(body)
--- a/src/savorypond/queries/shard_calls.py
+++ b/src/savorypond/queries/shard_calls.py
@@ -23,6 +23,7 @@
     decode_answer,
     decode_not_held,
     is_shed,
+    names_other_request,
 )
 from savorypond.reasons import CancelReason
 
@@ -194,7 +195,9 @@
             async with await connections.lease(seconds=wait) as lease:
                 response = await self._exchange(call, query, deadline, events, lease)
                 if call.cancelled is None:
-                    result = _read_response(response, attempt.server.name)
+                    result = _read_response(
+                        response, attempt.server.name, query.request_id
+                    )
                     if not _is_result_of(result, query.request_id):
                         lease.discard()
         except BackendServerError as error:
@@ -301,10 +304,10 @@
 
 
 def _read_response(
-    response: HttpResponse, server: str
+    response: HttpResponse, server: str, request_id: str
 ) -> ServerAnswer | AttemptFailure:
     if response.status != 200:
-        return refusal_failure(response, server)
+        return refusal_failure(response, server, request_id)
     try:
         return decode_answer(response.body, server=server)
     except WireError:
@@ -318,8 +321,12 @@
     return result.kind is not FailureKind.INVALID_ANSWER
 
 
-def refusal_failure(response: HttpResponse, server: str) -> AttemptFailure:
+def refusal_failure(
+    response: HttpResponse, server: str, request_id: str
+) -> AttemptFailure:
     """Return how an attempt failed that ``server`` answered with an error status."""
+    if names_other_request(response.body, request_id=request_id):
+        return AttemptFailure(kind=FailureKind.INVALID_ANSWER)
     if response.status == 503 and is_shed(response.body):
         return AttemptFailure(
             kind=FailureKind.SHED, not_run=True, retry_after=_retry_after(response)
--- a/src/savorypond/standins/backend_server.py
+++ b/src/savorypond/standins/backend_server.py
@@ -255,7 +255,12 @@
         if search.snapshot not in self._snapshots.numbers:
             self._counts["snapshot_not_held"] += 1
             return json_response(
-                {"reason": "snapshot-not-held", "held": self._holdings()}, status=409
+                {
+                    "reason": "snapshot-not-held",
+                    "held": self._holdings(),
+                    "request_id": search.request_id,
+                },
+                status=409,
             )
         return await self._run(
             search.request_id,
--- a/tests/test_shard_calls.py
+++ b/tests/test_shard_calls.py
@@ -41,7 +41,7 @@
         }
         for value, seconds in cases.items():
             with self.subTest(value):
-                failure = refusal_failure(shed(value), "a")
+                failure = refusal_failure(shed(value), "a", "q0")
                 self.assertEqual(failure.kind, FailureKind.SHED)
                 self.assertTrue(failure.not_run)
                 self.assertEqual(failure.retry_after, seconds)
@@ -148,3 +148,25 @@
     def test_an_answer_to_another_query_ends_its_connection(self):
         """Each query got the answer to the one before, without end."""
         self.assertEqual(self.outcomes(answered), ["q0", "q0", "q2", "q3"])
+
+    def test_a_late_refusal_of_another_query_is_not_believed(self):
+        """The server seemed to lack the snapshot of a query that it answered."""
+        for status, kind, body in (
+            (503, FailureKind.SHED, {"execution": "not-run"}),
+            (
+                409,
+                FailureKind.SNAPSHOT_NOT_HELD,
+                {"reason": "snapshot-not-held", "held": []},
+            ),
+        ):
+
+            def refuse_first(request_id, status=status, body=body):
+                if request_id != "q0":
+                    return answered(request_id)
+                return response(status, encode({**body, "request_id": request_id}))
+
+            with self.subTest(status):
+                self.assertEqual(
+                    self.outcomes(refuse_first),
+                    [kind, FailureKind.INVALID_ANSWER, "q2", "q3"],
+                )
