Read nothing from a store connection that has input already

What could happen: if the store answers a read twice, the second answer is taken for that to the next read. The same answer again hides the changes since, so that a draining server gets requests for a read longer; and since the true answer stays unread, so does every read after it, as long as the connection lives.

Cause: the store's connection was used without a look at its input. Ruled out: an answer after its time-out, since the connection is closed then, and bytes in one segment with an answer.

Change: a connection with input, or closed by the store, is replaced before a read. A closed one cost a failed read before.

Evidence: test_a_second_answer_while_idle_is_not_that_to_the_next_read fails before (the older entry, not leaving) and passes now, as do the tests of the feed and of restored stores.

--- a/src/savorypond/platform/store.py
+++ b/src/savorypond/platform/store.py
@@ -155,6 +155,8 @@
         time_limit = seconds + _TRANSFER_TIME
         try:
             async with timeout_after(time_limit):
+                if self._connection is not None and self._connection.is_stale():
+                    await self.close()
                 if self._connection is None:
                     await self._open(seconds)
                 assert self._connection is not None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,22 +1,26 @@
 """Tests of savorypond.platform."""
 
 from base64 import b64encode
+from contextlib import suppress
 from json import dumps
 from pathlib import Path
 from re import findall
 from time import monotonic
 from unittest import TestCase
 
-from curio import run
+from curio import run, sleep
 
 from savorypond.exceptions import PublishedStateError, SettingsError
 from savorypond.gateway.published_state import Position
+from savorypond.http.listener import Listener
+from savorypond.http.messages import HttpRequest
 from savorypond.model import Address
 from savorypond.platform.documents import read_registration, read_route_table
 from savorypond.platform.node_file import parse_node_file
 from savorypond.platform.store import PlatformStore
-from tests.gateway_loopback import configuration, route
-from tests.test_http_client import fake_server
+from savorypond.timeouts import timeout_after
+from tests.gateway_loopback import LOOPBACK, FakeStore, configuration, route
+from tests.test_http_client import TEST_TIMEOUT, fake_server
 
 SOURCES = Path(__file__).parent.parent / "src" / "savorypond"
 # Names that are specific to the platform; its other names are too generic to check.
@@ -200,3 +204,80 @@
         with self.assertRaises(PublishedStateError):
             self.read(pause=1.5)
         self.assertLess(monotonic() - started, 1.4)
+
+
+class StutteringStore(FakeStore):
+    """Repeats answers on its first connection.
+
+    :param copy_after: seconds after which each answer is sent again, or None for not.
+    :param lag: number of further answers after which one takes the place of another, or
+        0 for never.
+    """
+
+    def __init__(self, *, copy_after=None, lag=0):
+        super().__init__()
+        self._copy_after = copy_after
+        self._lag = lag
+        self._server = Listener(address=LOOPBACK, serve=self._serve)
+        self._connections = 0
+
+    async def _serve(self, sock, peer):
+        self._connections += 1
+        stutters = self._connections == 1
+        answers = []
+        # A client resets a connection with an answer that it does not read.
+        async with sock:
+            with suppress(ConnectionError):
+                while data := await sock.recv(65536):
+                    path = data.split(b" ")[1].decode()
+                    request = HttpRequest(method="GET", path=path)
+                    answers.append(_encode(await self.handle(request)))
+                    if stutters and 0 < self._lag < len(answers):
+                        await sock.sendall(answers[-1 - self._lag])
+                    else:
+                        await sock.sendall(answers[-1])
+                    if stutters and self._copy_after is not None:
+                        await sleep(self._copy_after)
+                        await sock.sendall(answers[-1])
+
+
+def _encode(response):
+    lines = [f"HTTP/1.1 {response.status} X", f"Content-Length: {len(response.body)}"]
+    lines += [f"{header.name}: {header.value}" for header in response.headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + response.body
+
+
+class StutteringStoreTests(TestCase):
+    """A second answer of the store was taken for that to the next read."""
+
+    def run_with_store(self, method, **stutter):
+        async def main():
+            fake = StutteringStore(**stutter)
+            fake.put("op/config", configuration(version=4))
+            async with timeout_after(TEST_TIMEOUT), fake:
+                store = PlatformStore(address=fake.address, source_host="")
+                try:
+                    return await method(fake, store)
+                finally:
+                    await store.close()
+
+        return run(main)
+
+    def register(self, fake, phase, name="i"):
+        fake.put(f"servers/{name}", {**REGISTRATION, "phase": phase})
+
+    async def watch(self, store, position):
+        """Return the new position, and whether the server leaves if it changed."""
+        changes = await store.changes(after=position, wait=0.1)
+        return changes.position, [c.server.leaving for c in changes.servers]
+
+    def test_a_second_answer_while_idle_is_not_that_to_the_next_read(self):
+        async def leaving(fake, store):
+            position = Position(era=fake.era, revision=fake.revision)
+            self.register(fake, "ready")
+            position, _ = await self.watch(store, position)
+            self.register(fake, "draining")
+            await sleep(0.1)
+            return (await self.watch(store, position))[1]
+
+        self.assertEqual(self.run_with_store(leaving, copy_after=0.02), [True])
