Tell a second answer of the store from that to the last read

What could happen: a second answer of the store that arrives just before the next one is taken in its place. Older changes become current: a server that drains seems ready, and as the position stays, its newer entry is not read again until it changes. A page comes twice; and since the answer to the last read stays on the connection, which was kept after an error too, each read gets the answer to the one before, and no read of everything succeeds again.

What tells answers apart: they have no id. The kinds of document differ (item, items, events). Changes must be after the revision asked for, and pages after the key; the era told restored stores already. Two reads of everything, and answers without a document (404, 410, 429, 503), cannot be told apart. Ruled out: an older configuration at an instance that has a newer one, which the feed refuses by its version.

Change: changes up to the revision asked for and pages up to the key are errors; after an error, or an answer without a document, the connection is closed; a read of everything starts on a new one. That costs a connection for each of these, no further read.

Evidence: four tests of StutteringStoreTests fail before and pass now, as do those of the feed, of restored stores, of histories and of the gateway's daemon.

--- a/src/savorypond/platform/store.py
+++ b/src/savorypond/platform/store.py
@@ -2,7 +2,8 @@
 
 from base64 import b64decode
 from binascii import Error as BinasciiError
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -70,6 +71,10 @@
 class PlatformStore:
     """The store, accessed over one persistent connection.
 
+    Answers have no id. A second one to an earlier read is told by its revisions, keys
+    or kind of document, and its connection is closed, because the answer to the last
+    read may follow.
+
     Must not be used by several tasks at once.
     """
 
@@ -92,8 +97,11 @@
 
         :raises PublishedStateError: the request failed, or the response was invalid.
         """
-        items, position = await self._read_servers()
-        table = await self._read_configuration(position)
+        # No answer to an earlier read of everything can arrive on a new connection.
+        await self.close()
+        async with self._closing_after_error():
+            items, position = await self._read_servers()
+            table = await self._read_configuration(position)
         changes = (_to_change(item) for item in items)
         return PublishedState(
             position=position,
@@ -111,11 +119,16 @@
         """
         path = f"/savorypond/kv-watch?prefix=&after={after.revision}"
         path += f"&wait_ms={int(wait * 1000)}"
-        response = await self._get(path, wait + _WATCH_MARGIN)
-        is_answer = response.status == _OK
-        if response.status == _GONE or (is_answer and _era(response) != after.era):
-            raise HistoryLost(source=str(self._address), position=after)
-        watch = self._decode(self._watch_decoder, response)
+        async with self._closing_after_error():
+            response = await self._get(path, wait + _WATCH_MARGIN)
+            is_answer = response.status == _OK
+            if response.status == _GONE or (is_answer and _era(response) != after.era):
+                raise HistoryLost(source=str(self._address), position=after)
+            watch = self._decode(self._watch_decoder, response)
+            if watch.as_of < after.revision or any(
+                event.revision <= after.revision for event in watch.events
+            ):
+                raise self._error(f"changes up to revision {after.revision}")
         return PublishedChanges(
             position=Position(era=after.era, revision=watch.as_of),
             table=_newest_table(watch.events),
@@ -130,6 +143,8 @@
             path = f"/savorypond/kv-range?prefix={_SERVERS}&after={quote(after)}"
             response = await self._get(path, _READ_TIMEOUT)
             page = self._decode(self._range_decoder, response)
+            if any(item.key <= after for item in page.items):
+                raise self._error(f"a page with keys up to {after}")
             items.extend(page.items)
             # The state may change between pages; the lowest revision makes a watch
             # repeat every change that an earlier page misses.
@@ -150,6 +165,14 @@
             return None
         return _decode_table(self._decode(self._key_decoder, response))
 
+    @asynccontextmanager
+    async def _closing_after_error(self) -> AsyncIterator[None]:
+        try:
+            yield
+        except BaseException:
+            await self.close()
+            raise
+
     async def _get(self, path: str, seconds: float) -> HttpResponse:
         """Return the response, of which ``seconds`` may pass without a byte."""
         time_limit = seconds + _TRANSFER_TIME
@@ -164,15 +187,11 @@
                     _request(path), max_silence=seconds
                 )
         except TaskTimeout as error:
-            await self.close()
             raise self._error(f"no complete answer within {time_limit} s") from error
         except BackendServerError as error:
-            await self.close()
             raise self._error(error.problem) from error
-        except BaseException:
-            await self.close()
-            raise
-        if not self._connection.reusable:
+        # An answer without a document does not tell to which read it belongs.
+        if not self._connection.reusable or response.status != _OK:
             await self.close()
         return response
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 
 from curio import run, sleep
 
-from savorypond.exceptions import PublishedStateError, SettingsError
+from savorypond.exceptions import HistoryLost, PublishedStateError, SettingsError
 from savorypond.gateway.published_state import Position
 from savorypond.http.listener import Listener
 from savorypond.http.messages import HttpRequest
@@ -219,11 +219,11 @@
         self._copy_after = copy_after
         self._lag = lag
         self._server = Listener(address=LOOPBACK, serve=self._serve)
-        self._connections = 0
+        self.connections = 0
 
     async def _serve(self, sock, peer):
-        self._connections += 1
-        stutters = self._connections == 1
+        self.connections += 1
+        stutters = self.connections == 1
         answers = []
         # A client resets a connection with an answer that it does not read.
         async with sock:
@@ -281,3 +281,57 @@
             return (await self.watch(store, position))[1]
 
         self.assertEqual(self.run_with_store(leaving, copy_after=0.02), [True])
+
+    def test_older_changes_do_not_become_current(self):
+        """A server that drains seemed ready again; its entry was not read again."""
+
+        async def read(fake, store):
+            position = Position(era=fake.era, revision=fake.revision)
+            self.register(fake, "ready")
+            position, first = await self.watch(store, position)
+            self.register(fake, "draining")
+            position, second = await self.watch(store, position)
+            fake.put("other", {})
+            with self.assertRaises(PublishedStateError):
+                await self.watch(store, position)
+            return first, second, (await self.watch(store, position))[0].revision
+
+        first, second, revision = self.run_with_store(read, lag=2)
+        self.assertEqual((first, second, revision), ([False], [True], 5))
+
+    def test_another_page_is_not_taken_for_the_next_one(self):
+        """Each page came twice, and then no read of everything succeeded."""
+
+        async def names(fake, store):
+            for name in "abcde":
+                self.register(fake, "ready", name)
+            with self.assertRaises(PublishedStateError):
+                await store.read_all()
+            return [server.name for server in (await store.read_all()).servers]
+
+        self.assertEqual(self.run_with_store(names, lag=1), list("abcde"))
+
+    def test_everything_is_read_anew_on_a_new_connection(self):
+        """An older configuration came again, and later changes do not repeat it."""
+
+        async def version(fake, store):
+            await store.read_all()
+            fake.put("op/config", configuration(version=5))
+            return (await store.read_all()).table.version
+
+        self.assertEqual(self.run_with_store(version, lag=2), 5)
+
+    def test_an_answer_without_a_document_ends_its_connection(self):
+        """It has no revision that tells it from a copy of an earlier one."""
+
+        async def connections(fake, store):
+            fake.statuses = [410, 503]
+            for error in (HistoryLost, PublishedStateError):
+                with self.assertRaises(error):
+                    await self.watch(store, Position(era=fake.era, revision=2))
+            fake.remove("op/config")
+            state = await store.read_all()
+            await self.watch(store, state.position)
+            return fake.connections, state.table
+
+        self.assertEqual(self.run_with_store(connections), (4, None))
