Send a reply to a peer whole, also if its request is cancelled meanwhile

What could happen: an instance cancels a forwarded request, as when its caller leaves, while the large reply is on its way. The reply ends within its frame; the next reply on the link is read as the rest of it, and what follows that as a length. All requests on the link then fail or wait until they time out, and the link is closed. A field of bytes takes the other reply's bytes without an error, but in a reply to the cancelled request, which is dropped.

Cause: a cancellation ended the task of the request wherever it was, so also within a send. Ruled out: the requests, since a link is closed when one is interrupted, and early replies, whose sends are not cancelled.

Change: the cancellation of a request whose reply is being sent is ignored. When the link closes, such a send is still cancelled with it.

Evidence: test_a_cancelled_reply_does_not_end_within_its_frame fails before (no frame came) and passes now, as do the tests of placement and daemons.

--- a/src/savorypond/peers/link.py
+++ b/src/savorypond/peers/link.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Awaitable
 from contextlib import suppress
+from dataclasses import dataclass, field
 from itertools import count
 from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import Any, Protocol, Self
@@ -77,6 +78,20 @@
         self.sent = sent
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _ServedLink:
+    """A link that a peer has opened.
+
+    :param running: the task of each request that has no whole reply yet, by number.
+    :param replying: numbers of those whose reply is being sent.
+    """
+
+    stream: FrameStream
+    peer: str
+    running: dict[int, Any] = field(default_factory=dict)
+    replying: set[int] = field(default_factory=set)
+
+
 class PeerServer:
     """Accepts links and serves the requests that arrive on them."""
 
@@ -107,46 +122,52 @@
 
     async def _serve(self, sock: Any, peer: str) -> None:
         stream = FrameStream(sock=sock, peer=peer, fleet=self._fleet)
-        running: dict[int, Any] = {}
+        link = _ServedLink(stream=stream, peer=peer)
         try:
-            await self._serve_frames(stream, peer, running)
+            await self._serve_frames(link)
         except WireError as error:
             warning("closing a peer link after an invalid frame: %s", error)
         except OSError:
             pass  # the connection is lost; its requests are cancelled below
         finally:
-            for task in list(running.values()):
+            for task in list(link.running.values()):
                 await task.cancel()
             await stream.close()
 
-    async def _serve_frames(
-        self, stream: FrameStream, peer: str, running: dict[int, Any]
-    ) -> None:
-        while (frame := await stream.receive()) is not None:
+    async def _serve_frames(self, link: _ServedLink) -> None:
+        while (frame := await link.stream.receive()) is not None:
             if isinstance(frame.message, CancelForward):
-                task = running.pop(frame.message.number, None)
-                if task is not None:
-                    await task.cancel(blocking=False)
+                await self._cancel(link, frame.message.number)
                 continue
-            running[frame.number] = await spawn(
-                self._answer, stream, peer, frame, running, daemon=True
+            link.running[frame.number] = await spawn(
+                self._answer, link, frame, daemon=True
             )
 
-    async def _answer(
-        self, stream: FrameStream, peer: str, frame: Frame, running: dict[int, Any]
-    ) -> None:
-        delay = self._delay(peer) if self._delay else 0.0
+    async def _cancel(self, link: _ServedLink, number: int) -> None:
+        # The peer would read the next reply as the rest of one that is cut off.
+        if number in link.replying:
+            return
+        task = link.running.pop(number, None)
+        if task is not None:
+            await task.cancel(blocking=False)
+
+    async def _answer(self, link: _ServedLink, frame: Frame) -> None:
+        delay = self._delay(link.peer) if self._delay else 0.0
         try:
             if delay:
                 await sleep(delay)
 
             async def send_early_reply(reply: ForwardAnswer) -> None:
-                await spawn(self._send, stream, delay, frame.number, reply, daemon=True)
+                await spawn(
+                    self._send, link.stream, delay, frame.number, reply, daemon=True
+                )
 
             reply = await self._reply(frame.message, send_early_reply)
-            await self._send(stream, delay, frame.number, reply)
+            link.replying.add(frame.number)
+            await self._send(link.stream, delay, frame.number, reply)
         finally:
-            running.pop(frame.number, None)
+            link.replying.discard(frame.number)
+            link.running.pop(frame.number, None)
 
     async def _send(
         self, stream: FrameStream, delay: float, number: int, reply: LinkMessage
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -2,15 +2,18 @@
 from unittest import TestCase
 
 from curio import CancelledError, Event, TaskGroup, run, sleep, spawn, timeout_after
+from curio.socket import AF_INET, SOCK_STREAM, socket
 
 from savorypond.exceptions import RequestRefused, WireError
 from savorypond.http.listener import Listener
 from savorypond.model import Address
+from savorypond.peers.frame_stream import FrameStream
 from savorypond.peers.link import LinkError, PeerLinks, PeerServer
 from savorypond.peers.link_messages import (
     LENGTH_BYTES,
     LINK_VERSION,
     MAX_FRAME_BYTES,
+    CancelForward,
     ForwardRefusal,
     Frame,
     HoldingsReply,
@@ -140,6 +143,28 @@
 
         self.assertEqual(seen, ["started", "cancelled"])
 
+    def test_a_cancelled_reply_does_not_end_within_its_frame(self):
+        """The next reply was read as the rest of it, and the link gave no more."""
+
+        async def answer(message, send):
+            if message.services[0] == "large":
+                return make_reply(make_request("x" * (MAX_FRAME_BYTES - 1000)))
+            return make_reply(message)
+
+        async def main():
+            server = PeerServer(address=LOOPBACK, fleet="f", handler=answer)
+            sock = socket(AF_INET, SOCK_STREAM)
+            async with timeout_after(TEST_TIMEOUT), server, sock:
+                await sock.connect((server.address.host, server.address.port))
+                stream = FrameStream(sock=sock, peer="p", fleet="f")
+                await stream.send(1, make_request("large"))
+                await sleep(0.2)  # the reply fills the buffers
+                await stream.send(2, CancelForward(number=1))
+                await stream.send(3, make_request("small"))
+                return [(await stream.receive()).number for _ in range(2)]
+
+        self.assertEqual(run(main), [1, 3])
+
     def test_a_silent_peer_times_out_and_the_next_request_uses_a_new_link(self):
         first_received = Event()
 
