Send no call on a connection that its probe has shown to end

What could happen: at the project's own entry, a call that follows a probe was lost with an unknown outcome, although it could have been sent safely on another connection: the server had answered the probe with Connection: close, or with the first bytes of another response behind it. The rest of those bytes then came as the answer to the call.

Cause: a probe counted as passed once it had any response. Ruled out: a wrong answer for the caller, which has an id; the fragment fails to parse.

Change: a probe passes only if its connection may carry another request.

Evidence: test_a_probe_whose_connection_cannot_go_on_fails fails before in both cases (BackendServerError) and passes now, as do the tests of daemons, calls and the pool.

--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -199,7 +199,7 @@
         )
 
     async def probe(self, connection: HttpConnection) -> bool:
-        """Send a health request on ``connection``; return whether it was answered."""
+        """Send a health request; return whether ``connection`` may carry another."""
         try:
             async with timeout_after(PROBE_TIMEOUT):
                 await connection.request(_PROBE, max_body_bytes=_MAX_PROBE_BYTES)
@@ -207,7 +207,7 @@
             self._counters.add("probes", "failed")
             return False
         self._counters.add("probes", "answered")
-        return True
+        return connection.reusable
 
     def is_verified(self, number: int) -> bool:
         """Return whether connection ``number`` answered a short time ago."""
@@ -299,7 +299,7 @@
         return self._server_connections.is_verified(self._number)
 
     async def probe(self) -> bool:
-        """Send a health request; return whether it was answered."""
+        """Send a health request; return whether a request may follow it."""
         return await self._server_connections.probe(self._connection)
 
     async def release(self, outcome: ConnectionOutcome) -> None:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -390,6 +390,32 @@
             with self.subTest(verified=verified):
                 self.assertEqual(run(main, verified), [b"ok", b"ok"])
 
+    def test_a_probe_whose_connection_cannot_go_on_fails(self):
+        """The call that followed was lost, although it could have been sent safely."""
+        closing = OK.replace(b"Content", b"Connection: close\r\nContent")
+        for name, probe_response in (
+            ("closes", closing),
+            ("fragment of another response", OK + b"HTTP/1.1 2"),
+        ):
+
+            async def main(probe_response=probe_response):
+                async with (
+                    timeout_after(TEST_TIMEOUT),
+                    fake_server([OK], [probe_response], [b"00 OK\r\n\r\n"]) as address,
+                ):
+                    connections = server_connections(
+                        address, response_memory(), verified_for=0.0
+                    )
+                    for _ in range(2):
+                        lease = await connections.lease(seconds=1, verified=True)
+                        async with lease:
+                            response = await lease.request(GET, seconds=TEST_TIMEOUT)
+                    await connections.close()
+                    return response.body
+
+            with self.subTest(name):
+                self.assertEqual(run(main), b"ok")
+
     def test_late_response_never_reaches_next_request(self):
         late_response = [b"", OK.replace(b"ok", b"no")]
 
