Show that nothing is merged twice and no link mixes its replies

Tests only; no fault found in these places.

Merged answers: whatever order a group's answers, copies of them, fallbacks and single answers come in, each answered shard is in the merged answer once. The test fails if single answers are kept beside that of their group.

Links: a reply goes by its number, which is not used again when a link is opened anew; a second, late or unknown one is dropped, and one that breaks off ends with its link.

--- a/tests/test_gateway_gather_plan.py
+++ b/tests/test_gateway_gather_plan.py
@@ -1,11 +1,21 @@
 """Tests of savorypond.gateway.gather_plan."""
 
+from types import SimpleNamespace
 from unittest import TestCase
+from unittest.mock import AsyncMock, MagicMock
 
+from curio import run
 from hypothesis import given, settings, strategies as st
 
+from savorypond.gateway.attempts import AttemptResult
+from savorypond.gateway.delegation_client import GroupResult
 from savorypond.gateway.gather_plan import GatherPlan
 from savorypond.gateway.plan_types import HedgeDelays, PlanLimits, Verdict
+from savorypond.gateway.ranked_merge import PartialAnswer
+from savorypond.gateway.request_run import RequestRun
+from savorypond.gateway.response_classifier import AttemptOutcome
+from savorypond.http.messages import Header, HttpResponse
+from savorypond.platform.names import HEADERS
 from tests.gateway_fakes import FakeChooser, FakeRetryBudget, server
 
 TARGET = 0.1
@@ -346,3 +356,71 @@
         plan.due_follow_ups(TARGET)
         self.assertEqual(plan.record_group_failure(group, 0.2, may_have_run=True), [])
         self.assertIs(plan.verdict(0.2), Verdict.UNSERVABLE)
+
+
+def group_result(shards, pending):
+    return GroupResult(
+        peer="b1",
+        number=1,
+        part=PartialAnswer(signatures=tuple(f"s{n}" for n in shards), body=b""),
+        answered=shards,
+        pending=pending,
+    )
+
+
+def attempt_result(attempt):
+    signature = Header(name=HEADERS.signature, value=f"s{attempt.shard}")
+    return AttemptResult(
+        outcome=AttemptOutcome.USABLE,
+        server=attempt.server,
+        response=HttpResponse(status=200, headers=(signature,)),
+    )
+
+
+def make_run(plan):
+    """Return a run that follows ``plan`` and records results that it is given."""
+    request = SimpleNamespace(request_id="r1", caller_deadline=DEADLINE)
+    spec = SimpleNamespace(
+        route=MagicMock(max_attempts=2, priority=0),
+        services=("s0",),
+        least_share=1.0,
+        partial_after=TARGET,
+        request=request,
+    )
+    dependencies = MagicMock(names=HEADERS)
+    dependencies.clock.now.return_value = 0.0
+    request_run = RequestRun(dependencies=dependencies, spec=spec)
+    request_run._plan = plan
+    request_run._spawn_attempts = AsyncMock()
+    return request_run
+
+
+class MergedPartsTests(TestCase):
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.data())
+    def test_no_shard_is_merged_twice(self, data):
+        """Whatever comes twice, late, or after its fallback has answered."""
+        plan = make_plan(5, least_share=1.0)
+        group = plan.delegate((1, 2, 3, 4), fallback_at=GROUP_DUE)
+        attempts = plan.start(0.0)
+        cut = data.draw(st.integers(1, 4))
+        results = [group_result(tuple(range(1, cut + 1)), tuple(range(cut + 1, 5)))]
+        if cut < 4:
+            results.append(group_result(tuple(range(cut + 1, 5)), ()))
+        request_run = make_run(plan)
+        events = ["attempt", "fallbacks", "group", "copy"]
+        sent = []
+        for event in data.draw(st.lists(st.sampled_from(events), max_size=14)):
+            if event == "attempt" and attempts:
+                attempt = attempts.pop(data.draw(st.integers(0, len(attempts) - 1)))
+                run(request_run._record_attempt, attempt, attempt_result(attempt))
+            elif event == "fallbacks":
+                attempts += plan.due_fallbacks(GROUP_DUE)
+            elif event == "group" and results:
+                sent.append(results.pop(0))
+                run(request_run._record_group, group, sent[-1])
+            elif event == "copy" and sent:
+                copy = data.draw(st.sampled_from(sent))
+                run(request_run._record_group, group, copy)
+        merged = [s for p in request_run._parts for s in p.answer.signatures]
+        self.assertCountEqual(merged, {f"s{n}" for n in range(5)} - {*plan.missing()})
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,4 +1,5 @@
 from dataclasses import dataclass
+from socket import SHUT_RDWR
 from unittest import TestCase
 
 from curio import CancelledError, Event, TaskGroup, run, sleep, spawn, timeout_after
@@ -14,6 +15,7 @@
     LINK_VERSION,
     MAX_FRAME_BYTES,
     CancelForward,
+    ForwardAnswer,
     ForwardRefusal,
     Frame,
     HoldingsReply,
@@ -55,6 +57,84 @@
     return decorate
 
 
+def forward_answer(request_id, *, final=True):
+    return ForwardAnswer(
+        request_id=request_id,
+        snapshot=7,
+        layout=1,
+        partials=(),
+        missing=(),
+        final=final,
+    )
+
+
+class StutteringPeerTests(TestCase):
+    """Replies are told apart by numbers that no link uses twice."""
+
+    def replies(self, answer, count=2):
+        """Send requests to a peer on which ``answer`` sends; return the replies."""
+
+        async def serve(sock, peer):
+            async with sock:
+                stream = FrameStream(sock=sock, peer=peer, fleet="f")
+                while (frame := await stream.receive()) is not None:
+                    await answer(stream, frame.number)
+
+        async def main():
+            listener = Listener(address=LOOPBACK, serve=serve)
+            links = PeerLinks(fleet="f", source_host="")
+            replies, early = [], []
+
+            async def on_early_reply(reply):
+                early.append(reply.request_id)
+
+            async with timeout_after(TEST_TIMEOUT), listener, links:
+                for number in range(count):
+                    try:
+                        reply = await links.request(
+                            listener.address,
+                            make_request(f"r{number}"),
+                            timeout=TEST_TIMEOUT,
+                            on_early_reply=on_early_reply,
+                        )
+                        replies.append(reply.request_id)
+                    except LinkError:
+                        replies.append(None)
+            return replies, early
+
+        return run(main)
+
+    def test_a_second_or_late_reply_reaches_no_other_request(self):
+        async def answer(stream, number):
+            if number == 2:
+                await stream.send(1, forward_answer("r1", final=False))
+                await stream.send(1, forward_answer("r1"))
+                await stream.send(99, forward_answer("r99"))
+            await stream.send(number, forward_answer(f"r{number}", final=False))
+            await stream.send(number, forward_answer(f"r{number}"))
+            await stream.send(number, forward_answer(f"r{number}", final=False))
+            await stream.send(number, forward_answer(f"r{number}"))
+
+        self.assertEqual(self.replies(answer), (["r1", "r2"], ["r1", "r2"]))
+
+    def test_a_reply_that_breaks_off_is_not_filled_up_on_the_next_link(self):
+        async def answer(stream, number):
+            frame = Frame(
+                version=LINK_VERSION,
+                fleet="f",
+                number=number,
+                message=forward_answer(f"r{number}"),
+            )
+            data = encode_frame(frame)
+            if number == 1:
+                await stream._sock.sendall(data[:-1])
+                await stream._sock.shutdown(SHUT_RDWR)
+            else:
+                await stream._sock.sendall(data)
+
+        self.assertEqual(self.replies(answer), ([None, "r2"], []))
+
+
 class PeerLinkTests(TestCase):
     def test_a_reply_that_is_too_large_is_replaced_by_a_refusal(self):
         async def answer(message, send):
