Show where a second or broken-off answer has nothing to be taken for

Looked for the class of the incident at the remaining readers of connections. Tests only; no fault found in these places.

Documents in JSON, of backend servers, the store and the configuration service: one that breaks off and is filled up by the next response, or that has no length and takes it in, is no document, wherever it is cut. The configuration service and the instance list are read on a connection for each read.

Peers of the gateway: a late reply, a second one and a fragment of one end with their connection. What remains, a second reply between the next request and its own, needs a server that answers a request twice; servers here do not: pipelined requests, slow and failing handlers, refusals, closes and idle connections give one response for each request, and nothing after a refusal or a close.

--- a/tests/test_config_controller.py
+++ b/tests/test_config_controller.py
@@ -2,7 +2,7 @@
 from unittest import TestCase
 from unittest.mock import patch
 
-from curio import TaskTimeout, run, run_in_thread, timeout_after
+from curio import TaskTimeout, run, run_in_thread, sleep, timeout_after
 from msgspec.json import decode
 
 from savorypond.clock import SystemClock
@@ -19,6 +19,7 @@
 )
 from savorypond.tools.bundle import read_in_force
 from tests.config_fakes import FakeView, history
+from tests.test_http_client import fake_server
 
 HISTORY = history(4)
 ANY_PORT = Address(host="127.0.0.1", port=0)
@@ -64,6 +65,32 @@
     return controller
 
 
+def stored(revision):
+    """Return the answer of the configuration service with a value, as bytes."""
+    body = b'{"key":"k","revision":%d,"value":{}}' % revision
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+class ServiceClientTests(TestCase):
+    def test_a_second_answer_has_no_read_to_be_taken_for(self):
+        """Each read has a connection of its own, on which nothing came before."""
+
+        async def main():
+            async with (
+                timeout_after(TEST_TIMEOUT),
+                fake_server([stored(1), stored(0)], [stored(2)], pause=0.02) as address,
+            ):
+                service = HttpConfigService(address=address, source_host="")
+                revisions = []
+                for after in (0, 1, 2):
+                    value = await service.watch("k", after=after, wait=1.0)
+                    revisions.append(value.revision)
+                    await sleep(0.05)
+                return revisions
+
+        self.assertEqual(run(main), [1, 1, 1])
+
+
 class ControllerTests(TestCase):
     def test_change_reaches_watcher_and_peer(self):
         async def main():
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,5 @@
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from socket import SHUT_WR
 from unittest import TestCase
 
@@ -210,6 +210,73 @@
         self.assertTrue(answer.endswith(b"\r\n\r\n"))
 
 
+class OneResponseTests(TestCase):
+    """A connection carries one response for each request, and none besides."""
+
+    GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+    REFUSED = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n"
+
+    @with_server
+    async def test_no_request_is_answered_after_a_refusal(self, running):
+        for before in (0, 2):
+            requests = b"".join(self.GET % number for number in range(before))
+            for pause in (0.0, 0.02):
+                with self.subTest(before=before, pause=pause):
+                    data = await running.exchange(
+                        requests, self.REFUSED, self.GET % 9, pause=pause
+                    )
+                    self.assertEqual(data.count(b"HTTP/1.1 200"), before)
+                    self.assertEqual(data.count(b"HTTP/1.1 413"), 1)
+                    self.assertNotIn(b"GET /9", data)
+
+    @with_server
+    async def test_no_request_is_answered_after_a_close(self, running):
+        closing = b"GET /0 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        data = await running.exchange(closing + self.GET % 1)
+        self.assertEqual(data.count(b"HTTP/1.1 "), 1)
+        self.assertTrue(data.endswith(b"GET /0 "))
+
+    def test_pipelined_requests_with_slow_and_failing_handlers_are_answered_once(self):
+        async def handler(request):
+            number = int(request.path[1:])
+            await sleep(0.05 if number % 2 else 0.0)
+            if number % 3 == 2:
+                raise ValueError(number)
+            return text_response(f"answer {number}.")
+
+        async def main():
+            running = RunningServer(handler)
+            async with timeout_after(TEST_TIMEOUT), running.server:
+                requests = [self.GET % number for number in range(6)]
+                last = b"GET /6 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                return await running.exchange(*requests, last)
+
+        with self.assertLogs("absl", "ERROR"):
+            data = run(main)
+        statuses = [part[:3] for part in data.split(b"HTTP/1.1 ")[1:]]
+        self.assertEqual(statuses, [b"200", b"200", b"500"] * 2 + [b"200"])
+        answers = [b"answer %d." % number for number in (0, 1, 3, 4, 6)]
+        self.assertEqual([data.count(answer) for answer in answers], [1] * 5)
+        self.assertEqual(answers, sorted(answers, key=data.index))
+
+    def test_an_idle_connection_is_closed_without_a_byte(self):
+        async def main():
+            limits = replace(LIMITS, idle_time=0.05)
+            server = HttpServer(address=LOOPBACK, handler=echo, limits=limits)
+            sock = socket(AF_INET, SOCK_STREAM)
+            async with timeout_after(TEST_TIMEOUT), server, sock:
+                await sock.connect((server.address.host, server.address.port))
+                await sock.sendall(self.GET % 1)
+                data = b""
+                while more := await sock.recv(65536):
+                    data += more
+                return data
+
+        data = run(main)
+        self.assertEqual(data.count(b"HTTP/1.1 "), 1)
+        self.assertTrue(data.endswith(b"GET /1 "))
+
+
 class GoodRequestTests(TestCase):
     @with_server
     async def test_pipelined_requests_are_answered_in_order(self, running):
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -2,10 +2,18 @@
 
 from unittest import TestCase
 
-from savorypond.exceptions import ResponseError
+from msgspec import DecodeError
+from msgspec.json import Decoder
+
+from savorypond.calls.connection import CallAnswer
+from savorypond.config.platform_client import _InstanceListing, _StoredValue
+from savorypond.controllers.health import HealthAnswer
+from savorypond.exceptions import ResponseError, WireError
 from savorypond.http.listener import Listener
 from savorypond.http.response_parser import ResponseParser
 from savorypond.platform.names import HEADERS
+from savorypond.platform.store import _KeyResponse, _RangeResponse, _WatchResponse
+from savorypond.queries.partials import ShedAnswer, decode_answer, decode_not_held
 from tests.gateway_loopback import LOOPBACK, FakeServer, RemoteServer, route
 from tests.test_gateway_daemon import with_gateway
 
@@ -48,6 +56,72 @@
             yield name, head[:cut]
 
 
+def decodes(decode, body):
+    try:
+        decode(body)
+    except (DecodeError, WireError):
+        return False
+    return True
+
+
+class FilledUpDocumentTests(TestCase):
+    """A body that breaks off may be filled up by the response that follows it.
+
+    The client cannot notice that, nor the end of a body without a length. A document in
+    JSON is then no document, since a status line is none within and outside of text.
+    """
+
+    DOCUMENTS = (
+        (
+            lambda body: decode_answer(body, server="s"),
+            b'{"request_id":"q","snapshot":7,"layout":1,"partials":'
+            b'[{"shard":"a","count":2,"results":["x",1.5]}],"complete":true}',
+        ),
+        (
+            lambda body: decode_not_held(body, server="s"),
+            b'{"reason":"snapshot-not-held","held":'
+            b'[{"snapshot":6,"layout":1,"shards":["a"]}]}',
+        ),
+        (Decoder(ShedAnswer).decode, b'{"execution":"not-run","request_id":"q"}'),
+        (Decoder(CallAnswer).decode, b'{"request_id":"c","result":{"a":"b"}}'),
+        (Decoder(HealthAnswer).decode, b'{"state":"ready","held":[]}'),
+        (
+            Decoder(_WatchResponse).decode,
+            b'{"events":[{"key":"k","revision":8,"value":"YWJj"}],"as_of":8}',
+        ),
+        (
+            Decoder(_RangeResponse).decode,
+            b'{"items":[{"key":"k","revision":8,"value":"YWJj"}],"as_of":8}',
+        ),
+        (
+            Decoder(_KeyResponse).decode,
+            b'{"key":"k","revision":8,"as_of":8,"value":"YWJj"}',
+        ),
+        (
+            Decoder(_StoredValue).decode,
+            b'{"key":"k","revision":8,"value":{"routes":["a b"]}}',
+        ),
+        (Decoder(_InstanceListing).decode, b'{"instances":[{"name":"a"}]}'),
+    )
+
+    def test_a_document_is_not_filled_up_by_the_next_response(self):
+        for decode, body in self.DOCUMENTS:
+            for ending in (b"", b"\n"):
+                whole = body + ending
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(whole)
+                self.assertTrue(decodes(decode, whole))
+                for size in range(len(body)):
+                    filled = whole[:size] + (head + whole)[: len(whole) - size]
+                    with self.subTest(filled):
+                        self.assertFalse(decodes(decode, filled))
+
+    def test_a_document_without_a_length_does_not_take_in_the_next_response(self):
+        for decode, body in self.DOCUMENTS:
+            for size in range(1, len(SIGNED)):
+                with self.subTest(body, size=size):
+                    self.assertFalse(decodes(decode, body + SIGNED[:size].encode()))
+
+
 class ParserTests(TestCase):
     def test_a_head_without_its_end_is_no_response(self):
         for name, head in HEADS.items():
