--- a/src/savorypond/controllers/connections.py
+++ b/src/savorypond/controllers/connections.py
@@ -2,6 +2,7 @@
 
 from contextlib import suppress
 from random import Random
+from types import TracebackType
 from typing import Self
 
 from curio import Event, TaskTimeout, spawn
@@ -99,8 +100,8 @@
         :raises BackendServerError: none is available; nothing was sent.
         """
         decision = self._pool.acquire(self._clock.now(), verified=verified)
-        if isinstance(decision, Use):  # the common case needs no timer
-            return self._make_lease(decision.connection)
+        if isinstance(decision, Use) and not self._is_stale(decision.connection):
+            return self._make_lease(decision.connection)  # needs no timer
         try:
             async with timeout_after(seconds):
                 return await self._acquire(decision, verified)
@@ -112,10 +113,11 @@
     async def _acquire(self, decision: Decision, verified: bool) -> "ConnectionLease":
         while True:
             if isinstance(decision, Use):
-                return self._make_lease(decision.connection)
-            if isinstance(decision, Open):
+                if not await self._close_if_stale(decision.connection):
+                    return self._make_lease(decision.connection)
+            elif isinstance(decision, Open):
                 return await self._open_one(decision.connection)
-            if isinstance(decision, ProbeFirst):
+            elif isinstance(decision, ProbeFirst):
                 if await self._probe(decision.connection):
                     return self._make_lease(decision.connection)
             elif isinstance(decision, Refuse):
@@ -174,6 +176,20 @@
         self._counters.add("connections_opened", "new")
         return self._make_lease(number)
 
+    def _is_stale(self, number: int) -> bool:
+        return self._connections[number].is_stale()
+
+    async def _close_if_stale(self, number: int) -> bool:
+        """Close a connection whose input would be taken for the next response."""
+        if not self._is_stale(number):
+            return False
+        self._counters.add("connections_closed", "stale")
+        now = self._clock.now()
+        await self._close_all(
+            self._pool.released(number, now, ConnectionOutcome.CLOSED)
+        )
+        return True
+
     def _make_lease(self, number: int) -> "ConnectionLease":
         return ConnectionLease(
             server_connections=self,
@@ -183,7 +199,7 @@
         )
 
     async def probe(self, connection: HttpConnection) -> bool:
-        """Send a health request on ``connection``; return whether it was answered."""
+        """Send a health request; return whether ``connection`` may carry another."""
         try:
             async with timeout_after(PROBE_TIMEOUT):
                 await connection.request(_PROBE, max_body_bytes=_MAX_PROBE_BYTES)
@@ -191,13 +207,15 @@
             self._counters.add("probes", "failed")
             return False
         self._counters.add("probes", "answered")
-        return True
+        return connection.reusable
 
     def is_verified(self, number: int) -> bool:
         """Return whether connection ``number`` answered a short time ago."""
         return self._pool.is_verified(number, self._clock.now())
 
     async def _probe(self, number: int) -> bool:
+        if await self._close_if_stale(number):
+            return False
         if not await self.probe(self._connections[number]):
             closing = self._pool.released(
                 number, self._clock.now(), ConnectionOutcome.TIMED_OUT
@@ -242,6 +260,7 @@
         self._connection = connection
         self._used = False
         self._timed_out = False
+        self._discarded = False
 
     @property
     def sent(self) -> bool:
@@ -256,16 +275,31 @@
     async def __aenter__(self) -> Self:
         return self
 
-    async def __aexit__(self, *reason: object) -> None:
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if kind is not None:
+            self.discard()
         await self.release(self._outcome())
 
+    def discard(self) -> None:
+        """Close the connection once it is released.
+
+        Necessary after a response to another request, because the response to this one
+        may follow.
+        """
+        self._discarded = True
+
     @property
     def verified(self) -> bool:
         """Whether the connection answered a short time ago."""
         return self._server_connections.is_verified(self._number)
 
     async def probe(self) -> bool:
-        """Send a health request; return whether it was answered."""
+        """Send a health request; return whether a request may follow it."""
         return await self._server_connections.probe(self._connection)
 
     async def release(self, outcome: ConnectionOutcome) -> None:
@@ -279,11 +313,8 @@
             return ConnectionOutcome.UNUSED
         if self._timed_out:
             return ConnectionOutcome.TIMED_OUT
-        return (
-            ConnectionOutcome.ANSWERED
-            if self._connection.reusable
-            else ConnectionOutcome.CLOSED
-        )
+        is_kept = self._connection.reusable and not self._discarded
+        return ConnectionOutcome.ANSWERED if is_kept else ConnectionOutcome.CLOSED
 
     async def request(self, request: HttpRequest, *, seconds: float) -> HttpResponse:
         """Send ``request`` and return its response.
