Send nothing more to a server that says in an answer that it leaves

What callers saw: requests went on to a backend server that had said Server-Leaving in its answers until its registration said so too; while the store could not be read, until the server had ended.

Cause: no code read the header.

Change: leaving_servers remembers the name and start of each server that said so, in any answer that is known to be its own: errors, refusals, parts. It ends when the server registers with a later start; a renewed or older registration does not end it. It is checked where servers are chosen, so that hedges, retries and probes keep to it, and once more when the connection is open. Messages that delegate shards and their merged answers name the leaving servers of these shards.

Not covered: an answer without a request id on a connection used before, and one that breaks off.

--- a/benchmarks/bench_gather.py
+++ b/benchmarks/bench_gather.py
@@ -32,6 +32,7 @@
 from savorypond.gateway.routes import Route
 from savorypond.gateway.run_types import RunDependencies, RunSpec
 from savorypond.gateway.server_load import ServerLoadTracker
+from savorypond.gateway.server_notices import ServerNotices
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.http.messages import Header, HttpResponse
 from savorypond.http.response_memory import ResponseMemory
@@ -51,6 +52,7 @@
     part_signatures="x-part-signatures",
     missing_parts="x-missing-parts",
     rate_limit="x-rate-limit",
+    leaving="x-leaving",
 )
 RECORDS = bytes(range(RECORD_BYTES)) * TOP
 
@@ -145,6 +147,7 @@
     )
     loads = ServerLoadTracker(data_centre="a", random=Random(1))
     rates = RateControl(random=Random(1), counters=counters)
+    notices = ServerNotices(names=NAMES, counters=counters)
     return RunDependencies(
         names=NAMES,
         registry=registry,
@@ -154,6 +157,7 @@
             pools=pools,
             loads=loads,
             rate_limits=rates.limits,
+            notices=notices,
             memory=ResponseMemory(limit=100_000_000, counters=counters),
             clock=clock,
             counters=counters,
@@ -172,6 +176,7 @@
         ),
         latencies=RouteLatencies(),
         rates=rates,
+        notices=notices,
         tokens=NoLimits(),
         clock=clock,
         counters=counters,
--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -13,6 +13,7 @@
 from savorypond.gateway.headers import CONNECTION_HEADERS, HeaderNames
 from savorypond.gateway.response_classifier import AttemptOutcome, ResponseClassifier
 from savorypond.gateway.server_load import ServerLoadTracker
+from savorypond.gateway.server_notices import ServerNotices
 from savorypond.gateway.server_rate_limits import ServerRateLimits
 from savorypond.gateway.servers import RegisteredServer
 from savorypond.http.messages import Header, HttpRequest, HttpResponse
@@ -48,6 +49,7 @@
             AttemptOutcome.NOT_SENT,
             AttemptOutcome.NO_CONNECTION,
             AttemptOutcome.ENDED,
+            AttemptOutcome.WITHDRAWN,
         )
 
     @property
@@ -101,6 +103,7 @@
         pools: ConnectionPools,
         loads: ServerLoadTracker,
         rate_limits: ServerRateLimits,
+        notices: ServerNotices,
         memory: ResponseMemory,
         clock: Clock,
         counters: Counters,
@@ -111,6 +114,7 @@
         self._pools = pools
         self._loads = loads
         self._rate_limits = rate_limits
+        self._notices = notices
         self._clock = clock
         self._counters = counters
 
@@ -157,6 +161,7 @@
             raise
         self._record(result, number, mean_latency)
         self._observe_rate_limit(result, sent_at)
+        await self._observe_notices(result)
         if not result.sent:
             self._rate_limits.record_unsent(server, self._clock.now())
         if result.outcome is AttemptOutcome.MISDIRECTED:
@@ -188,6 +193,12 @@
                         server=server,
                         problem="the request ended while connecting",
                     )
+                if not self._notices.accepts(server, self._clock.now()):
+                    return AttemptResult(
+                        outcome=AttemptOutcome.WITHDRAWN,
+                        server=server,
+                        problem="the server asked for no requests while connecting",
+                    )
                 response = await connection.request(
                     self._encode(request, server),
                     max_body_bytes=request.max_response_bytes,
@@ -250,6 +261,18 @@
             return  # only signed answers are known to be complete
         self._rate_limits.observe(server, rate, sent_at=sent_at, now=self._clock.now())
 
+    async def _observe_notices(self, result: AttemptResult) -> None:
+        response, server = result.response, result.server
+        if response is None or result.outcome is AttemptOutcome.MISDIRECTED:
+            return
+        if (
+            result.outcome is AttemptOutcome.FOREIGN
+            and response.header(self._names.request_id) is None
+        ):
+            return  # neither an id nor a signature shows whose answer it is
+        if self._notices.observe(server, response, self._clock.now()):
+            await self._pools.close_idle_to(server)
+
     def _record(self, result: AttemptResult, number: int, mean_latency: float) -> None:
         self._counters.add("gateway_attempts", result.outcome)
         now = self._clock.now()
@@ -263,8 +286,8 @@
             self._loads.record_refusal(server, number, now=now)
         elif result.outcome is AttemptOutcome.REJECTED:
             self._loads.record_rejection(server, number, now=now)
-        elif result.outcome in (AttemptOutcome.NO_CONNECTION, AttemptOutcome.ENDED):
-            # Neither a local limit nor the end of the request tells of the server.
+        elif not result.sent and result.outcome is not AttemptOutcome.NOT_SENT:
+            # What kept the attempt from being sent tells nothing of the server's load.
             self._loads.forget(server, number, now=now)
         else:
             unreachable = result.outcome in (
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -33,6 +33,7 @@
 from savorypond.gateway.run_types import RunDependencies
 from savorypond.gateway.running_requests import RunningRequests
 from savorypond.gateway.server_load import ServerLoadTracker
+from savorypond.gateway.server_notices import ServerNotices
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.gateway.settings import GatewaySettings
 from savorypond.gateway.shutdown import ShutdownPlan
@@ -127,6 +128,7 @@
             settle_time=FIRST_START_SETTLE_TIME if settings.first_start else 0.0,
         )
         self._loads = ServerLoadTracker(data_centre=settings.data_centre, random=random)
+        self._notices = ServerNotices(names=names, counters=counters)
         self._rates = RateControl(random=random, counters=counters)
         self._rate_sync = RateShareSync(
             own_name=settings.host,
@@ -172,6 +174,7 @@
                 pools=self._pools,
                 loads=self._loads,
                 rate_limits=self._rates.limits,
+                notices=self._notices,
                 memory=self._response_memory,
                 clock=self._clock,
                 counters=counters,
@@ -179,6 +182,7 @@
             budget=self._budget,
             latencies=RouteLatencies(),
             rates=self._rates,
+            notices=self._notices,
             tokens=self._rate_sync,
             clock=self._clock,
             counters=counters,
@@ -360,7 +364,9 @@
             await sleep(MAINTENANCE_INTERVAL)
             await self._pools.close_expired()
             self._configure_budget()
-            self._loads.retain(self._registry.all(), self._clock.now())
+            now, registered = self._clock.now(), self._registry.all()
+            self._loads.retain(registered, now)
+            self._notices.retain(registered, now)
 
     async def _handle_readiness_probe(self, request: HttpRequest) -> HttpResponse:
         if request.path.partition("?")[0] != self._ready_path:
--- a/src/savorypond/gateway/delegation_client.py
+++ b/src/savorypond/gateway/delegation_client.py
@@ -1,5 +1,6 @@
 """Delegates shards to other instances and decodes their merged answers."""
 
+from base64 import b64decode, b64encode
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import TypeVar
@@ -14,6 +15,7 @@
 from savorypond.gateway.attempts import ForwardedRequest
 from savorypond.gateway.delegation import DelegationPolicy, ShardGroup
 from savorypond.gateway.headers import HeaderNames
+from savorypond.gateway.leaving_servers import LeavingServer
 from savorypond.gateway.peers import DELEGATED_PATH, FOLLOW_UP_PATH, PeerClient
 from savorypond.gateway.ranked_merge import PartialAnswer
 from savorypond.gateway.routes import Route
@@ -39,6 +41,8 @@
 _RATE_LIMITED_HEADER = "peer-rate-limited"
 # Response header that is present if no backend server may have run the request.
 _NOT_RUN_HEADER = "peer-not-run"
+# Response header with the leaving servers of the shards, as MessagePack in base64.
+_LEAVING_HEADER = "peer-leaving"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,6 +57,7 @@
         they have room for.
     :param rate_limited: whether rate limits kept shards from being sent.
     :param may_have_run: whether backend servers may have received the request.
+    :param leaving: backend servers of these shards that are leaving.
     """
 
     peer: str
@@ -64,6 +69,7 @@
     rate_limited: bool = False
     may_have_run: bool = True
     problem: str = ""
+    leaving: tuple[LeavingServer, ...] = ()
 
 
 class GroupRequest(Struct, frozen=True, kw_only=True):
@@ -81,6 +87,7 @@
     :param admitted: share of the requests like this one that were not refused before.
     :param sent_at: monotonic seconds by the clock of the instance that sends it, or
         None from one of an earlier version.
+    :param leaving: backend servers of these shards that are leaving.
     """
 
     method: str
@@ -95,6 +102,7 @@
     within: float
     admitted: float = 1.0
     sent_at: float | None = None
+    leaving: tuple[LeavingServer, ...] = ()
 
 
 class GroupFollowUp(Struct, frozen=True, kw_only=True):
@@ -107,6 +115,7 @@
 _Message = TypeVar("_Message")
 _decoder = Decoder(GroupRequest)
 _follow_up_decoder = Decoder(GroupFollowUp)
+_leaving_decoder = Decoder(tuple[LeavingServer, ...])
 
 
 class DelegationClient:
@@ -147,6 +156,7 @@
         version: int,
         partial_after: float,
         admitted: float = 1.0,
+        leaving: tuple[LeavingServer, ...] = (),
     ) -> GroupResult:
         """Let the peer of ``group`` gather its shards; return the result.
 
@@ -154,6 +164,7 @@
         :param partial_after: monotonic seconds from which the caller's answer may be
             partial.
         :param admitted: share of the requests like this one that are not refused here.
+        :param leaving: backend servers of these shards that are leaving.
         """
         peer = group.peer
         now = self._clock.now()
@@ -161,7 +172,7 @@
         return_by = max(now, partial_after - self._timing.return_delay(peer))
         number = self._policy.group_started(peer, due=due)
         message = self._encode(
-            group, request, route, version, return_by, number, admitted
+            group, request, route, version, return_by, number, admitted, leaving
         )
         answered = False
         try:
@@ -216,6 +227,7 @@
         return_by: float,
         number: int,
         admitted: float,
+        leaving: tuple[LeavingServer, ...],
     ) -> HttpRequest:
         now = self._clock.now()
         shards = tuple(route.shards[shard] for shard in group.shards)
@@ -232,6 +244,7 @@
             within=max(0.0, return_by - now),
             admitted=admitted,
             sent_at=now,
+            leaving=leaving,
         )
         return HttpRequest(method="POST", path=DELEGATED_PATH, body=encode(message))
 
@@ -248,10 +261,9 @@
             shards = _decode_shards(group, response.header(_SHARDS_HEADER))
             pending = _decode_shards(group, response.header(_PENDING_HEADER))
             shares = _decode_room(group, response.header(_ROOM_HEADER))
-        except (ValueError, IndexError) as error:
-            return self._failure(
-                peer, number, f"invalid shard numbers: {error}", sent=True
-            )
+            leaving = _decode_leaving(response.header(_LEAVING_HEADER))
+        except (ValueError, IndexError, DecodeError) as error:
+            return self._failure(peer, number, f"invalid headers: {error}", sent=True)
         if len(set(shards)) != len(names):
             problem = f"{len(names)} signatures for {len(shards)} shards"
             return self._failure(peer, number, problem, sent=True)
@@ -266,6 +278,7 @@
             shares=shares,
             rate_limited=response.header(_RATE_LIMITED_HEADER) is not None,
             may_have_run=response.header(_NOT_RUN_HEADER) is None,
+            leaving=leaving,
         )
 
     def _failure(
@@ -309,6 +322,7 @@
     shares: Mapping[int, float],
     rate_limited: bool,
     may_have_run: bool,
+    leaving: Sequence[LeavingServer] = (),
 ) -> HttpResponse:
     """Return ``response`` with the indexes of the shards that it covers.
 
@@ -316,6 +330,7 @@
     :param shares: share of the requests that shards have room for, by index.
     :param rate_limited: whether rate limits kept shards from being sent.
     :param may_have_run: whether a backend server may have run the request.
+    :param leaving: backend servers of these shards that are leaving.
     """
     headers = [
         Header(name=_SHARDS_HEADER, value=_encode_shards(answered)),
@@ -328,6 +343,9 @@
         headers.append(Header(name=_RATE_LIMITED_HEADER, value="1"))
     if not may_have_run:
         headers.append(Header(name=_NOT_RUN_HEADER, value="1"))
+    if leaving:
+        value = b64encode(encode(tuple(leaving))).decode()
+        headers.append(Header(name=_LEAVING_HEADER, value=value))
     return HttpResponse(
         status=response.status,
         headers=(*response.headers, *headers),
@@ -356,3 +374,8 @@
         return ()
     pairs = (pair.split("=") for pair in text.split(","))
     return tuple((group.shards[int(index)], float(share)) for index, share in pairs)
+
+
+def _decode_leaving(text: str | None) -> tuple[LeavingServer, ...]:
+    """Return the servers in ``text``; raise ValueError or DecodeError."""
+    return _leaving_decoder.decode(b64decode(text, validate=True)) if text else ()
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -116,6 +116,8 @@
         group_request = decode_group_request(request)
         await self._await_close_behind(request.peer, group_request, received)
         await self._feed.notice_version(group_request.version, peer=request.peer)
+        leaving = self._dependencies.notices.leaving
+        leaving.learn(group_request.leaving, self._clock.now())
         spec = RunSpec(
             route=group_request.route,
             version=group_request.version,
@@ -225,6 +227,7 @@
             shares=self._shares(spec),
             rate_limited=result.rate_limited,
             may_have_run=result.may_run or bool(result.parts),
+            leaving=self._dependencies.notices.leaving.of_services(spec.services),
         )
 
     def _shares(self, spec: RunSpec) -> dict[int, float]:
--- a/src/savorypond/gateway/headers.py
+++ b/src/savorypond/gateway/headers.py
@@ -15,6 +15,7 @@
     :param part_signatures: signatures of the partial answers in a merged answer.
     :param rate_limit: requests a second that a backend server accepts from all
         instances together, while it is in trouble.
+    :param leaving: "1" if a backend server is about to leave.
     :param missing_parts: number of shards that a merged answer lacks.
     """
 
@@ -26,6 +27,7 @@
     part_signatures: str
     missing_parts: str
     rate_limit: str
+    leaving: str
 
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1).
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -71,6 +71,7 @@
             loads=dependencies.loads,
             mean_latency=self._mean_latency,
             rates=dependencies.rates,
+            notices=dependencies.notices,
             request=RankedRequest(
                 priority=route.priority, rank=self._rank / OVERADMISSION
             ),
@@ -279,6 +280,8 @@
 
     async def _record_group(self, attempt: GroupAttempt, result: GroupResult) -> None:
         self._record_shares(result)
+        dependencies = self._dependencies
+        dependencies.notices.leaving.learn(result.leaving, dependencies.clock.now())
         self._may_run = self._may_run or result.may_have_run
         if not result.problem:
             self._group_numbers[attempt.number] = result.number
@@ -391,6 +394,9 @@
             version=self._spec.version,
             partial_after=self._spec.partial_after,
             admitted=self._request_share,
+            leaving=self._dependencies.notices.leaving.of_services(
+                self._spec.services[shard] for shard in group.shards
+            ),
         )
         await self._results.put((attempt, result))
 
--- a/src/savorypond/gateway/response_classifier.py
+++ b/src/savorypond/gateway/response_classifier.py
@@ -27,6 +27,7 @@
     NOT_SENT = "not-sent"  # the server could not be reached
     NO_CONNECTION = "no-connection"  # connection limit of this instance
     ENDED = "ended"  # the request had ended before the attempt was sent
+    WITHDRAWN = "withdrawn"  # meanwhile the server had asked for no requests
     REFUSED = "refused"  # the server states that it did not run the request
     MISDIRECTED = "misdirected"  # another server has the address
     REJECTED = "rejected"  # status from 300 to 499 in place of a part
--- a/src/savorypond/gateway/run_types.py
+++ b/src/savorypond/gateway/run_types.py
@@ -15,6 +15,7 @@
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.routes import Route
 from savorypond.gateway.server_load import ServerLoadTracker
+from savorypond.gateway.server_notices import ServerNotices
 from savorypond.gateway.servers import ServerRegistry
 from savorypond.http.messages import HttpResponse
 from savorypond.model import Counters
@@ -81,6 +82,7 @@
     budget: ServiceRetryBudget
     latencies: RouteLatencies
     rates: RateControl
+    notices: ServerNotices
     tokens: TokenSource
     clock: Clock
     counters: Counters
--- a/src/savorypond/gateway/server_chooser.py
+++ b/src/savorypond/gateway/server_chooser.py
@@ -1,14 +1,15 @@
 """Selects the backend servers of a request's attempts."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 
 from savorypond.gateway.rate_control import RankedRequest, RateControl
 from savorypond.gateway.server_load import ServerLoadTracker
+from savorypond.gateway.server_notices import ServerNotices
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 
 
 class RegistryServerChooser:
-    """Selects registered servers by their load and rate limit."""
+    """Selects registered servers by their load, rate limit and notices."""
 
     def __init__(
         self,
@@ -17,12 +18,14 @@
         loads: ServerLoadTracker,
         mean_latency: float,
         rates: RateControl,
+        notices: ServerNotices,
         request: RankedRequest,
     ) -> None:
         self._registry = registry
         self._loads = loads
         self._mean_latency = mean_latency
         self._rates = rates
+        self._notices = notices
         self._request = request
         self._rate_limited = 0
 
@@ -35,7 +38,7 @@
         self, service: str, *, exclude: Collection[str], now: float
     ) -> RegisteredServer | None:
         """Return a server of ``service`` not named in ``exclude``, or None."""
-        registered = self._registry.servers(service)
+        registered = self._accepting(service, now)
         servers = self._rates.usable(
             service,
             registered,
@@ -58,7 +61,7 @@
         limits = self._rates.limits
         if not limits.is_limited(service):
             return False
-        registered = self._registry.servers(service)
+        registered = self._accepting(service, now)
         usable = [s for s in registered if not limits.lacks_token(s, now)]
         if len(usable) == len(registered):
             return False
@@ -74,3 +77,6 @@
     def is_remote(self, server: RegisteredServer) -> bool:
         """Return whether ``server`` is in another data centre."""
         return self._loads.is_remote(server)
+
+    def _accepting(self, service: str, now: float) -> Sequence[RegisteredServer]:
+        return self._notices.accepting(self._registry.servers(service), now)
--- a/src/savorypond/platform/names.py
+++ b/src/savorypond/platform/names.py
@@ -17,4 +17,5 @@
     part_signatures="savorypond-part-stamps",
     missing_parts="savorypond-missing-parts",
     rate_limit="server-limit",
+    leaving="server-leaving",
 )
--- a/tests/gateway_delegation_simulation.py
+++ b/tests/gateway_delegation_simulation.py
@@ -87,6 +87,7 @@
                 loads=delegate.loads,
                 mean_latency=mean_latency,
                 rates=self._rates,
+                notices=self._notices,
                 request=RankedRequest(priority=1, rank=0.0),
             ),
             budget=delegate.budget,
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -3,8 +3,10 @@
 from random import Random
 
 from savorypond.gateway.rate_control import RateControl
+from savorypond.gateway.server_notices import ServerNotices
 from savorypond.gateway.servers import RegisteredServer
 from savorypond.model import Address, Counters
+from savorypond.platform.names import HEADERS
 
 
 def server(
@@ -35,6 +37,10 @@
     return RateControl(random=Random(1), counters=Counters())
 
 
+def make_notices():
+    return ServerNotices(names=HEADERS, counters=Counters())
+
+
 class FixedRandom:
     """Returns the middle of every range."""
 
--- a/tests/gateway_loopback.py
+++ b/tests/gateway_loopback.py
@@ -21,6 +21,7 @@
 
 LOOPBACK = Address(host="127.0.0.1", port=0)
 SLOW_TIME = 0.8  # seconds
+A_LEAVING = {"server-leaving": "1"}
 
 
 class FakeStore:
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -20,7 +20,7 @@
 from savorypond.gateway.server_chooser import RegistryServerChooser
 from savorypond.gateway.server_load import ServerLoadTracker
 from savorypond.gateway.servers import ServerRegistry
-from tests.gateway_fakes import make_rates, server
+from tests.gateway_fakes import make_notices, make_rates, server
 
 DATA_CENTRES = ("a", "b", "c")
 LOCAL_DELAY = 0.0002  # seconds one way
@@ -169,6 +169,7 @@
         self._latencies = RouteLatencies()
         self._budget = make_budget()
         self._rates = make_rates()
+        self._notices = make_notices()
         self._servers = {}
         self._services = tuple(f"s{n}" for n in range(scenario.shards))
         self._place()
@@ -244,6 +245,7 @@
             loads=_RandomChooser(self._random) if self._baseline else self._loads,
             mean_latency=mean_latency,
             rates=self._rates,
+            notices=self._notices,
             request=RankedRequest(priority=1, rank=0.0),
         )
         for service in self._services:
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -18,11 +18,13 @@
 from savorypond.gateway.connection_pool import ConnectionPools
 from savorypond.gateway.delegation import ShardGroup
 from savorypond.gateway.gather_plan import GatherPlan
+from savorypond.gateway.leaving_servers import LeavingServer
 from savorypond.gateway.routes import Route
 from savorypond.http.client import HttpConnection
 from savorypond.http.messages import Header, HttpRequest
 from savorypond.platform.names import HEADERS, READY_PATH
 from tests.gateway_loopback import (
+    A_LEAVING,
     SLOW_TIME,
     DroppingServer,
     FakeServer,
@@ -691,6 +693,35 @@
 
         self.run_test(test, behaviour="slow", min_version=0.5, target_latency_ms=300)
 
+    def test_a_server_that_leaves_gets_nothing_by_way_of_another_instance(self):
+        """It says so to the delegate, whose answer passes through the origin."""
+
+        async def test(env, delegate):
+            env.servers[3].headers = A_LEAVING
+            response = await env.ask()
+            self.assertEqual(response.header(HEADERS.missing_parts), "0")
+            await delegate.__aexit__(None, None, None)
+            for number in range(4):
+                response = await env.ask(request_id=f"r{number + 2}")
+                self.assertEqual(response.header(HEADERS.missing_parts), "1")
+            self.assertEqual(len(env.servers[3].requests), 1)
+
+        self.run_test(test)
+
+    def test_a_server_that_leaves_gets_nothing_that_is_delegated(self):
+        """It has said so to the origin only."""
+
+        async def test(env, delegate):
+            leaving = LeavingServer(name="i3", service="s3", started=1)
+            env.gateway._notices.leaving.record(leaving, source="answer", now=0.0)
+            for number in range(4):
+                response = await env.ask(request_id=f"r{number}")
+                self.assertEqual(response.header(HEADERS.missing_parts), "1")
+            self.assertEqual(env.servers[0].requests[0].peer, "127.0.0.2")
+            self.assertEqual(env.servers[3].requests, [])
+
+        self.run_test(test)
+
     def test_falls_back_to_direct_requests_without_the_peer(self):
         async def test(env, delegate):
             await delegate.__aexit__(None, None, None)
--- a/tests/test_gateway_delegation_client.py
+++ b/tests/test_gateway_delegation_client.py
@@ -4,7 +4,8 @@
 
 from savorypond.gateway.delegation import ShardGroup
 from savorypond.gateway.delegation_client import DelegationClient, group_response
-from savorypond.http.messages import HttpResponse
+from savorypond.gateway.leaving_servers import LeavingServer
+from savorypond.http.messages import Header, HttpResponse
 from savorypond.model import Address, Counters, Instance
 from savorypond.platform.names import HEADERS
 
@@ -52,3 +53,24 @@
     def test_an_instance_of_an_earlier_version_promises_nothing(self):
         result = self.decode(HttpResponse(status=200))
         self.assertTrue(result.may_have_run)
+
+    def test_an_instance_names_the_leaving_servers_of_its_group(self):
+        leaving = (LeavingServer(name="a=,;~", service="s\u00e9", started=2**62),)
+        response = group_response(
+            HttpResponse(status=200),
+            answered=(),
+            pending=(),
+            shares={},
+            rate_limited=False,
+            may_have_run=True,
+            leaving=leaving,
+        )
+        self.assertEqual(self.decode(response).leaving, leaving)
+
+    def test_leaving_servers_that_cannot_be_read_fail_the_group(self):
+        for value in ("?", "AA", "AAAA", "kQ==", "\xe9"):
+            with self.subTest(value=value):
+                header = Header(name="peer-leaving", value=value)
+                result = self.decode(HttpResponse(status=200, headers=(header,)))
+                self.assertTrue(result.problem)
+                self.assertEqual(result.leaving, ())
