Keep requests from a server that refuses one with Retry-After until then

What callers saw: a backend server that had refused a request with 503 and Retry-After went on getting requests from the same instance; where all servers of a service wanted a pause, each request tried up to max_attempts of them first.

Cause: no code read Retry-After in a server's answer.

Change: retry_after reads the time (seconds, fractions, HTTP dates against the answer's own Date; over 60 s counts as 60 s, unreadable as 1 s), and server_holds keeps every attempt from the server until then, also one that was opening a connection. The hold of each instance ends at a random time within a quarter of the pause after it, a second at most, and then the server's share rises from a tenth to all of it. If too few shards are left, the request is refused before anything is sent, with the time until the first hold that matters ends; a request that may have run still gets 502.

Ruled out: a lower priority for such servers in server_load, which would still choose them where the others are busy; telling other instances, since a server asks each of them by itself.

Not covered: a refusal without a request id on a connection used before, since it may answer an earlier request.

--- a/benchmarks/bench_gather.py
+++ b/benchmarks/bench_gather.py
@@ -5,7 +5,7 @@
 
 from logging import ERROR, getLogger
 from random import Random
-from time import thread_time
+from time import thread_time, time
 
 from curio import run
 
@@ -147,7 +147,9 @@
     )
     loads = ServerLoadTracker(data_centre="a", random=Random(1))
     rates = RateControl(random=Random(1), counters=counters)
-    notices = ServerNotices(names=NAMES, counters=counters)
+    notices = ServerNotices(
+        names=NAMES, random=Random(1), wall_time=time, counters=counters
+    )
     return RunDependencies(
         names=NAMES,
         registry=registry,
--- a/src/savorypond/exceptions.py
+++ b/src/savorypond/exceptions.py
@@ -56,6 +56,7 @@
     :param execution: whether any of the work may have run.
     :param retry_after: seconds after which a retry may succeed, or None if a
         retry of the same request cannot.
+    :param retry_from: seconds before which it certainly cannot.
     """
 
     def __init__(
@@ -65,12 +66,14 @@
         detail: str,
         execution: Execution = Execution.NOT_RUN,
         retry_after: float | None = None,
+        retry_from: float = 0.0,
     ) -> None:
         super().__init__(f"{reason.value}: {detail}")
         self.reason = reason
         self.detail = detail
         self.execution = execution
         self.retry_after = retry_after
+        self.retry_from = retry_from
 
 
 class BackendServerError(SavorypondError):
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -2,7 +2,7 @@
 
 from contextlib import AsyncExitStack
 from random import SystemRandom
-from time import time_ns
+from time import time, time_ns
 from typing import Any, Self
 
 from curio import TaskGroup, sleep
@@ -128,7 +128,9 @@
             settle_time=FIRST_START_SETTLE_TIME if settings.first_start else 0.0,
         )
         self._loads = ServerLoadTracker(data_centre=settings.data_centre, random=random)
-        self._notices = ServerNotices(names=names, counters=counters)
+        self._notices = ServerNotices(
+            names=names, random=random, wall_time=time, counters=counters
+        )
         self._rates = RateControl(random=random, counters=counters)
         self._rate_sync = RateShareSync(
             own_name=settings.host,
--- a/src/savorypond/gateway/failures.py
+++ b/src/savorypond/gateway/failures.py
@@ -58,6 +58,13 @@
             detail=f"rate limits of backend servers: {detail}",
             retry_after=_FULL_RETRY_AFTER,
         )
+    if result.wait > 0.0:
+        return RequestRefused(
+            reason=RefusalReason.SHED,
+            detail=f"backend servers want no requests for now: {detail}",
+            retry_after=result.wait + _FULL_RETRY_AFTER,
+            retry_from=result.wait,
+        )
     shed = result.reached
     return RequestRefused(
         reason=RefusalReason.SHED if shed else RefusalReason.NO_BACKEND_SERVER,
--- a/src/savorypond/gateway/gather_plan.py
+++ b/src/savorypond/gateway/gather_plan.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Collection
 from dataclasses import replace
-from math import inf
+from math import ceil, inf
 
 from savorypond.gateway.plan_types import (
     Attempt,
@@ -76,6 +76,11 @@
         """Whether the answers so far cover enough shards."""
         return self._answered >= self._min_answered and self._answered > 0
 
+    @property
+    def needed(self) -> int:
+        """Number of further shards that an answer must cover."""
+        return ceil(self._min_answered) - self._answered
+
     @property
     def hedges(self) -> int:
         """Number of attempts started while another one of the shard was running."""
--- a/src/savorypond/gateway/headers.py
+++ b/src/savorypond/gateway/headers.py
@@ -16,6 +16,7 @@
     :param rate_limit: requests a second that a backend server accepts from all
         instances together, while it is in trouble.
     :param leaving: "1" if a backend server is about to leave.
+    :param retry_after: time for which a server that refuses requests wants no more.
     :param missing_parts: number of shards that a merged answer lacks.
     """
 
@@ -28,6 +29,7 @@
     missing_parts: str
     rate_limit: str
     leaving: str
+    retry_after: str = "retry-after"
 
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1).
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -170,8 +170,16 @@
             problems=tuple(self._problems),
             rate_limited=self._rate_limited or bool(self._chooser.rate_limited),
             cut_off=self._cut_off,
+            wait=self._wait_for_servers() if verdict is Verdict.UNSERVABLE else 0.0,
         )
 
+    def _wait_for_servers(self) -> float:
+        """Return the seconds until enough missing shards have a server on no hold."""
+        now = self._dependencies.clock.now()
+        waits = sorted(self._chooser.wait(s, now) for s in self._plan.missing())
+        needed = min(len(waits), max(1, self._plan.needed))
+        return waits[needed - 1]
+
     async def _run_until_verdict(self) -> Verdict:
         clock = self._dependencies.clock
         await self._start_first()
--- a/src/savorypond/gateway/responses.py
+++ b/src/savorypond/gateway/responses.py
@@ -50,12 +50,12 @@
     """
     if refusal.retry_after is None:
         return None
-    retry_after = refusal.retry_after * random.uniform(0.5, 1.0)
-    return (
-        retry_after
-        if time_left is None
-        else min(retry_after, time_left * _MAX_WAIT_SHARE)
-    )
+    earliest = refusal.retry_from
+    spread = refusal.retry_after - earliest
+    retry_after = earliest + spread * random.uniform(0.5, 1.0)
+    if time_left is None:
+        return retry_after
+    return max(earliest, min(retry_after, time_left * _MAX_WAIT_SHARE))
 
 
 def refusal_response(
--- a/src/savorypond/gateway/run_types.py
+++ b/src/savorypond/gateway/run_types.py
@@ -35,6 +35,8 @@
     :param reached: whether anything was sent to a server.
     :param delegated: number of shards that were delegated to other instances.
     :param rate_limited: whether rate limits of servers kept shards from being sent.
+    :param wait: seconds after which the servers whose absence ended the request want
+        requests again; 0 if something else ended it.
     :param cut_off: whether the answer covered enough shards early and left, without
         the missing ones, when an answer may be partial.
     """
@@ -55,6 +57,7 @@
     problems: tuple[str, ...]
     rate_limited: bool
     cut_off: bool
+    wait: float = 0.0
 
 
 class TokenSource(Protocol):
--- a/src/savorypond/gateway/server_chooser.py
+++ b/src/savorypond/gateway/server_chooser.py
@@ -78,5 +78,9 @@
         """Return whether ``server`` is in another data centre."""
         return self._loads.is_remote(server)
 
+    def wait(self, service: str, now: float) -> float:
+        """Return the seconds for which all servers of ``service`` want no requests."""
+        return self._notices.wait(self._registry.servers(service), now)
+
     def _accepting(self, service: str, now: float) -> Sequence[RegisteredServer]:
         return self._notices.accepting(self._registry.servers(service), now)
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -38,7 +38,9 @@
 
 
 def make_notices():
-    return ServerNotices(names=HEADERS, counters=Counters())
+    return ServerNotices(
+        names=HEADERS, random=Random(1), wall_time=lambda: 0.0, counters=Counters()
+    )
 
 
 class FixedRandom:
--- a/tests/gateway_loopback.py
+++ b/tests/gateway_loopback.py
@@ -144,6 +144,7 @@
         ``silent``, ``slow`` (after SLOW_TIME), ``other`` (another server has the
         address) or ``crossed`` (answers another request).
     :param rate_limit: requests a second that it announces, or None.
+    :param retry_after: value of that header in its refusals, or None.
     :param status: status of its answers if it is good.
     :param headers: further headers of its answers, or other values of those it sends.
     """
@@ -156,10 +157,12 @@
         body=b"",
         behaviour="good",
         rate_limit=None,
+        retry_after=None,
         status=200,
         headers=(),
     ):
         self.rate_limit = rate_limit
+        self.retry_after = retry_after
         self.status = status
         self.headers = dict(headers)
         self.name = name
@@ -216,6 +219,9 @@
         elif self.behaviour == "full":
             status = 503
             headers = {HEADERS.not_run: "1"}
+            if self.retry_after is not None:
+                headers[HEADERS.request_id] = request_id
+                headers[HEADERS.retry_after] = self.retry_after
         elif self.behaviour == "other":
             status = 421
             headers = {}
