--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -71,6 +71,7 @@
             loads=dependencies.loads,
             mean_latency=self._mean_latency,
             rates=dependencies.rates,
+            notices=dependencies.notices,
             request=RankedRequest(
                 priority=route.priority, rank=self._rank / OVERADMISSION
             ),
@@ -169,8 +170,16 @@
             problems=tuple(self._problems),
             rate_limited=self._rate_limited or bool(self._chooser.rate_limited),
             cut_off=self._cut_off,
+            wait=self._wait_for_servers() if verdict is Verdict.UNSERVABLE else 0.0,
         )
 
+    def _wait_for_servers(self) -> float:
+        """Return the seconds until enough missing shards have a server on no hold."""
+        now = self._dependencies.clock.now()
+        waits = sorted(self._chooser.wait(s, now) for s in self._plan.missing())
+        needed = min(len(waits), max(1, self._plan.needed))
+        return waits[needed - 1]
+
     async def _run_until_verdict(self) -> Verdict:
         clock = self._dependencies.clock
         await self._start_first()
@@ -279,6 +288,8 @@
 
     async def _record_group(self, attempt: GroupAttempt, result: GroupResult) -> None:
         self._record_shares(result)
+        dependencies = self._dependencies
+        dependencies.notices.leaving.learn(result.leaving, dependencies.clock.now())
         self._may_run = self._may_run or result.may_have_run
         if not result.problem:
             self._group_numbers[attempt.number] = result.number
@@ -391,6 +402,9 @@
             version=self._spec.version,
             partial_after=self._spec.partial_after,
             admitted=self._request_share,
+            leaving=self._dependencies.notices.leaving.of_services(
+                self._spec.services[shard] for shard in group.shards
+            ),
         )
         await self._results.put((attempt, result))
 
--- a/src/savorypond/gateway/run_types.py
+++ b/src/savorypond/gateway/run_types.py
@@ -15,6 +15,7 @@
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.routes import Route
 from savorypond.gateway.server_load import ServerLoadTracker
+from savorypond.gateway.server_notices import ServerNotices
 from savorypond.gateway.servers import ServerRegistry
 from savorypond.http.messages import HttpResponse
 from savorypond.model import Counters
@@ -34,6 +35,8 @@
     :param reached: whether anything was sent to a server.
     :param delegated: number of shards that were delegated to other instances.
     :param rate_limited: whether rate limits of servers kept shards from being sent.
+    :param wait: seconds after which the servers whose absence ended the request want
+        requests again; 0 if something else ended it.
     :param cut_off: whether the answer covered enough shards early and left, without
         the missing ones, when an answer may be partial.
     """
@@ -54,6 +57,7 @@
     problems: tuple[str, ...]
     rate_limited: bool
     cut_off: bool
+    wait: float = 0.0
 
 
 class TokenSource(Protocol):
@@ -81,6 +85,7 @@
     budget: ServiceRetryBudget
     latencies: RouteLatencies
     rates: RateControl
+    notices: ServerNotices
     tokens: TokenSource
     clock: Clock
     counters: Counters
--- a/tests/test_gateway_delegation_client.py
+++ b/tests/test_gateway_delegation_client.py
@@ -12,10 +12,11 @@
 from savorypond.gateway.connection_pool import ConnectionPools
 from savorypond.gateway.delegation import ShardGroup
 from savorypond.gateway.delegation_client import DelegationClient, group_response
+from savorypond.gateway.leaving_servers import LeavingServer
 from savorypond.gateway.peers import DELEGATED_PATH, PeerClient
 from savorypond.gateway.reader_selection import ReaderSelection
 from savorypond.http.listener import Listener
-from savorypond.http.messages import HttpRequest, HttpResponse
+from savorypond.http.messages import Header, HttpRequest, HttpResponse
 from savorypond.model import Address, Counters, Instance
 from savorypond.platform.names import HEADERS
 from savorypond.timeouts import timeout_after
@@ -67,6 +68,27 @@
         result = self.decode(HttpResponse(status=200))
         self.assertTrue(result.may_have_run)
 
+    def test_an_instance_names_the_leaving_servers_of_its_group(self):
+        leaving = (LeavingServer(name="a=,;~", service="s\u00e9", started=2**62),)
+        response = group_response(
+            HttpResponse(status=200),
+            answered=(),
+            pending=(),
+            shares={},
+            rate_limited=False,
+            may_have_run=True,
+            leaving=leaving,
+        )
+        self.assertEqual(self.decode(response).leaving, leaving)
+
+    def test_leaving_servers_that_cannot_be_read_fail_the_group(self):
+        for value in ("?", "AA", "AAAA", "kQ==", "\xe9"):
+            with self.subTest(value=value):
+                header = Header(name="peer-leaving", value=value)
+                result = self.decode(HttpResponse(status=200, headers=(header,)))
+                self.assertTrue(result.problem)
+                self.assertEqual(result.leaving, ())
+
 
 class StutteringPeerTests(TestCase):
     """Replies of peers have no id; they go by the connection.
