Isolate requests under which backend servers crash

Most queries, also those that do no harm, were refused for lack of servers.

Cause: a lost connection was retried, hedged, delegated and repeated like any other. Nothing linked the ends of servers to the request that they had in common.

Change: after an attempt ends without an answer, a connection is opened to its server. If the host refuses it and the server is still listed, the server has crashed. Three crashes without an answer, not all at the same moment, isolate requests with the same method, host, path and body; instances tell each other of crashes and isolations. After the first crash under a query its further attempts wait for an answer for 60 ms. A crash does not count as a failure of the server. Callers get 502. After the isolation one request is tried at one server.

Ruled out: the request id (new with each repetition), the caller (not known behind the entry), the route (shared with harmless requests).

Two stand-in servers of tests put up with a connection that is reset before a request; no check is changed.

--- a/benchmarks/bench_gather.py
+++ b/benchmarks/bench_gather.py
@@ -14,6 +14,8 @@
 from savorypond.gateway.answer_timing import AnswerTiming
 from savorypond.gateway.attempts import AttemptRunner, ForwardedRequest
 from savorypond.gateway.connection_pool import ConnectionPools
+from savorypond.gateway.crash_isolation import CrashIsolation
+from savorypond.gateway.crash_reports import CrashReports
 from savorypond.gateway.delegation import ShardGroup
 from savorypond.gateway.delegation_client import (
     DelegationClient,
@@ -31,6 +33,7 @@
 from savorypond.gateway.route_latency import RouteLatencies
 from savorypond.gateway.routes import Route
 from savorypond.gateway.run_types import RunDependencies, RunSpec
+from savorypond.gateway.running_requests import RunningRequests
 from savorypond.gateway.server_load import ServerLoadTracker
 from savorypond.gateway.servers import RegisteredServer, ServerRegistry
 from savorypond.http.messages import Header, HttpResponse
@@ -145,6 +148,7 @@
     )
     loads = ServerLoadTracker(data_centre="a", random=Random(1))
     rates = RateControl(random=Random(1), counters=counters)
+    isolation = CrashIsolation(random=Random(1))
     return RunDependencies(
         names=NAMES,
         registry=registry,
@@ -155,6 +159,17 @@
             loads=loads,
             rate_limits=rates.limits,
             memory=ResponseMemory(limit=100_000_000, counters=counters),
+            crashes=CrashReports(
+                isolation=isolation,
+                pools=pools,
+                registry=registry,
+                client=client,
+                peers=lambda: (peer,),
+                stop=RunningRequests().stop,
+                clock=clock,
+                random=Random(1),
+                counters=counters,
+            ),
             clock=clock,
             counters=counters,
         ),
@@ -173,6 +188,7 @@
         latencies=RouteLatencies(),
         rates=rates,
         tokens=NoLimits(),
+        isolation=isolation,
         clock=clock,
         counters=counters,
     )
--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -1,7 +1,7 @@
 """Sends attempts to backend servers and classifies their results."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import isfinite
 
 from absl.logging import exception as log_exception
@@ -10,6 +10,7 @@
 from savorypond.clock import Clock
 from savorypond.exceptions import BackendServerError, PoolExhausted
 from savorypond.gateway.connection_pool import ConnectionPools
+from savorypond.gateway.crash_reports import CrashReports
 from savorypond.gateway.headers import CONNECTION_HEADERS, HeaderNames
 from savorypond.gateway.response_classifier import AttemptOutcome, ResponseClassifier
 from savorypond.gateway.server_load import ServerLoadTracker
@@ -23,6 +24,10 @@
 from savorypond.timeouts import timeout_after
 
 _MILLISECONDS = 1000.0  # per second
+# A server that runs a request and reports a failure has not crashed.
+_RAN_OUTCOMES = frozenset(
+    {AttemptOutcome.USABLE, AttemptOutcome.FAILED, AttemptOutcome.REJECTED}
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -33,10 +38,12 @@
     :param response: the server's response to this request, if any.
     :param reservation: the memory that the response occupies; released by the receiver
         of the result.
+    :param crashed: whether the server crashed before it had answered.
     """
 
     outcome: AttemptOutcome
     server: RegisteredServer
+    crashed: bool = False
     problem: str = ""
     response: HttpResponse | None = None
     reservation: ResponseReservation | None = None
@@ -67,6 +74,7 @@
     :param caller_deadline: monotonic seconds until which the caller waits.
     :param is_part: whether a server's response is merged with those of other shards.
     :param max_response_bytes: maximum size of the body of a server's response.
+    :param fingerprint: what requests that do the same to a server have in common.
     """
 
     method: str
@@ -78,6 +86,7 @@
     repeatable: bool
     is_part: bool = False
     max_response_bytes: int = MAX_BODY_BYTES
+    fingerprint: bytes = b""
 
 
 def forward_headers(request: HttpRequest, names: HeaderNames) -> tuple[Header, ...]:
@@ -102,10 +111,12 @@
         loads: ServerLoadTracker,
         rate_limits: ServerRateLimits,
         memory: ResponseMemory,
+        crashes: CrashReports,
         clock: Clock,
         counters: Counters,
     ) -> None:
         self._names = names
+        self._crashes = crashes
         self._classifier = ResponseClassifier(names=names)
         self._memory = memory
         self._pools = pools
@@ -137,6 +148,7 @@
                 max(0.0, request.caller_deadline - self._clock.now())
             ):
                 result = await self._send(request, server, is_wanted)
+            result = await self._observe_crash(request, result)
         except TaskTimeout:
             result = AttemptResult(
                 outcome=AttemptOutcome.SILENT,
@@ -219,6 +231,25 @@
             reservation=reservation,
         )
 
+    async def _observe_crash(
+        self, request: ForwardedRequest, result: AttemptResult
+    ) -> AttemptResult:
+        if result.outcome in _RAN_OUTCOMES:
+            self._crashes.record_answer(request.fingerprint)
+        if result.outcome is not AttemptOutcome.BROKEN:
+            return result
+        ended_at = self._clock.now()
+        if not await self._crashes.has_crashed(result.server):
+            return result
+        await self._crashes.record_crash(
+            request.fingerprint,
+            result.server,
+            request_id=request.request_id,
+            path=request.path,
+            ended_at=ended_at,
+        )
+        return replace(result, crashed=True)
+
     def _encode(
         self, request: ForwardedRequest, server: RegisteredServer
     ) -> HttpRequest:
@@ -261,6 +292,9 @@
         elif result.outcome in (AttemptOutcome.REFUSED, AttemptOutcome.UNIDENTIFIED):
             # A server that is full may not repeat the id of what it refuses.
             self._loads.record_refusal(server, number, now=now)
+        elif result.crashed:
+            # The request may be at fault; the server may be back in a moment.
+            self._loads.record_crash(server, number, now=now)
         elif result.outcome is AttemptOutcome.REJECTED:
             self._loads.record_rejection(server, number, now=now)
         elif result.outcome in (AttemptOutcome.NO_CONNECTION, AttemptOutcome.ENDED):
--- a/src/savorypond/gateway/connection_pool.py
+++ b/src/savorypond/gateway/connection_pool.py
@@ -75,17 +75,19 @@
         server: RegisteredServer,
         *,
         fresh: bool,
+        new: bool = False,
         connect_timeout: float = CONNECT_TIMEOUT,
     ) -> "Lease":
         """Return a lease of a connection to ``server``.
 
         :param fresh: whether to reuse only recently used connections.
+        :param new: whether to open a connection even if another one is idle.
         :param connect_timeout: seconds that opening a connection may take.
         :raises PoolExhausted: no further connection may be opened.
         :raises BackendServerError: the server cannot be reached.
         """
         pool = self._pool(server)
-        connection = await self._take_idle(pool, fresh=fresh)
+        connection = None if new else await self._take_idle(pool, fresh=fresh)
         if connection is not None:
             self._counters.add("gateway_connections", "reused")
             return Lease(pools=self, pool=pool, connection=connection, reused=True)
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -12,6 +12,8 @@
 from savorypond.gateway.answer_timing import AnswerTiming
 from savorypond.gateway.attempts import AttemptRunner
 from savorypond.gateway.connection_pool import ConnectionPools
+from savorypond.gateway.crash_isolation import CrashIsolation
+from savorypond.gateway.crash_reports import CrashReports
 from savorypond.gateway.delegation import MAX_DIRECT_SHARDS, DelegationPolicy
 from savorypond.gateway.delegation_client import DelegationClient
 from savorypond.gateway.fleet_shares import FleetShares
@@ -141,6 +143,19 @@
             random=random,
             counters=counters,
         )
+        isolation = CrashIsolation(random=random)
+        self._running_requests = RunningRequests()
+        self._crashes = CrashReports(
+            isolation=isolation,
+            pools=self._pools,
+            registry=self._registry,
+            client=client,
+            peers=self.peers,
+            stop=self._running_requests.stop,
+            clock=self._clock,
+            random=random,
+            counters=counters,
+        )
         self._budget = ServiceRetryBudget(config=self._shares.initial_budget(settings))
         timing = AnswerTiming(
             data_centre=settings.data_centre, cpu_capacity=settings.cpu_capacity
@@ -173,6 +188,7 @@
                 loads=self._loads,
                 rate_limits=self._rates.limits,
                 memory=self._response_memory,
+                crashes=self._crashes,
                 clock=self._clock,
                 counters=counters,
             ),
@@ -180,10 +196,10 @@
             latencies=RouteLatencies(),
             rates=self._rates,
             tokens=self._rate_sync,
+            isolation=isolation,
             clock=self._clock,
             counters=counters,
         )
-        self._running_requests = RunningRequests()
         handler = GatewayHandler(
             names=names,
             feed=self._feed,
@@ -202,6 +218,7 @@
                 handle_delegated=handler.handle_delegated,
                 handle_follow_up=handler.handle_follow_up,
                 handle_rate_claims=self._rate_sync.handle,
+                handle_crashes=self._crashes.handle,
             ).handle,
             limits=HttpLimits(header_bytes=PEER_HEADER_BYTES),
             limiter=PerPeerLimiter(max_connections=settings.max_descriptors),
--- a/src/savorypond/gateway/failures.py
+++ b/src/savorypond/gateway/failures.py
@@ -40,6 +40,12 @@
     missing = ", ".join(result.missing[:4])
     answered = len(services) - len(result.missing)
     detail = f"{answered} of {len(services)} services answered; not {missing}"
+    if result.isolated:
+        return RequestRefused(
+            reason=RefusalReason.ISOLATED,
+            detail=f"servers crash under this request: {detail}",
+            execution=Execution.UNKNOWN,
+        )
     if result.verdict is Verdict.TIMED_OUT:
         return RequestRefused(
             reason=RefusalReason.TIMED_OUT,
--- a/src/savorypond/gateway/handler.py
+++ b/src/savorypond/gateway/handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from math import isfinite
 from random import Random
 
@@ -11,6 +12,7 @@
 from savorypond.exceptions import RequestRefused
 from savorypond.gateway.answer_timing import AnswerTiming, partial_answer_delay
 from savorypond.gateway.attempts import ForwardedRequest, forward_headers
+from savorypond.gateway.crash_isolation import Admission, request_fingerprint
 from savorypond.gateway.delegation_client import (
     GroupRequest,
     decode_follow_up,
@@ -38,10 +40,10 @@
     UnfinishedGroups,
 )
 from savorypond.gateway.weighted_split import WeightedSplit
-from savorypond.http.messages import HttpRequest, HttpResponse
+from savorypond.http.messages import Header, HttpRequest, HttpResponse
 from savorypond.logs import log_event
 from savorypond.metrics import Metrics
-from savorypond.reasons import RefusalReason
+from savorypond.reasons import Execution, RefusalReason
 
 _MILLISECONDS = 1000.0  # per second
 _GONE = 410
@@ -132,6 +134,12 @@
                 repeatable=group_request.route.idempotent,
                 is_part=True,
                 max_response_bytes=group_request.route.max_response_bytes,
+                fingerprint=request_fingerprint(
+                    method=group_request.method,
+                    host=_find_host(group_request.headers),
+                    path=group_request.path,
+                    body=group_request.body,
+                ),
             ),
             partial_after=received
             + max(0.0, group_request.within - self._timing.merge_delay),
@@ -139,6 +147,10 @@
             may_delegate=False,
             admitted=group_request.admitted,
         )
+        if self._dependencies.isolation.is_isolated(
+            spec.request.fingerprint, self._clock.now()
+        ):
+            raise _isolated_refusal()
         run = RequestRun(dependencies=self._dependencies, spec=spec)
         async with self._track(run, spec, received):
             result = await run.run(resumable=True)
@@ -302,6 +314,12 @@
             repeatable=route.idempotent,
             is_part=bool(route.shards),
             max_response_bytes=route.max_response_bytes,
+            fingerprint=request_fingerprint(
+                method=request.method,
+                host=request.header("host") or "",
+                path=request.path,
+                body=request.body,
+            ),
         )
 
     async def _serve(
@@ -328,13 +346,44 @@
             least_share=route.least_share if route.shards else 1.0,
             may_delegate=bool(route.shards),
         )
-        run = RequestRun(dependencies=self._dependencies, spec=spec)
-        async with self._track(run, spec, received):
-            result = await run.run()
+        admission = self._dependencies.isolation.admit(
+            request.fingerprint, self._clock.now()
+        )
+        if admission is Admission.TRIAL:
+            spec = await self._try_one_server(spec, received)
+        elif admission is Admission.ISOLATED:
+            raise _isolated_refusal()
+        result = await self._run(spec, received)
         response = self._build_response(spec, result)
         self._record_answer(spec, result, response, received)
         return response
 
+    async def _run(self, spec: RunSpec, received: float) -> RunResult:
+        run = RequestRun(dependencies=self._dependencies, spec=spec)
+        async with self._track(run, spec, received):
+            return await run.run()
+
+    async def _try_one_server(self, spec: RunSpec, received: float) -> RunSpec:
+        """Try whether servers still crash; return what else may be sent.
+
+        A request to many shards goes to one of them first.
+
+        :raises RequestRefused: the server did not answer.
+        """
+        self._metrics.counters.add("gateway_isolations", "tried")
+        log_event("isolated-request-tried", request=spec.request.request_id)
+        route = replace(spec.route, max_attempts=1)
+        if not route.shards:
+            return replace(spec, route=route)
+        services = (self._random.choice(spec.services),)
+        trial = replace(
+            spec, route=route, services=services, least_share=1.0, may_delegate=False
+        )
+        await self._run(trial, received)
+        if not self._dependencies.isolation.is_cleared(spec.request.fingerprint):
+            raise _isolated_refusal()
+        return replace(spec, route=route)
+
     def _build_response(self, spec: RunSpec, result: RunResult) -> HttpResponse:
         if result.verdict is Verdict.ANSWER:
             if spec.route.shards:
@@ -413,3 +462,15 @@
 
     def _ms_since(self, start: float) -> float:
         return round((self._clock.now() - start) * _MILLISECONDS, 1)
+
+
+def _isolated_refusal() -> RequestRefused:
+    return RequestRefused(
+        reason=RefusalReason.ISOLATED,
+        detail="servers crashed under requests like this one",
+        execution=Execution.UNKNOWN,
+    )
+
+
+def _find_host(headers: tuple[Header, ...]) -> str:
+    return next((header.value for header in headers if header.name == "host"), "")
--- a/src/savorypond/gateway/peers.py
+++ b/src/savorypond/gateway/peers.py
@@ -28,6 +28,7 @@
 DELEGATED_PATH = "/peer/delegated"
 FOLLOW_UP_PATH = "/peer/delegated/rest"
 RATES_PATH = "/peer/rates"
+CRASHES_PATH = "/peer/crashes"
 PEER_SERVICE = ""  # service name of peers in the connection pools
 # Several round trips between data centres, after which a request can still be answered.
 CONNECT_TIMEOUT = 0.05  # seconds
@@ -244,6 +245,7 @@
     :param handle_delegated: handles requests for delegated shards.
     :param handle_follow_up: handles requests for shards that an answer left out.
     :param handle_rate_claims: handles claims of shares of servers' rate limits.
+    :param handle_crashes: handles news of servers that crashed under requests.
     """
 
     def __init__(
@@ -253,12 +255,14 @@
         handle_delegated: Handler,
         handle_follow_up: Handler,
         handle_rate_claims: Handler,
+        handle_crashes: Handler,
     ) -> None:
         self._encoder = PublishedEncoder()
         self._changes_since = changes_since
         self._handle_delegated = handle_delegated
         self._handle_follow_up = handle_follow_up
         self._handle_rate_claims = handle_rate_claims
+        self._handle_crashes = handle_crashes
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to ``request``."""
@@ -274,6 +278,8 @@
             return await self._handle_follow_up(request)
         if path == RATES_PATH:
             return await self._handle_rate_claims(request)
+        if path == CRASHES_PATH:
+            return await self._handle_crashes(request)
         raise RequestRefused(
             reason=RefusalReason.NOT_FOUND, detail=f"no resource at {request.path}"
         )
--- a/src/savorypond/gateway/request_run.py
+++ b/src/savorypond/gateway/request_run.py
@@ -6,6 +6,7 @@
 from curio import CancelledError, Queue, TaskTimeout, spawn
 
 from savorypond.gateway.attempts import AttemptResult
+from savorypond.gateway.crash_hold import CrashHold
 from savorypond.gateway.delegation import ShardGroup
 from savorypond.gateway.delegation_client import (
     FALLBACK_DELAY,
@@ -65,6 +66,8 @@
         self._reservations: list[ResponseReservation] = []
         self._request_share = 1.0
         self._rate_limited = False
+        self._hold = CrashHold()
+        self._held: list[tuple[Attempt, AttemptResult]] = []
         self._rank = admission_rank(spec.request.request_id)
         self._chooser = RegistryServerChooser(
             registry=dependencies.registry,
@@ -93,6 +96,11 @@
             budget=dependencies.budget,
         )
 
+    @property
+    def fingerprint(self) -> bytes:
+        """What requests that do the same to a server have in common."""
+        return self._spec.request.fingerprint
+
     @property
     def in_flight(self) -> int:
         """Number of attempts and delegated groups that have not ended."""
@@ -120,10 +128,15 @@
         clock = self._dependencies.clock
         self._cut_off = False
         try:
-            while len(self._parts) == self._reported and self._plan.pending():
+            while (
+                len(self._parts) == self._reported
+                and self._plan.pending()
+                and not self._is_isolated()
+            ):
                 now = clock.now()
                 if now >= self._plan.deadline:
                     break
+                await self._record_held()
                 await self._spawn_attempts(self._plan.due_hedges(now))
                 await self._wait_for_results(self._plan.next_hedge() - clock.now())
         except (CancelledError, Exception):
@@ -135,7 +148,11 @@
     async def shorten_deadline(self, deadline: float) -> None:
         """Have the final answer by ``deadline``, in monotonic seconds."""
         self._plan.shorten_deadline(deadline - DEADLINE_MARGIN)
-        await self._results.put(None)  # a waiting request recomputes its time-out
+        await self.wake()
+
+    async def wake(self) -> None:
+        """Check at once whether the request has ended."""
+        await self._results.put(None)
 
     async def abandon(self, *, wait: float) -> None:
         """End the request; cancel its running attempts in ``wait`` seconds."""
@@ -147,9 +164,12 @@
 
     async def _finish(self, verdict: Verdict, *, resumable: bool) -> RunResult:
         plan = self._plan
-        pending = plan.pending() if resumable and verdict is Verdict.ANSWER else ()
+        isolated = self._is_isolated()
+        is_resumable = resumable and verdict is Verdict.ANSWER and not isolated
+        pending = plan.pending() if is_resumable else ()
         if not pending:
-            await self.abandon(wait=LINGER_TIME)
+            ends_now = isolated and self._spec.route.idempotent
+            await self.abandon(wait=0.0 if ends_now else LINGER_TIME)
         parts = self._parts[self._reported :]
         self._reported = len(self._parts)
         return RunResult(
@@ -169,6 +189,7 @@
             problems=tuple(self._problems),
             rate_limited=self._rate_limited or bool(self._chooser.rate_limited),
             cut_off=self._cut_off,
+            isolated=isolated,
         )
 
     async def _run_until_verdict(self) -> Verdict:
@@ -183,7 +204,14 @@
                 is_due = now >= self._spec.partial_after
                 self._cut_off = covers_enough and is_partial and is_due
                 return verdict
+            if self._is_isolated():
+                answers = self._plan.may_answer
+                return Verdict.ANSWER if answers else Verdict.UNSERVABLE
             covers_enough = self._plan.may_answer
+            if self._hold.holds(now):
+                await self._wait_for_results(self._next_check(now) - now)
+                continue
+            await self._record_held()
             await self._spawn_attempts(self._plan.due_fallbacks(now))
             await self._spawn_attempts(self._plan.due_hedges(now))
             for group in self._plan.due_follow_ups(now):
@@ -310,11 +338,35 @@
             )
         self._rate_limited = self._rate_limited or result.rate_limited
 
+    def _next_check(self, now: float) -> float:
+        """Return until when to wait for results while attempts are held back."""
+        due = min(self._hold.until, self._plan.deadline)
+        partial_after = self._spec.partial_after
+        return min(due, partial_after) if now < partial_after else due
+
+    async def _record_held(self) -> None:
+        """Record the crashes that have been held back; retry their shards."""
+        held, self._held = self._held, []
+        for attempt, result in held:
+            await self._record_failure(attempt, result)
+
     async def _record_attempt(self, attempt: Attempt, result: AttemptResult) -> None:
         if result.outcome is AttemptOutcome.USABLE:
+            self._hold.record_answer()
             if self._plan.record_answer(attempt.number):
                 self._record_part(attempt, result)
             return
+        now = self._dependencies.clock.now()
+        if len(self._spec.services) > 1:
+            if result.crashed:
+                self._hold.record_crash(now)
+            if self._hold.holds(now):
+                self._may_run = self._may_run or result.may_have_run
+                self._held.append((attempt, result))
+                return
+        await self._record_failure(attempt, result)
+
+    async def _record_failure(self, attempt: Attempt, result: AttemptResult) -> None:
         self._last_failure = result
         self._may_run = self._may_run or result.may_have_run
         self._reached = self._reached or result.sent
@@ -346,7 +398,15 @@
         answer = PartialAnswer(signatures=(signature,), body=response.body)
         self._parts.append(_Part(answer=answer, shards=(attempt.shard,)))
 
+    def _is_isolated(self) -> bool:
+        dependencies = self._dependencies
+        return dependencies.isolation.is_isolated(
+            self.fingerprint, dependencies.clock.now()
+        )
+
     async def _spawn_attempts(self, attempts: list[Attempt]) -> None:
+        if self._is_isolated():
+            return  # the request ends next
         limits = self._dependencies.rates.limits
         now = self._dependencies.clock.now()
         # Before other requests choose their servers.
--- a/src/savorypond/gateway/run_types.py
+++ b/src/savorypond/gateway/run_types.py
@@ -6,6 +6,7 @@
 
 from savorypond.clock import Clock
 from savorypond.gateway.attempts import AttemptResult, AttemptRunner, ForwardedRequest
+from savorypond.gateway.crash_isolation import CrashIsolation
 from savorypond.gateway.delegation_client import DelegationClient
 from savorypond.gateway.headers import HeaderNames
 from savorypond.gateway.plan_types import Verdict
@@ -36,6 +37,7 @@
     :param rate_limited: whether rate limits of servers kept shards from being sent.
     :param cut_off: whether the answer covered enough shards early and left, without
         the missing ones, when an answer may be partial.
+    :param isolated: whether the request was ended since servers crash under it.
     """
 
     verdict: Verdict
@@ -54,6 +56,7 @@
     problems: tuple[str, ...]
     rate_limited: bool
     cut_off: bool
+    isolated: bool = False
 
 
 class TokenSource(Protocol):
@@ -82,6 +85,7 @@
     latencies: RouteLatencies
     rates: RateControl
     tokens: TokenSource
+    isolation: CrashIsolation
     clock: Clock
     counters: Counters
 
--- a/src/savorypond/gateway/running_requests.py
+++ b/src/savorypond/gateway/running_requests.py
@@ -36,6 +36,12 @@
         for run in tuple(self._runs):
             await run.shorten_deadline(plan.answer_deadline)
 
+    async def stop(self, fingerprint: bytes) -> None:
+        """End the requests with ``fingerprint``, which are isolated from now on."""
+        for run in tuple(self._runs):
+            if run.fingerprint == fingerprint:
+                await run.wake()
+
     def check_time(
         self, route: Route, *, deadline: float, mean_latency: float, now: float
     ) -> None:
--- a/src/savorypond/gateway/server_load.py
+++ b/src/savorypond/gateway/server_load.py
@@ -157,6 +157,18 @@
             load.ejected_until = now + ejection * self._random.uniform(0.75, 1.0)
             load.ejections += 1
 
+    def record_crash(
+        self, server: RegisteredServer, attempt: int, *, now: float
+    ) -> None:
+        """Record that the server crashed during ``attempt``.
+
+        It is not used for a moment. The request may be at fault, so that this does not
+        count as a failure of the server.
+        """
+        load = self._load(server, now)
+        load.in_flight.pop(attempt, None)
+        load.ejected_until = max(load.ejected_until, now + self._config.base_ejection)
+
     def record_rejection(
         self, server: RegisteredServer, attempt: int, *, now: float
     ) -> None:
--- a/src/savorypond/http/messages.py
+++ b/src/savorypond/http/messages.py
@@ -34,6 +34,7 @@
     RefusalReason.UNSUPPORTED_VERSION: 505,
     RefusalReason.TIMED_OUT: 504,
     RefusalReason.CONNECTION_LOST: 502,
+    RefusalReason.ISOLATED: 502,
     RefusalReason.INTERNAL: 500,
 }
 _DEFAULT_REFUSAL_STATUS = 503
--- a/src/savorypond/reasons.py
+++ b/src/savorypond/reasons.py
@@ -45,6 +45,7 @@
     TICKET_IN_PROGRESS = "ticket-in-progress"
     SERVER_LEAVING = "server-leaving"
     CALLER_GONE = "caller-gone"
+    ISOLATED = "isolated"
 
 
 class MissingReason(StrEnum):
--- a/tests/gateway_loopback.py
+++ b/tests/gateway_loopback.py
@@ -245,9 +245,11 @@
         self._server = Listener(address=LOOPBACK, serve=self._drop_connection)
 
     async def _drop_connection(self, sock, peer):
+        # An unused connection may be reset.
         async with sock:
-            if data := await sock.recv(65536):
-                self.requests.append(data)
+            with suppress(ConnectionResetError):
+                if data := await sock.recv(65536):
+                    self.requests.append(data)
 
 
 def route(name, prefix, **changes):
--- a/tests/published_feed_fleet.py
+++ b/tests/published_feed_fleet.py
@@ -275,6 +275,7 @@
             handle_delegated=_not_handled,
             handle_follow_up=_not_handled,
             handle_rate_claims=_not_handled,
+            handle_crashes=_not_handled,
         )
 
     @property
--- a/tests/test_gateway_server_load.py
+++ b/tests/test_gateway_server_load.py
@@ -110,3 +110,11 @@
         self.assertIsNotNone(self.choose(probe_at))
         self.tracker.begin(self.local, probe_at)
         self.assertIsNone(self.choose(probe_at))
+
+    def test_a_crash_counts_for_a_moment_and_not_as_a_failure(self):
+        for moment in range(4):
+            number = self.tracker.begin(self.local, float(moment))
+            self.tracker.record_crash(self.local, number, now=float(moment))
+            self.assertEqual(self.choose(moment + 0.1), "remote")
+            later = moment + DEFAULT_SERVER_LOAD.base_ejection
+            self.assertEqual(self.choose(later), "local")
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -1,5 +1,6 @@
 """Tests of backend servers that close in the middle of the head of a response."""
 
+from contextlib import suppress
 from unittest import TestCase
 
 from savorypond.exceptions import ResponseError
@@ -35,10 +36,12 @@
         self._server = Listener(address=LOOPBACK, serve=self._send)
 
     async def _send(self, sock, peer):
+        # An unused connection may be reset.
         async with sock:
-            if data := await sock.recv(65536):
-                self.requests.append(data)
-                await sock.sendall(self._response)
+            with suppress(ConnectionResetError):
+                if data := await sock.recv(65536):
+                    self.requests.append(data)
+                    await sock.sendall(self._response)
 
 
 def truncations():
