--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -1,7 +1,7 @@
 """Sends attempts to backend servers and classifies their results."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import isfinite
 
 from absl.logging import exception as log_exception
@@ -11,6 +11,7 @@
 from savorypond.exceptions import BackendServerError, PoolExhausted
 from savorypond.gateway.answer_framing import AnswerFraming
 from savorypond.gateway.connection_pool import ConnectionPools
+from savorypond.gateway.crash_reports import CrashReports
 from savorypond.gateway.foreign_bytes import ForeignBytesHistory
 from savorypond.gateway.headers import CONNECTION_HEADERS, HeaderNames
 from savorypond.gateway.response_classifier import (
@@ -30,6 +31,10 @@
 from savorypond.timeouts import timeout_after
 
 _MILLISECONDS = 1000.0  # per second
+# A server that runs a request and reports a failure has not crashed.
+_RAN_OUTCOMES = frozenset(
+    {AttemptOutcome.USABLE, AttemptOutcome.FAILED, AttemptOutcome.REJECTED}
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,10 +45,12 @@
     :param response: the server's response to this request, if any.
     :param reservation: the memory that the response occupies; released by the receiver
         of the result.
+    :param crashed: whether the server crashed before it had answered.
     """
 
     outcome: AttemptOutcome
     server: RegisteredServer
+    crashed: bool = False
     problem: str = ""
     response: HttpResponse | None = None
     reservation: ResponseReservation | None = None
@@ -76,6 +83,7 @@
     :param route: name of the route, or "".
     :param is_part: whether a server's response is merged with those of other shards.
     :param max_response_bytes: maximum size of the body of a server's response.
+    :param fingerprint: what requests that do the same to a server have in common.
     """
 
     method: str
@@ -88,6 +96,7 @@
     route: str = ""
     is_part: bool = False
     max_response_bytes: int = MAX_BODY_BYTES
+    fingerprint: bytes = b""
 
 
 def forward_headers(request: HttpRequest, names: HeaderNames) -> tuple[Header, ...]:
@@ -113,10 +122,12 @@
         rate_limits: ServerRateLimits,
         notices: ServerNotices,
         memory: ResponseMemory,
+        crashes: CrashReports,
         clock: Clock,
         counters: Counters,
     ) -> None:
         self._names = names
+        self._crashes = crashes
         self._classifier = ResponseClassifier(names=names)
         self._foreign_bytes = ForeignBytesHistory()
         self._framing = AnswerFraming()
@@ -151,6 +162,7 @@
                 max(0.0, request.caller_deadline - self._clock.now())
             ):
                 result = await self._send(request, server, is_wanted)
+            result = await self._observe_crash(request, result)
         except TaskTimeout:
             result = AttemptResult(
                 outcome=AttemptOutcome.SILENT,
@@ -251,6 +263,25 @@
             reservation=reservation,
         )
 
+    async def _observe_crash(
+        self, request: ForwardedRequest, result: AttemptResult
+    ) -> AttemptResult:
+        if result.outcome in _RAN_OUTCOMES:
+            self._crashes.record_answer(request.fingerprint)
+        if result.outcome is not AttemptOutcome.BROKEN:
+            return result
+        ended_at = self._clock.now()
+        if not await self._crashes.has_crashed(result.server):
+            return result
+        await self._crashes.record_crash(
+            request.fingerprint,
+            result.server,
+            request_id=request.request_id,
+            path=request.path,
+            ended_at=ended_at,
+        )
+        return replace(result, crashed=True)
+
     def _encode(
         self, request: ForwardedRequest, server: RegisteredServer
     ) -> HttpRequest:
@@ -343,6 +374,9 @@
         elif result.outcome in (AttemptOutcome.REFUSED, AttemptOutcome.UNIDENTIFIED):
             # A server that is full may not repeat the id of what it refuses.
             self._loads.record_refusal(server, number, now=now)
+        elif result.crashed:
+            # The request may be at fault; the server may be back in a moment.
+            self._loads.record_crash(server, number, now=now)
         elif result.outcome is AttemptOutcome.REJECTED:
             self._loads.record_rejection(server, number, now=now)
         elif not result.sent and result.outcome is not AttemptOutcome.NOT_SENT:
--- a/src/savorypond/gateway/run_types.py
+++ b/src/savorypond/gateway/run_types.py
@@ -6,6 +6,7 @@
 
 from savorypond.clock import Clock
 from savorypond.gateway.attempts import AttemptResult, AttemptRunner, ForwardedRequest
+from savorypond.gateway.crash_isolation import CrashIsolation
 from savorypond.gateway.delegation_client import DelegationClient
 from savorypond.gateway.headers import HeaderNames
 from savorypond.gateway.plan_types import Verdict
@@ -39,6 +40,7 @@
         requests again; 0 if something else ended it.
     :param cut_off: whether the answer covered enough shards early and left, without
         the missing ones, when an answer may be partial.
+    :param isolated: whether the request was ended since servers crash under it.
     """
 
     verdict: Verdict
@@ -58,6 +60,7 @@
     rate_limited: bool
     cut_off: bool
     wait: float = 0.0
+    isolated: bool = False
 
 
 class TokenSource(Protocol):
@@ -87,6 +90,7 @@
     rates: RateControl
     notices: ServerNotices
     tokens: TokenSource
+    isolation: CrashIsolation
     clock: Clock
     counters: Counters
 
