Break answers in chunks off where a copy can fill them up

The plays of second answers missed a fault: their chunks were shorter than the head of a copy, so that none could be filled up.

Bodies have 60 records now, and half of the answers in chunks that break off lack as much as the copy's head has up to its empty line.

Gaps of one to four bytes are played less often now; the test of every gap covers them.

--- a/tests/stuttering_servers.py
+++ b/tests/stuttering_servers.py
@@ -11,7 +11,7 @@
 from tests.gateway_loopback import LOOPBACK
 
 RECORD_BYTES = 16
-RECORDS = 6
+RECORDS = 60  # more than two heads, so that each half of a body may hold one
 REASONS = {200: "OK", 500: "Internal Server Error", 503: "Service Unavailable"}
 ENDS = ("length", "chunks", "close")
 FOLLOWERS = (
@@ -32,6 +32,7 @@
 LATE = 0.03  # seconds
 VERY_LATE = 0.2  # seconds; after the request has been hedged
 SHORT = len("HTTP")  # bytes; too few to show a status line
+END_OF_CHUNKS = b"\r\n0\r\n\r\n"
 SPACING = 4  # answers of a server for each that it repeats
 _serials = count(1)
 
@@ -145,7 +146,7 @@
             self.played += 1
             follower = copies(stutter.follower)
             if stutter.follower == "copy-after-break":
-                data = data[: -self._random.randint(1, len(data) // 3)]
+                data = data[: -self._missing_bytes(data)]
             if stutter.moment == "at-once":
                 await sock.sendall(data + follower)
             elif stutter.moment == "late":
@@ -158,6 +159,16 @@
             if end == "close":
                 return
 
+    def _missing_bytes(self, data):
+        """Return by how many bytes an answer breaks off.
+
+        In chunks, every second one lacks as much of its last chunk as the copy's head
+        has up to its empty line, which then ends the chunk.
+        """
+        if b"transfer-encoding: chunked" in data and self._random.random() < 0.5:
+            return data.index(b"\r\n\r\n") + len(b"\r\n" + END_OF_CHUNKS)
+        return self._random.randint(1, len(data) // 3)
+
     def _next_stutter(self, was_used):
         self._since_stutter += 1
         stutter = self.stutter
