Eject no server for a body that reads like another answer

Callers that make a server echo text with the head of an answer would have had it ejected for all: such a body counted as a broken connection, and twice in a row as a failing server.

Such an answer is now overlapped: its attempt has failed and may have run, and the server keeps its place as after a status from 300 to 499, since the request may be at fault. All ids of an answer must be that of its request, not only the first.

test_every_id_must_be_that_of_the_request fails without the change.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -377,7 +377,8 @@
         elif result.crashed:
             # The request may be at fault; the server may be back in a moment.
             self._loads.record_crash(server, number, now=now)
-        elif result.outcome is AttemptOutcome.REJECTED:
+        elif result.outcome in (AttemptOutcome.REJECTED, AttemptOutcome.OVERLAPPED):
+            # A server may echo a caller's text that reads like an answer.
             self._loads.record_rejection(server, number, now=now)
         elif not result.sent and result.outcome is not AttemptOutcome.NOT_SENT:
             # What kept the attempt from being sent tells nothing of the server's load.
--- a/src/savorypond/gateway/response_classifier.py
+++ b/src/savorypond/gateway/response_classifier.py
@@ -39,6 +39,7 @@
     # status below 200 or from 500 on, an unfounded promise, or not a whole part
     FAILED = "failed"
     BROKEN = "broken"  # connection lost, or invalid or mismatched response
+    OVERLAPPED = "overlapped"  # the answer may hold bytes of another one
     SILENT = "silent"  # no answer before the caller's deadline
     UNIDENTIFIED = "unidentified"  # perhaps a late copy of an earlier refusal
     FOREIGN = "foreign"  # answer without an intact signature
@@ -82,10 +83,11 @@
         """
         if has_two_status_lines(response):
             return ForeignBytes.IN_HEAD
-        received_id = response.header(self._names.request_id)
-        if received_id is None and reused:
+        name = self._names.request_id
+        received_ids = {h.value for h in response.headers if h.name == name}
+        if not received_ids and reused:
             return ForeignBytes.NO_REQUEST
-        if received_id not in (None, request_id):
+        if received_ids - {request_id}:
             return ForeignBytes.OTHER_REQUEST
         if self._holds_another_answer(response):
             return ForeignBytes.IN_BODY
@@ -107,8 +109,10 @@
         :param doubted: whether the server has lately shown such signs or usually states
             where its answers end. Further bytes may have joined one that does not.
         """
+        outcome = AttemptOutcome.OVERLAPPED
         match foreign:
             case ForeignBytes.OTHER_REQUEST:
+                outcome = AttemptOutcome.BROKEN
                 problem = "answer to another request"
             case ForeignBytes.IN_HEAD:
                 problem = "a head with two status lines"
@@ -121,7 +125,7 @@
                 problem = "answer that unexpectedly has no length"
             case _:
                 return None
-        return Classification(outcome=AttemptOutcome.BROKEN, problem=problem)
+        return Classification(outcome=outcome, problem=problem)
 
     def _unidentified(self, response: HttpResponse) -> Classification:
         problem = (
--- a/src/savorypond/gateway/server_load.py
+++ b/src/savorypond/gateway/server_load.py
@@ -172,7 +172,7 @@
     def record_rejection(
         self, server: RegisteredServer, attempt: int, *, now: float
     ) -> None:
-        """Record that the server answered ``attempt`` with a status from 300 to 499.
+        """Record that the server answered ``attempt``, but not with anything usable.
 
         The request may be at fault rather than the server, so that ejecting servers
         would let one faulty request disable all of them.
--- a/tests/second_answers.py
+++ b/tests/second_answers.py
@@ -35,6 +35,7 @@
 TOP = 1000
 CALLERS = 3  # of each path and gateway
 TIME = 0.4  # seconds for each combination
+MAX_TIME = 10.0  # seconds until a combination must have been played
 READY_TIME = 30.0  # seconds
 ANSWER_TIME = 3.0  # seconds
 TIMES = {"timeout_ms": 1500, "target_latency_ms": 100, "max_attempts": 2}
@@ -113,18 +114,27 @@
 
     async def play(self, stutter, *, seconds=TIME):
         """Let servers stutter; return the number of times and the wrong answers."""
-        before = sum(server.played for server in self.servers)
+        before = self._played()
         for server in self.servers:
             server.stutter = stutter
         problems = []
+        until = monotonic() + MAX_TIME
+        await self._call_for(seconds, problems)
+        while stutter and self._played() == before and monotonic() < until:
+            await self._call_for(seconds, problems)
+        for server in self.servers:
+            server.stutter = None
+        return self._played() - before, problems
+
+    def _played(self):
+        return sum(server.played for server in self.servers)
+
+    async def _call_for(self, seconds, problems):
         async with TaskGroup() as group:
             for address in self._addresses:
                 for path in ("/safe/", "/once/", "/merged/"):
                     for _ in range(CALLERS):
                         await group.spawn(self._call, address, path, seconds, problems)
-        for server in self.servers:
-            server.stutter = None
-        return sum(server.played for server in self.servers) - before, problems
 
     async def _call(self, address, path, seconds, problems):
         """Send requests for some time on a kept connection."""
--- a/tests/test_gateway_response_classifier.py
+++ b/tests/test_gateway_response_classifier.py
@@ -71,6 +71,11 @@
             with self.subTest(kind, **changes):
                 self.assertEqual(self.find(**changes), kind)
 
+    def test_every_id_must_be_that_of_the_request(self):
+        ids = tuple(Header(name=HEADERS.request_id, value=v) for v in ("r1", "r2"))
+        for headers in (ids, ids[::-1]):
+            self.assertEqual(self.find(headers=headers), ForeignBytes.OTHER_REQUEST)
+
     def test_a_copy_does_not_fill_up_an_answer_that_broke_off(self):
         """In chunks, the empty line of the copy's head could end the chunk."""
         for framing, body in (
