Send no response to an empty line between requests

What callers would see: a client that sends an empty line behind a body, as some do, got 400 for it while it had no request waiting. It takes that for the answer to its next request, which is not read.

Cause: h11 refuses an empty line in place of a request line, and the server answered as it answers every request that is not HTTP. Ruled out: other responses without a request; see OneResponseTests.

Change: empty lines before a request are skipped, as RFC 9112, section 2.2, says; a connection stays idle meanwhile, by the same idle time.

Evidence: test_empty_lines_between_requests_get_no_response fails before in five cases, and test_an_idle_connection_is_closed_without_a_byte in one; both pass now, with the tests of drain, shutdown and daemons.

--- a/src/savorypond/http/channel.py
+++ b/src/savorypond/http/channel.py
@@ -86,21 +86,44 @@
         self._omit_body = False
         # Before its first request, the client also spent a round trip on connecting.
         self._network_delay = 2.0 * tcp_times(sock).round_trip
-        self._http = Connection(SERVER, max_incomplete_event_size=limits().header_bytes)
+        self._http = self._new_connection()
 
     async def wait_first_byte(self) -> bool:
         """Wait for the next request; return False on idle time-out or disconnect."""
         if self._http.our_state in (CLOSED, MUST_CLOSE, ERROR):
             return False
-        if self._http.trailing_data[0]:
+        if self._skip_empty_lines():
             return True
         try:
             async with timeout_after(self._limits().idle_time):
-                data = await self._sock.recv(_RECEIVE_BYTES)
+                while data := await self._sock.recv(_RECEIVE_BYTES):
+                    self._http.receive_data(data)
+                    if self._skip_empty_lines():
+                        return True
         except TaskTimeout:
-            return False
-        self._http.receive_data(data)
-        return bool(data)
+            pass
+        return False
+
+    def _skip_empty_lines(self) -> bool:
+        """Skip empty lines before a request; return whether other input is buffered.
+
+        h11 refuses them, and some clients send one behind a body (RFC 9112, section
+        2.2). Such a refusal would be taken for the response to the next request.
+        """
+        received, has_ended = self._http.trailing_data
+        if received[:1] not in (b"\r", b"\n"):
+            return bool(received)
+        self._http = self._new_connection()
+        request = received.lstrip(b"\r\n")
+        if request:
+            self._http.receive_data(request)
+        if has_ended:
+            self._http.receive_data(b"")
+        return bool(request)
+
+    def _new_connection(self) -> Connection:
+        max_head_bytes = self._limits().header_bytes
+        return Connection(SERVER, max_incomplete_event_size=max_head_bytes)
 
     def has_input(self) -> bool:
         """Return whether bytes of the client, or its disconnect, wait to be read."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -236,6 +236,23 @@
         self.assertEqual(data.count(b"HTTP/1.1 "), 1)
         self.assertTrue(data.endswith(b"GET /0 "))
 
+    @with_server
+    async def test_empty_lines_between_requests_get_no_response(self, running):
+        """The refusal of an empty line was taken for the answer to the next request."""
+        last = b"GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        for parts in (
+            (self.GET % 1 + b"\r\n" + last,),
+            (self.GET % 1 + b"\r\n", last),
+            (self.GET % 1, b"\r\n", b"\r\n" + last),
+            (self.GET % 1, b"\r", b"\n", last),
+            (b"\r\n" + self.GET % 1, last),
+        ):
+            with self.subTest(parts):
+                data = await running.exchange(*parts, pause=0.02)
+                self.assertEqual(data.count(b"HTTP/1.1 "), 2)
+                self.assertEqual(data.count(b"HTTP/1.1 200"), 2)
+                self.assertTrue(data.endswith(b"GET /2 "))
+
     def test_pipelined_requests_with_slow_and_failing_handlers_are_answered_once(self):
         async def handler(request):
             number = int(request.path[1:])
@@ -260,21 +277,23 @@
         self.assertEqual(answers, sorted(answers, key=data.index))
 
     def test_an_idle_connection_is_closed_without_a_byte(self):
-        async def main():
+        async def main(request):
             limits = replace(LIMITS, idle_time=0.05)
             server = HttpServer(address=LOOPBACK, handler=echo, limits=limits)
             sock = socket(AF_INET, SOCK_STREAM)
             async with timeout_after(TEST_TIMEOUT), server, sock:
                 await sock.connect((server.address.host, server.address.port))
-                await sock.sendall(self.GET % 1)
+                await sock.sendall(request)
                 data = b""
                 while more := await sock.recv(65536):
                     data += more
                 return data
 
-        data = run(main)
-        self.assertEqual(data.count(b"HTTP/1.1 "), 1)
-        self.assertTrue(data.endswith(b"GET /1 "))
+        for request in (self.GET % 1, self.GET % 1 + b"\r\n"):
+            with self.subTest(request):
+                data = run(main, request)
+                self.assertEqual(data.count(b"HTTP/1.1 "), 1)
+                self.assertTrue(data.endswith(b"GET /1 "))
 
 
 class GoodRequestTests(TestCase):
