Let the soak's servers say that they leave and ask for pauses

Servers that drain say Server-Leaving in their answers, up to 2 s before their registration does; those that refuse requests add Retry-After of 0.8 to 3 s, or none. The checker finds requests sent over 0.5 s after such an answer was passed on, from the instance that was asked or the one that gathered the shard, and more than two requests from an instance from 0.5 s after it was asked for a pause to its end. Restarts and pauses of the instance excuse them, the state of the store does not. A pause counts only if the proxy before the server had no fault for 3 s.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -15,6 +15,7 @@
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 RECORD_BYTES = 16
+RESTARTS = ("kill", "pause", "start")  # faults that excuse what is forgotten
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,6 +44,12 @@
     :param limit_slack: requests allowed in addition.
     :param limit_notice: seconds after its first answer with a limit from which an
         instance must keep to it.
+    :param leave_notice: seconds after an answer that said that its server is leaving
+        from which requests must not reach that server.
+    :param pause_notice: seconds after an answer with a pause from which its instance
+        must keep to it.
+    :param pause_slack: requests that may reach the server from that instance all the
+        same.
     """
 
     top_k: int = 5
@@ -61,6 +68,9 @@
     limit_factor: float = 1.5
     limit_slack: float = 5.0
     limit_notice: float = 0.5
+    leave_notice: float = 0.5
+    pause_notice: float = 0.5
+    pause_slack: int = 2
 
 
 class Checker:
@@ -101,6 +111,8 @@
                 self._check_stops,
                 self._check_abandoned,
                 self._check_rate_limits,
+                self._check_leaving,
+                self._check_pauses,
             ]
         return [line for check in checks for line in check()]
 
@@ -334,6 +346,61 @@
         if working > 3 and working > total / 4:
             yield f"disconnect: work for {working} of {total} callers was not cancelled"
 
+    def _check_leaving(self) -> Iterator[str]:
+        """Check that servers that said that they leave get nothing more.
+
+        What an instance has passed on binds it, and the one that gathered the shard.
+        """
+        known: dict[tuple[str, str], float] = {}
+        sent = {}
+        for attempt in self._records.attempts:
+            sent[attempt.request_id] = attempt.sent
+            for signature in (attempt.signature, *attempt.parts):
+                run = self._by_signature.get(signature)
+                if run is None or not run.leaving or not attempt.status:
+                    continue
+                for instance in (attempt.instance, run.instance):
+                    key = instance, run.server
+                    known[key] = min(attempt.ended, known.get(key, inf))
+        for run in self._records.runs:
+            at = known.get((run.instance, run.server), inf)
+            if sent.get(run.request_id, 0.0) <= at + self._bounds.leave_notice:
+                continue
+            if not self._restarted(run.instance, at, run.arrived):
+                yield (
+                    f"leaving: {run.request_id} sent to {run.server}"
+                    f" {run.arrived - at:.1f} s after it said so"
+                )
+
+    def _check_pauses(self) -> Iterator[str]:
+        """Check that instances keep to the pauses that servers have asked them for."""
+        bounds = self._bounds
+        of_pair: dict[tuple[str, str, int], list[RunRecord]] = defaultdict(list)
+        for run in self._records.runs:
+            of_pair[run.instance, run.server, run.born].append(run)
+        for (instance, server, _), runs in of_pair.items():
+            for told in runs:
+                if not told.pause or told.disconnected:
+                    continue
+                since = told.ended + bounds.pause_notice
+                until = told.ended + told.pause
+                count = sum(since < run.arrived < until for run in runs)
+                if count > bounds.pause_slack and not self._restarted(
+                    instance, told.ended, until
+                ):
+                    yield f"pause: {server} got {count} requests from {instance}"
+                    break
+
+    def _restarted(self, instance: str, since: float, until: float) -> bool:
+        """Return whether ``instance`` was restarted or paused meanwhile."""
+        return any(
+            window.instance == instance
+            and window.kind in RESTARTS
+            and window.began < until
+            and window.ended > since
+            for window in self._records.fault_windows
+        )
+
     def _check_rate_limits(self) -> Iterator[str]:
         """Check that instances together keep to the limits that they know."""
         bounds = self._bounds
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,8 @@
 from tests.soak.servers import FAULTY_MODES
 
 LAPSE_TIME = 3.0  # seconds after which a registration lapses that is not renewed
+# A server that refuses requests wants none for so long; None: it does not say.
+PAUSES = (None, 0.8, 1.5, 3.0)  # seconds
 LIMITED_TIME = 6.0  # seconds for which a server announces a rate limit, at least
 
 
@@ -183,8 +185,10 @@
     async def _fail_server(self, duration):
         server = self._server()
         server.mode = self._random.choice(FAULTY_MODES)
+        server.pause = self._random.choice(PAUSES)
         await sleep(duration)
         server.mode = "good"
+        server.pause = None
 
     async def _fail_service(self, duration):
         """Let all servers of a service fail in the same way."""
@@ -192,11 +196,14 @@
         service = self._server().service
         servers = [one for one in site.servers.values() if one.service == service]
         mode = self._random.choice(FAULTY_MODES)
+        pause = self._random.choice(PAUSES)
         for server in servers:
             server.mode = mode
+            server.pause = pause
         await sleep(duration)
         for server in servers:
             server.mode = "good"
+            server.pause = None
 
     async def _slow_server(self, duration):
         server = self._server()
@@ -240,6 +247,9 @@
             return
         await site.add_server(old.service)
         old.draining = True
+        old.says_leaving = True
+        # Its answers may be the first sign.
+        await sleep(self._random.choice((0.0, 0.5, 2.0)))
         site.register(old)
         site.records.drain_starts.append(DrainStart(server=old.name, at=monotonic()))
         await sleep(site.bounds.drain_time + 2.0)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,6 +5,7 @@
 from random import Random
 from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET
 from struct import pack
+from time import monotonic
 
 from curio import Event, TaskGroup, open_connection, sleep
 
@@ -12,6 +13,7 @@
 from savorypond.model import Address
 
 _CHUNK = 65536  # bytes
+_SETTLE_TIME = 3.0  # seconds, longer than silenced connections are in use
 _RESET = pack("ii", 1, 0)  # SO_LINGER: on, 0 s
 _STRAY_RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray"
 
@@ -46,6 +48,7 @@
         self._target = target
         self._random = random
         self._silenced = 0
+        self._disturbed_at = 0.0
         self._opened = 0
         self._socks = {}
         self._listener = Listener(
@@ -57,6 +60,12 @@
         """The address to connect to."""
         return self._listener.address
 
+    @property
+    def calm(self):
+        """Whether what passes now arrives, unless a fault begins meanwhile."""
+        is_settled = monotonic() > self._disturbed_at + _SETTLE_TIME
+        return is_settled and self.faults == ProxyFaults()
+
     async def __aenter__(self):
         await self._listener.__aenter__()
         return self
@@ -67,9 +76,11 @@
     def silence(self):
         """Stop forwarding on the connections that are now open, for good."""
         self._silenced = self._opened
+        self._disturbed_at = monotonic()
 
     def reset(self, share):
         """Reset a share of the open connections."""
+        self._disturbed_at = monotonic()
         for socks in list(self._socks.values()):
             if self._random.random() < share:
                 for sock in socks:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -28,6 +28,10 @@
     :param ran: whether the server began to process it.
     :param status: status of the server's answer, 0 while there is none.
     :param disconnected: whether the connection was closed before the answer.
+    :param born: start of the server's incarnation.
+    :param leaving: whether the answer said that the server is leaving.
+    :param pause: seconds for which the answer asked for no requests, 0 if it did not
+        or may have been lost.
     """
 
     request_id: str
@@ -44,6 +48,9 @@
     signature: str = ""
     answer: bytes = b""
     disconnected: bool = False
+    born: int = 1
+    leaving: bool = False
+    pause: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -35,7 +35,9 @@
     have the status of a failure, though the request has run), ``shedding`` (refuses
     requests as not run), ``losing`` (closes the connection of some requests after they
     have run, without an answer) or ``damaging`` (spoils a byte of half of the
-    signatures). ``rate_limit`` is the requests a second that it announces, or None.
+    signatures). ``rate_limit`` is the requests a second that it announces, or None;
+    ``pause`` the seconds for which it wants no requests after it has refused one, or
+    None; ``says_leaving`` whether its answers say that it is leaving.
     """
 
     def __init__(self, *, name, service, random, records, slots=2, service_time=0.012):
@@ -44,6 +46,8 @@
         self.mode = "good"
         self.slow_factor = 1.0
         self.rate_limit = None
+        self.pause = None
+        self.says_leaving = False
         self.draining = False
         self.born = 1
         self.heartbeats = 0
@@ -97,14 +101,14 @@
             body=request.body,
             instance=request.peer,
             arrived=monotonic(),
+            born=self.born,
         )
         self._records.runs.append(run)
         expected = request.header(HEADERS.expected_server)
         if expected not in (None, self.name):
             return HttpResponse(status=421)
         if self.mode == "shedding" or self._waiting > 12:
-            refused = Header(name=HEADERS.not_run, value="1")
-            return HttpResponse(status=503, headers=(refused, *self._limit_headers()))
+            return self._refuse(run)
         try:
             return await self._run(run)
         except CancelledError:
@@ -113,6 +117,17 @@
         finally:
             run.ended = monotonic()
 
+    def _refuse(self, run):
+        headers = [Header(name=HEADERS.not_run, value="1"), *self._notices(run)]
+        if self.pause is not None:
+            headers += (
+                Header(name=HEADERS.request_id, value=run.request_id),
+                Header(name=HEADERS.retry_after, value=str(self.pause)),
+            )
+            run.pause = self.pause if self.proxy.calm else 0.0
+        run.ended = monotonic()
+        return HttpResponse(status=503, headers=tuple(headers))
+
     async def _run(self, run):
         self._waiting += 1
         try:
@@ -145,15 +160,20 @@
             headers=(
                 Header(name=HEADERS.request_id, value=run.request_id),
                 Header(name=HEADERS.signature, value=signature),
-                *self._limit_headers(),
+                *self._notices(run),
             ),
             body=run.answer,
         )
 
-    def _limit_headers(self):
-        if self.rate_limit is None:
-            return ()
-        return (Header(name=HEADERS.rate_limit, value=str(self.rate_limit)),)
+    def _notices(self, run):
+        headers = []
+        if self.rate_limit is not None:
+            value = str(self.rate_limit)
+            headers.append(Header(name=HEADERS.rate_limit, value=value))
+        if self.says_leaving:
+            headers.append(Header(name=HEADERS.leaving, value="1"))
+            run.leaving = True
+        return headers
 
     def _answer(self, request_id):
         """Return records that are unique to this service and request."""
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -179,6 +179,33 @@
         ),
         {"rate_limits": LIMITED},
     ),
+    Case(
+        "server that leaves",
+        "leaving",
+        (attempt(), attempt("r2", sent=11.0)),
+        (run(leaving=True), run("r2", arrived=11.1)),
+    ),
+    Case(
+        "server that leaves, known from a delegate",
+        "leaving",
+        (gathered(), attempt("r2", sent=11.0, instance="g2")),
+        (
+            run(service="s1", leaving=True, instance="g2"),
+            SHARD_RUNS[1],
+            run("r2", arrived=11.1, instance="g1"),
+        ),
+    ),
+    Case(
+        "pause of a server",
+        "pause",
+        tuple(attempt(f"r{n}", signature=f"i{1 + (n > 2)}.r{n}") for n in range(4)),
+        (
+            run("r0", pause=3.0),
+            *(run(f"r{n}", arrived=11.0, ended=11.1) for n in (1, 2)),
+            run("r3", "i2"),
+            run("r3", "i1", arrived=12.0),
+        ),
+    ),
     Case("unexpected exit", "exit", (), (), {"exits": ["g1#1 ended with 1"]}),
     Case("no recovery", "recovery", (), (), {"probes": 4, "probes_failed": 4}),
 )
@@ -232,6 +259,48 @@
         )
         self.assertEqual(check(case), [])
 
+    def test_a_server_that_leaves_may_get_what_an_instance_could_not_know(self):
+        restart = FaultWindow(instance="g1", kind="start", began=10.5, ended=10.9)
+        requests = (attempt(), attempt("r2", sent=11.0))
+        first = run(leaving=True)
+        excused = (
+            Case("restarted", "", requests, (first, run("r2", arrived=11.1)), None),
+            Case(
+                "sent soon",
+                "",
+                (requests[0], attempt("r2", sent=10.4)),
+                (first, run("r2", arrived=11.1)),
+            ),
+            Case(
+                "another instance",
+                "",
+                requests,
+                (first, run("r2", instance="g2", arrived=11.1)),
+            ),
+        )
+        for case in excused:
+            with self.subTest(case.name):
+                windows = [restart] if case.name == "restarted" else []
+                records = {"fault_windows": windows}
+                self.assertEqual(check(replace(case, records=records)), [])
+
+    def test_a_pause_binds_only_the_instance_that_was_asked(self):
+        told = run("r0", pause=3.0)
+        after = tuple(run(f"r{n}", arrived=11.0, ended=11.1) for n in range(1, 4))
+        requests = tuple(attempt(f"r{n}") for n in range(4))
+        cases = {
+            "another instance": tuple(replace(one, instance="g2") for one in after),
+            "another incarnation": tuple(replace(one, born=2) for one in after),
+            "at once": tuple(replace(one, arrived=10.4) for one in after),
+            "over": tuple(replace(one, arrived=13.2, ended=13.3) for one in after),
+            "two": after[:2],
+        }
+        for name, runs in cases.items():
+            with self.subTest(name):
+                case = Case(name, "", requests[: 1 + len(runs)], (told, *runs))
+                self.assertEqual(check(case), [])
+        self.assertTrue(check(Case("same", "", requests, (told, *after))))
+
     def test_requests_count_against_a_limit_that_their_instance_knows(self):
         """Ten instances send few requests each; one that restarts sends many."""
         runs = tuple(
