Tell other instances when an isolation ends

Cause: an instance that had tried an isolated request with success delegated the next one like it to instances that still isolated it, so that callers missed those shards until each instance had tried by itself.

Change: the end of an isolation is told like its begin. A result whose recording is cut off gives its memory back.

Tests: the trial in test_gateway_deadly_requests now asks both instances.

--- a/src/savorypond/gateway/attempts.py
+++ b/src/savorypond/gateway/attempts.py
@@ -235,7 +235,12 @@
         self, request: ForwardedRequest, result: AttemptResult
     ) -> AttemptResult:
         if result.outcome in _RAN_OUTCOMES:
-            self._crashes.record_answer(request.fingerprint)
+            try:
+                await self._crashes.record_answer(request.fingerprint, result.server)
+            except BaseException:
+                if result.reservation is not None:
+                    result.reservation.release()
+                raise
         if result.outcome is not AttemptOutcome.BROKEN:
             return result
         ended_at = self._clock.now()
--- a/src/savorypond/gateway/crash_isolation.py
+++ b/src/savorypond/gateway/crash_isolation.py
@@ -193,6 +193,10 @@
         self._answered[request] = now
         if len(self._answered) > self._config.max_requests:
             del self._answered[next(iter(self._answered))]
+        return self.release(request)
+
+    def release(self, request: bytes) -> bool:
+        """Forget the crashes under ``request``; return whether it was isolated."""
         suspicion = self._suspicions.pop(request, None)
         return suspicion is not None and suspicion.isolations > 0
 
--- a/src/savorypond/gateway/crash_reports.py
+++ b/src/savorypond/gateway/crash_reports.py
@@ -33,18 +33,20 @@
 
 
 class CrashNews(Struct, frozen=True, kw_only=True):
-    """The message that tells other instances of a crash.
+    """The message that tells other instances of a crash, or of the end of an isolation.
 
     :param fingerprint: what identifies requests like the one that the server had.
-    :param server: name of the server.
+    :param server: name of the server that crashed or, after an isolation, answered.
     :param started: its start time in Unix milliseconds.
     :param isolated_for: seconds for which such requests are isolated, or 0.0.
+    :param released: whether an answer has ended an isolation.
     """
 
     fingerprint: bytes
     server: str
     started: int
     isolated_for: float = 0.0
+    released: bool = False
 
 
 _decoder = Decoder(CrashNews)
@@ -142,11 +144,19 @@
             )
             await self._stop(fingerprint)
 
-    def record_answer(self, fingerprint: bytes) -> None:
-        """Record that a server ran a request and answered."""
-        if self._isolation.record_answer(fingerprint, self._clock.now()):
-            self._counters.add("gateway_isolations", "released")
-            log_event("request-released", fingerprint=fingerprint.hex())
+    async def record_answer(self, fingerprint: bytes, server: RegisteredServer) -> None:
+        """Record that ``server`` ran a request and answered."""
+        if not self._isolation.record_answer(fingerprint, self._clock.now()):
+            return
+        self._record_release(fingerprint)
+        await self._announce(
+            CrashNews(
+                fingerprint=fingerprint,
+                server=server.name,
+                started=server.started,
+                released=True,
+            )
+        )
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Record a crash of which another instance tells."""
@@ -157,6 +167,10 @@
                 reason=RefusalReason.MALFORMED,
                 detail=f"invalid message from a peer: {error}",
             ) from error
+        if news.released:
+            if self._isolation.release(news.fingerprint):
+                self._record_release(news.fingerprint)
+            return HttpResponse(status=200)
         now = self._clock.now()
         fingerprint = news.fingerprint
         blame = self._isolation.record_crash(
@@ -177,6 +191,10 @@
             await self._stop(fingerprint)
         return HttpResponse(status=200)
 
+    def _record_release(self, fingerprint: bytes) -> None:
+        self._counters.add("gateway_isolations", "released")
+        log_event("request-released", fingerprint=fingerprint.hex())
+
     def _is_in_use(self, server: RegisteredServer) -> bool:
         return any(
             listed.name == server.name and listed.started == server.started
--- a/tests/test_gateway_crash_isolation.py
+++ b/tests/test_gateway_crash_isolation.py
@@ -167,6 +167,13 @@
         self.assertFalse(isolation.adopt(OTHER, 30.0, CONFIG.answer_memory - 0.1))
         self.assertIs(isolation.admit(OTHER, 1.0), Admission.FREE)
 
+    def test_it_ends_when_the_other_instance_says_so(self):
+        isolation = make_isolation()
+        isolation.adopt(DEADLY, 30.0, 0.0)
+        self.assertTrue(isolation.release(DEADLY))
+        self.assertFalse(isolation.release(DEADLY))
+        self.assertIs(isolation.admit(DEADLY, 1.0), Admission.FREE)
+
 
 class BoundsTests(TestCase):
     def test_the_number_of_requests_is_bounded(self):
--- a/tests/test_gateway_deadly_requests.py
+++ b/tests/test_gateway_deadly_requests.py
@@ -293,7 +293,10 @@
             await sleep(3 * ISOLATION)
             response = await deployment.ask("/q/deadly")
             self.assertEqual(response.status, 200)
-            self.assertEqual(deployment.counted("released"), 1)
+            await deployment.wait_until(lambda: deployment.counted("released") == 2)
+            response = await deployment.ask("/q/deadly", instance=1)
+            self.assertEqual(response.status, 200)
+            self.assertLessEqual(deployment.counted("tried"), 2)
 
         isolation = partial(
             CrashIsolation, config=CrashIsolationConfig(base_isolation=ISOLATION)
