Blame no request for servers that said that they leave

Servers that say Server-Leaving in their answers and end one after the other, while their registrations do not say so, counted as crashed under the requests that they still had: three of them isolated a request that was at all of them, and its callers got 502 for up to half a minute.

Cause: a planned stop was known by the registration alone; the two changes were made separately. A server that has said in an answer that it leaves now has not crashed.

test_servers_that_said_that_they_leave_isolate_nothing fails without the change, 3 of 3. Its module passes 6 of 6.

--- a/benchmarks/bench_gather.py
+++ b/benchmarks/bench_gather.py
@@ -169,6 +169,7 @@
                 isolation=isolation,
                 pools=pools,
                 registry=registry,
+                is_leaving=notices.leaving.includes,
                 client=client,
                 peers=lambda: (peer,),
                 stop=RunningRequests().stop,
--- a/src/savorypond/gateway/crash_reports.py
+++ b/src/savorypond/gateway/crash_reports.py
@@ -55,6 +55,7 @@
 class CrashReports:
     """Records crashes and answers of servers, and shares which requests are isolated.
 
+    :param is_leaving: whether a server has said in an answer that it leaves.
     :param peers: returns the live instances other than this one.
     :param stop: ends the running requests with a fingerprint.
     """
@@ -65,6 +66,7 @@
         isolation: CrashIsolation,
         pools: ConnectionPools,
         registry: ServerRegistry,
+        is_leaving: Callable[[RegisteredServer], bool],
         client: PeerClient,
         peers: Callable[[], Sequence[Instance]],
         stop: Callable[[bytes], Awaitable[None]],
@@ -75,6 +77,7 @@
         self._isolation = isolation
         self._pools = pools
         self._registry = registry
+        self._is_leaving = is_leaving
         self._client = client
         self._peers = peers
         self._stop = stop
@@ -196,6 +199,8 @@
         log_event("request-released", fingerprint=fingerprint.hex())
 
     def _is_in_use(self, server: RegisteredServer) -> bool:
+        if self._is_leaving(server):
+            return False
         return any(
             listed.name == server.name and listed.started == server.started
             for listed in self._registry.servers(server.service)
--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -153,6 +153,7 @@
             isolation=isolation,
             pools=self._pools,
             registry=self._registry,
+            is_leaving=self._notices.leaving.includes,
             client=client,
             peers=self.peers,
             stop=self._running_requests.stop,
--- a/tests/test_gateway_deadly_requests.py
+++ b/tests/test_gateway_deadly_requests.py
@@ -282,6 +282,35 @@
             server.delay = 1.0
         self.play(test, servers=slow)
 
+    def test_servers_that_said_that_they_leave_isolate_nothing(self):
+        """Their registrations do not say so; they end one after the other."""
+
+        async def test(deployment):
+            leaving = deployment.gateways[0]._notices.leaving
+            async with TaskGroup() as group:
+                tasks = [
+                    await group.spawn(deployment.ask, "/r/slow") for _ in range(12)
+                ]
+                await sleep(0.1)
+                for server in deployment.servers:
+                    server.headers = {HEADERS.leaving: "1"}
+                    server.delay = 0.0
+                for _ in range(4 * len(deployment.servers)):
+                    await deployment.ask("/r/fast")
+                names = {server.name for server in leaving.of_services(["s0"])}
+                self.assertGreaterEqual(len(names), 3)
+                for server in deployment.servers:
+                    if server.name in names:
+                        await server.end()
+                        await sleep(0.03)
+            self.assertNotIn("isolated", [reason_of(t.result) for t in tasks])
+            self.assertEqual(deployment.counted("isolated"), 0)
+
+        slow = single()
+        for server in slow:
+            server.delay = 1.0
+        self.play(test, servers=slow)
+
     def test_it_is_tried_at_one_server_and_released_by_its_answer(self):
         async def test(deployment):
             await deployment.ask("/q/deadly")
