Tell a server's notice apart from its choice in tests

Tests of servers that leave or ask for a pause failed now and then, beside load: a lingering hedge reached the server after the notice, and the chooser had stopped picking the server that was to give it. The server now is the only one of its service until it has given its notice, and the tests wait until no attempt is under way. What they check afterwards is the same.

--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -72,6 +72,11 @@
             while not condition():
                 await sleep(0.005)
 
+    async def wait_until_idle(self):
+        """Wait until all attempts have ended, also those of answered requests."""
+        loads = self.gateway._loads._loads
+        await self.wait_until(lambda: not any(x.in_flight for x in loads.values()))
+
     def request(self, path="/q/1", *, method="GET", body=b"", request_id="r1", **extra):
         headers = {
             "host": "shop.example",
--- a/tests/test_gateway_leaving_servers.py
+++ b/tests/test_gateway_leaving_servers.py
@@ -110,13 +110,18 @@
 
 
 class RequestTests(TestCase):
-    async def ask_until_told(self, env, path="/r/1", **options):
-        """Ask until server i1, which says that it leaves, has got a request."""
-        for attempt in range(REQUESTS):
-            await self.ask_together(env, path, f"first-{attempt}", options)
-            if env.servers[0].requests:
-                return
-        self.fail("no request reached the server")
+    async def tell(self, env, path="/r/1", **options):
+        """Send a request to server i1 while it is the only one of its service."""
+        others = env.servers[1:2]
+        for other in others:
+            env.store.remove(f"servers/{other.name}")
+        await env.wait_until(lambda: len(env.gateway.servers("s1")) == 1)
+        await env.ask(path, request_id="first", **options)
+        await env.wait_until_idle()
+        self.assertTrue(env.servers[0].requests)
+        for other in others:
+            env.store.put(f"servers/{other.name}", other.entry())
+        await env.wait_until(lambda: len(env.gateway.servers("s1")) == 1 + len(others))
 
     async def leave_only(self, env):
         """Let server i1 be the only one, work again and say nothing more."""
@@ -147,24 +152,24 @@
 
     @with_gateway(READ, servers=pair(headers=A_LEAVING))
     async def test_a_server_that_says_that_it_leaves_gets_nothing_more(self, env):
-        await self.ask_until_told(env)
+        await self.tell(env)
         await self.check_avoided(env)
 
     @with_gateway(READ, servers=pair("failing", headers=A_LEAVING))
     async def test_an_error_that_says_so_counts(self, env):
-        await self.ask_until_told(env)
+        await self.tell(env)
         await self.leave_only(env)
         await self.check_avoided(env, status=503)
 
     @with_gateway(WRITE, servers=pair("full", headers=A_LEAVING))
     async def test_a_refusal_that_says_so_counts(self, env):
-        await self.ask_until_told(env, "/w/1", method="POST", body=b"x")
+        await self.tell(env, "/w/1", method="POST", body=b"x")
         await self.leave_only(env)
         await self.check_avoided(env, "/w/1", status=503, method="POST", body=b"x")
 
     @with_gateway(READ, servers=pair(status=404, headers=A_LEAVING))
     async def test_an_answer_that_is_passed_on_as_it_is_counts(self, env):
-        await self.ask_until_told(env)
+        await self.tell(env)
         await self.check_avoided(env)
 
     @with_gateway(
@@ -175,12 +180,12 @@
         ),
     )
     async def test_a_part_of_a_merged_answer_that_says_so_counts(self, env):
-        await self.ask_until_told(env, "/q/1")
+        await self.tell(env, "/q/1")
         await self.check_avoided(env, "/q/1")
 
     @with_gateway(READ, servers=pair(headers=A_LEAVING))
     async def test_renewed_registrations_and_a_lost_store_do_not_end_it(self, env):
-        await self.ask_until_told(env)
+        await self.tell(env)
         first = env.servers[0]
         env.store.put(f"servers/{first.name}", first.entry(sequence=2))
         env.store.put("op/config", configuration(READ, version=2))
@@ -192,7 +197,7 @@
 
     @with_gateway(READ, servers=pair(headers=A_LEAVING))
     async def test_a_server_that_has_started_again_is_used(self, env):
-        await self.ask_until_told(env)
+        await self.tell(env)
         first, second = env.servers
         first.headers = {}
         told = len(first.requests)
@@ -209,12 +214,12 @@
     async def test_the_answer_of_another_server_at_the_address_does_not_count(
         self, env
     ):
-        await self.ask_until_told(env)
+        await self.tell(env)
         self.assertEqual(env.gateway._notices.leaving.count, 0)
 
     @with_gateway(READ, servers=pair("crossed", headers=A_LEAVING))
     async def test_the_answer_to_another_request_does_not_count(self, env):
-        await self.ask_until_told(env)
+        await self.tell(env)
         self.assertEqual(env.gateway._notices.leaving.count, 0)
 
     @with_gateway(
@@ -224,7 +229,7 @@
         ),
     )
     async def test_without_another_server_requests_are_refused_at_once(self, env):
-        await self.ask_until_told(env)
+        await self.tell(env)
         await self.check_avoided(env, status=503)
 
     @with_gateway(WRITE, servers=pair())
--- a/tests/test_gateway_server_holds.py
+++ b/tests/test_gateway_server_holds.py
@@ -164,9 +164,11 @@
     async def ask_until_on_hold(self, env, count, path="/r/1", **options):
         """Ask until ``count`` servers have asked for a pause."""
         for attempt in range(ROUNDS):
+            await env.wait_until_idle()
             if env.gateway._notices.holds.count >= count:
                 return
             await self.ask_together(env, path, f"first-{attempt}", **options)
+        await env.wait_until_idle()
         self.assertEqual(env.gateway._notices.holds.count, count)
 
     def let_work(self, env):
@@ -176,9 +178,13 @@
 
     @with_gateway(READ, servers=pausing_and_good())
     async def test_a_server_that_wants_a_pause_gets_nothing_until_its_end(self, env):
-        await self.ask_until_on_hold(env, 1)
         first, second = env.servers
+        env.store.remove(f"servers/{second.name}")
+        await env.wait_until(lambda: len(env.gateway.servers("s1")) == 1)
+        await self.ask_until_on_hold(env, 1)
         self.let_work(env)
+        env.store.put(f"servers/{second.name}", second.entry())
+        await env.wait_until(lambda: len(env.gateway.servers("s1")) == 2)
         told = len(first.requests)
         for attempt in range(ROUNDS):
             responses = await self.ask_together(env, "/r/1", f"next-{attempt}")
