End the grace period of lapsed registrations on time

Cause, from the instance's log: many servers are removed at once, which counts as an outage of the store, so that their registrations are kept for 2.5 s. The removal was seen at 11.13 s; the grace ended at 13.63 s, but registrations were dropped only with the next successful read, at 14.12 s, and the request went out at 13.86 s.

They are now dropped when the grace ends, unless reading fails.

--- a/src/savorypond/gateway/daemon.py
+++ b/src/savorypond/gateway/daemon.py
@@ -381,7 +381,8 @@
 
     async def _maintain(self) -> None:
         while True:
-            await sleep(MAINTENANCE_INTERVAL)
+            # A server whose registration has lapsed may be gone right after the grace.
+            await sleep(min(MAINTENANCE_INTERVAL, self._feed.expire_lapsed()))
             await self._pools.close_expired()
             self._configure_budget()
             now, registered = self._clock.now(), self._registry.all()
--- a/src/savorypond/gateway/published_feed.py
+++ b/src/savorypond/gateway/published_feed.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from functools import partial
+from math import inf
 from random import Random
 from typing import Any, Protocol, Self
 
@@ -367,8 +368,19 @@
         if self._failures:
             log_event("published-regained", failures=self._failures)
         self._failures = 0
-        for name in self._registry.expire(self._clock.now()):
+        self.expire_lapsed()
+
+    def expire_lapsed(self) -> float:
+        """Drop registrations whose grace period is over, unless reading fails.
+
+        Return the seconds until the next one is over, or infinity.
+        """
+        if self._failures:
+            return inf
+        now = self._clock.now()
+        for name in self._registry.expire(now):
             log_event("server-lapsed", server=name)
+        return self._registry.next_expiry() - now
 
     async def _back_off(self, error: PublishedStateError) -> None:
         self._failures += 1
--- a/src/savorypond/gateway/servers.py
+++ b/src/savorypond/gateway/servers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import inf
 
 from savorypond.model import Address
 
@@ -140,6 +141,11 @@
         self._drop(removed, now)
         self._rebuild()
 
+    def next_expiry(self) -> float:
+        """Return when the next grace period ends, or infinity."""
+        ends = (e.until for e in self._entries.values() if e.until is not None)
+        return min(ends, default=inf)
+
     def expire(self, now: float) -> tuple[str, ...]:
         """Drop lapsed registrations after their grace period; return their names."""
         expired = tuple(
--- a/tests/test_gateway_daemon.py
+++ b/tests/test_gateway_daemon.py
@@ -5,7 +5,7 @@
 from json import loads
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
-from time import sleep as block
+from time import monotonic, sleep as block
 from unittest import TestCase
 from unittest.mock import patch
 
@@ -20,6 +20,7 @@
 from savorypond.gateway.gather_plan import GatherPlan
 from savorypond.gateway.leaving_servers import LeavingServer
 from savorypond.gateway.routes import Route
+from savorypond.gateway.servers import LAPSE_GRACE
 from savorypond.http.client import HttpConnection
 from savorypond.http.messages import Header, HttpRequest
 from savorypond.platform.names import HEADERS, READY_PATH
@@ -37,6 +38,7 @@
 BUSY_CONNECTIONS = 9
 ANSWER_TIME = 1.0  # seconds after a stop for a client to read its answer
 DOWNGRADE_TIME = 2.0  # seconds, as allowed on a slowed machine
+MAX_LATENESS = 0.25  # seconds; a read of the store takes twice as long to come
 BUSY_TIME = 0.5  # seconds for which the event loop is blocked
 A_RECORD = b"a" * 16
 B_RECORD = b"b" * 16
@@ -747,3 +749,20 @@
             self.assertEqual((await env.ask("/p/1")).status, 200)
 
         self.run_test(test)
+
+
+class LapseTests(TestCase):
+    @with_gateway(
+        READ,
+        servers=lambda: [FakeServer(f"i{n}", service="s1") for n in range(6)],
+    )
+    async def test_lapsed_servers_get_nothing_after_their_grace_period(self, env):
+        """They were dropped with the next read, after up to half a second more."""
+        registry = env.gateway._registry
+        for server in env.servers[1:]:
+            env.store.remove(f"servers/{server.name}")
+        await env.wait_until(lambda: len(registry.registered()) == 1)
+        lapsed_at = monotonic()
+        await env.wait_until(lambda: len(env.gateway.servers("s1")) == 1)
+        self.assertGreater(monotonic() - lapsed_at, LAPSE_GRACE - 0.1)
+        self.assertLess(monotonic() - lapsed_at, LAPSE_GRACE + MAX_LATENESS)
--- a/tests/test_gateway_servers.py
+++ b/tests/test_gateway_servers.py
@@ -1,5 +1,6 @@
 """Tests of savorypond.gateway.servers."""
 
+from math import inf
 from unittest import TestCase
 
 from savorypond.gateway.servers import LAPSE_GRACE, ServerRegistry
@@ -57,3 +58,10 @@
         self.assertEqual(len(names(self.registry)), 8)
         self.registry.expire(1.0 + LAPSE_GRACE)
         self.assertEqual(len(names(self.registry)), 3)
+
+    def test_the_end_of_the_next_grace_period_is_known(self):
+        self.assertEqual(self.registry.next_expiry(), inf)
+        self.registry.apply([(f"i{n}", None) for n in range(5)], 1.0)
+        self.assertEqual(self.registry.next_expiry(), 1.0 + LAPSE_GRACE)
+        self.registry.expire(1.0 + LAPSE_GRACE)
+        self.assertEqual(self.registry.next_expiry(), inf)
