Name the method, path and sender of a request that no caller sent

Cause, by a run: gateway processes that were left when another run of the tests was ended read a store whose port is closed, without end. A listener on that port got 9 such reads in 12 s, GET /savorypond/kv-watch without an id. A server of the soak that is given the port gets them. Ruled out: the gateways of the soak, which send no request to a server without its caller's id.

The report now says what a request was and from which address it came.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -187,7 +187,10 @@
                 run.path,
                 run.body,
             ):
-                yield f"unsolicited: {run.request_id} at {run.server}"
+                yield (
+                    f"unsolicited: {run.request_id} at {run.server}, {run.method}"
+                    f" {run.path} from {run.instance}"
+                )
 
     def _check_services(self) -> Iterator[str]:
         versions = self._records.versions
