--- a/src/savorypond/gateway/foreign_bytes.py
+++ b/src/savorypond/gateway/foreign_bytes.py
@@ -10,7 +10,7 @@
 
 
 class ForeignBytesHistory:
-    """When each server last sent foreign bytes; later times only."""
+    """When each server last sent foreign bytes; recorded times do not go back."""
 
     def __init__(self) -> None:
         self._seen: dict[tuple[str, int], float] = {}
@@ -21,7 +21,7 @@
         return len(self._seen)
 
     def record(self, server: RegisteredServer, now: float) -> None:
-        """Record that ``server`` sent some at ``now``, in monotonic seconds."""
+        """Record foreign bytes of ``server`` at ``now``, in monotonic seconds."""
         self._forget_old(now)
         self._seen.pop(_key(server), None)
         self._seen[_key(server)] = now
